Serve prepaid requests end to end, thin

Cause: nothing existed. Change: workspace of packages, core types, store client, budget grants in shard objects, engine and service clients, a daemon with caller and admin ports, a command-line tool, stand-ins and a demo with real processes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Two commands: `make demo` and `make test`.
+VENV ?= .venv
+PACKAGES := $(wildcard packages/*/src)
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(abspath $(PACKAGES))):$(CURDIR)
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.requirements.stamp
+SEED ?= 1
+STEPS ?= 200
+
+.PHONY: setup test check format demo fuzz bench capacity
+setup: $(STAMP)
+
+$(STAMP): requirements.txt
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q -r requirements.txt
+	$(PY) -m pip install -q --no-build-isolation --no-deps $(addprefix -e ,$(wildcard packages/*))
+	touch $@
+
+check: setup
+	$(PY) -m ruff format --check .
+	$(PY) -m ruff check .
+	$(PY) -m flake8 packages bench tests
+
+format: setup
+	$(PY) -m ruff check --fix .
+	$(PY) -m ruff format .
+
+test: check
+	$(PY) -m pytest -q -n 6
+
+fuzz: setup
+	FUZZ_SEED=$(SEED) FUZZ_STEPS=$(STEPS) $(PY) -m pytest -q -m fuzz packages tests
+
+demo: setup
+	$(PY) -m tests.demo
+
+bench: setup
+	$(PY) -m bench
+
+capacity: setup
+	$(PY) -m bench.capacity
--- /dev/null
+++ b/packages/backends/src/oriolegauge/backends/engineclient.py
@@ -0,0 +1,125 @@
+"""Client of a model engine with the OpenAI-style routes."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import aiohttp
+import orjson
+from oriolegauge.backends.backendserver import BackendServer
+from oriolegauge.backends.enginerequest import EngineRequest
+from oriolegauge.backends.enginestream import EngineStream
+from oriolegauge.backends.errors import (
+    ServerConnectError,
+    ServerCutError,
+    ServerRejectedError,
+)
+
+HTTP_OK = 200
+CONNECT_TIMEOUT_S = 1.0
+CONTROL_TIMEOUT_S = 2.0
+
+
+class EngineClient:
+    """Send completions and control calls to model engines."""
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        idle_timeout_s: float,
+    ) -> None:
+        """Give up on a silent stream after `idle_timeout_s`."""
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=idle_timeout_s,
+        )
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        server: BackendServer,
+        request: EngineRequest,
+    ) -> AsyncIterator[EngineStream]:
+        """Open a streamed completion; leaving the block closes it."""
+        response = await self._post(server, request)
+        try:
+            yield EngineStream(response)
+        finally:
+            response.close()
+
+    async def whole(
+        self,
+        server: BackendServer,
+        request: EngineRequest,
+    ) -> dict[str, Any]:
+        """Return the whole answer of a completion."""
+        response = await self._post(server, request)
+        try:
+            return orjson.loads(await response.read())
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise ServerCutError(f'answer cut: {error!r}') from error
+        finally:
+            response.release()
+
+    async def cancel(self, server: BackendServer, request_id: str) -> None:
+        """Ask the engine to end the stream early."""
+        await self.control(server, 'POST', f'/cancel/{request_id}')
+
+    async def control(
+        self,
+        server: BackendServer,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+    ) -> dict[str, Any]:
+        """Call a control route (load, orders, cancel) of the engine."""
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        try:
+            async with self._session.request(
+                method, server.url + path, json=body, timeout=timeout
+            ) as response:
+                payload = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            raise ServerConnectError(str(error)) from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise ServerCutError(f'no answer: {error!r}') from error
+        if response.status != HTTP_OK:
+            raise ServerRejectedError(
+                f'{server.name} answered {response.status}',
+                status=response.status,
+                body=payload,
+            )
+        return orjson.loads(payload)
+
+    async def _post(
+        self,
+        server: BackendServer,
+        request: EngineRequest,
+    ) -> aiohttp.ClientResponse:
+        try:
+            response = await self._session.post(
+                server.url + request.path,
+                data=orjson.dumps(request.payload()),
+                headers={
+                    'Content-Type': 'application/json',
+                    'X-Request-Id': request.request_id,
+                },
+                timeout=self._timeout,
+            )
+        except aiohttp.ClientConnectorError as error:
+            raise ServerConnectError(
+                f'{server.name} unreachable: {error}'
+            ) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise ServerCutError(f'{server.name}: {error!r}') from error
+        if response.status != HTTP_OK:
+            body = await response.read()
+            raise ServerRejectedError(
+                f'{server.name} answered {response.status}',
+                status=response.status,
+                body=body,
+            )
+        return response
--- /dev/null
+++ b/packages/backends/src/oriolegauge/backends/enginerequest.py
@@ -0,0 +1,34 @@
+"""A completion request on its way to a model engine."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from oriolegauge.core.priority import Priority
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineRequest:
+    """Carry the caller's body with the limits that the daemon sets.
+
+    `max_tokens` caps the output; `resume_tokens` skips tokens already sent.
+    """
+
+    request_id: str
+    path: str
+    body: Mapping[str, Any]
+    max_tokens: int
+    priority: Priority = Priority.NORMAL
+    resume_tokens: int = 0
+
+    def payload(self) -> dict[str, Any]:
+        """Return the JSON body for the engine."""
+        payload = dict(self.body)
+        payload['max_tokens'] = self.max_tokens
+        payload.pop('max_completion_tokens', None)
+        payload['priority'] = int(self.priority)
+        if payload.get('stream'):
+            payload['stream_options'] = {'include_usage': True}
+        if self.resume_tokens:
+            payload['resume_tokens'] = self.resume_tokens
+        return payload
--- /dev/null
+++ b/packages/budget/src/oriolegauge/budget/errors.py
@@ -0,0 +1,22 @@
+"""Errors of budget accounting."""
+
+from oriolegauge.core.errors import OriolegaugeError
+from oriolegauge.core.resultcode import ResultCode
+
+
+class BudgetExhaustedError(OriolegaugeError):
+    """Refuse a request that the prepaid amount cannot pay."""
+
+    code = ResultCode.BUDGET_EXHAUSTED
+
+
+class BudgetUnknownError(OriolegaugeError):
+    """Report a budget that does not exist."""
+
+    code = ResultCode.BUDGET_UNKNOWN
+
+
+class HolderClosedError(OriolegaugeError):
+    """Report a write by a holder whose grants were closed."""
+
+    code = ResultCode.HOLDER_CLOSED
--- /dev/null
+++ b/packages/cli/src/oriolegauge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tool for operators."""
--- /dev/null
+++ b/packages/config/src/oriolegauge/config/errors.py
@@ -0,0 +1,16 @@
+"""Errors of configuration and settings."""
+
+from oriolegauge.core.errors import OriolegaugeError
+from oriolegauge.core.resultcode import ResultCode
+
+
+class ConfigInvalidError(OriolegaugeError):
+    """Reject a subtree of the configuration that does not validate."""
+
+    code = ResultCode.CONFIG_INVALID
+
+
+class SettingsInvalidError(OriolegaugeError):
+    """Reject a settings file with the places that are wrong."""
+
+    code = ResultCode.SETTINGS_INVALID
--- /dev/null
+++ b/packages/core/src/oriolegauge/core/runstate.py
@@ -0,0 +1,11 @@
+"""Whether the work of a refused or failed request ran."""
+
+from enum import StrEnum
+
+
+class RunState(StrEnum):
+    """State whether work ran on a backend server."""
+
+    NOT_RUN = 'not_run'
+    RAN = 'ran'
+    UNKNOWN = 'unknown'
--- /dev/null
+++ b/packages/daemon/src/oriolegauge/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon."""
--- /dev/null
+++ b/packages/platform/src/oriolegauge/platform/objectstore.py
@@ -0,0 +1,35 @@
+"""What the rest of the system needs of the platform's store."""
+
+from collections.abc import AsyncIterator, Mapping
+from typing import Any, Protocol
+
+from oriolegauge.platform.hoststatus import HostStatus
+from oriolegauge.platform.storedobject import StoredObject
+
+
+class ObjectStore(Protocol):
+    """Read, conditionally update and watch versioned objects."""
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return the object, or None if it does not exist."""
+
+    async def put(
+        self,
+        key: str,
+        value: Mapping[str, Any],
+        expected_version: int,
+    ) -> StoredObject:
+        """Replace the object if its version is the expected one (0 creates).
+
+        Raise VersionConflictError, StoreUnavailableError or
+        StoreRateLimitError when not applied, StoreAnswerLostError when unknown.
+        """
+
+    async def list_objects(self, prefix: str) -> list[StoredObject]:
+        """Return the objects whose keys start with the prefix."""
+
+    def watch(self, prefix: str, after: int) -> AsyncIterator[StoredObject]:
+        """Yield each change under the prefix with a version above `after`."""
+
+    async def hosts(self) -> list[HostStatus]:
+        """Return the host list, which lags behind reality."""
--- /dev/null
+++ b/packages/standins/src/oriolegauge/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the outside systems, run as separate processes."""
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,245 @@
+"""Start and stop real processes for the demo and the process tests."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+START_TIMEOUT_S = 20
+HOST = '127.0.0.1'
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def fetch(
+    url: str,
+    *,
+    method: str = 'GET',
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = 30,
+) -> tuple[int, dict[str, str], bytes]:
+    """Return status, headers and body of one HTTP call."""
+    raw = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(
+        url,
+        data=raw,
+        method=method,
+        headers={'Content-Type': 'application/json', **(headers or {})},
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return response.status, dict(response.headers), response.read()
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers), error.read()
+
+
+class Process:
+    """One child process with its log file."""
+
+    def __init__(self, name: str, arguments: list[str], folder: Path) -> None:
+        self.name = name
+        self.log = folder / f'{name}.log'
+        with self.log.open('w') as output:
+            self.child = subprocess.Popen(
+                [sys.executable, '-m', *arguments],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def kill(self) -> None:
+        self.child.kill()
+        self.child.wait()
+
+    def freeze(self) -> None:
+        self.child.send_signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        self.child.send_signal(signal.SIGCONT)
+
+    def stop(self, timeout_s: float = 20) -> int:
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGCONT)
+            self.child.terminate()
+        try:
+            return self.child.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return -9
+
+
+class Fleet:
+    """A platform, engines, services and daemons on loopback ports."""
+
+    def __init__(self, *, output: str = 'json') -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix='oriolegauge-'))
+        self.processes: dict[str, Process] = {}
+        self.ports: dict[str, int] = {}
+        self.store_port = 0
+        self.output = output
+        self.daemon_settings: dict[str, dict[str, Any]] = {}
+
+    def __enter__(self) -> 'Fleet':
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        for process in self.processes.values():
+            if process.child.poll() is None:
+                process.kill()
+
+    @property
+    def store_url(self) -> str:
+        return f'http://{HOST}:{self.store_port}'
+
+    def start_platform(self) -> None:
+        self.store_port = free_port()
+        self._standin('platform', self.store_port, [])
+
+    def start_engine(
+        self, name: str, models: str = 'toaster-7b', *extra: str
+    ) -> None:
+        port = self.ports.setdefault(name, free_port())
+        self._standin(
+            'engine', port, ['--name', name, '--models', models, *extra], name
+        )
+
+    def start_service(self, name: str) -> None:
+        port = self.ports.setdefault(name, free_port())
+        self._standin('service', port, ['--name', name], name)
+
+    def plan_daemons(self, zones: dict[str, str], **settings: Any) -> None:
+        """Choose ports so that each daemon knows its peers."""
+        for name, zone in zones.items():
+            self.daemon_settings[name] = {
+                'name': name,
+                'zone': zone,
+                'address': HOST,
+                'caller_port': free_port(),
+                'admin_port': free_port(),
+                'peer_port': free_port(),
+                'store_url': self.store_url,
+                'drain_notice_s': 0.3,
+                'flush_period_s': 0.5,
+                **settings,
+            }
+        for name, own in self.daemon_settings.items():
+            own['peers'] = [
+                {
+                    'name': other,
+                    'zone': row['zone'],
+                    'address': f'{HOST}:{row["peer_port"]}',
+                }
+                for other, row in self.daemon_settings.items()
+                if other != name
+            ]
+
+    def start_daemon(self, name: str) -> None:
+        settings = self.daemon_settings[name]
+        path = self.folder / f'{name}.json'
+        path.write_text(
+            '// written by the test fleet\n' + json.dumps(settings, indent=2)
+        )
+        self.processes[name] = Process(
+            name,
+            ['oriolegauge.daemon.main', '--settings', str(path)],
+            self.folder,
+        )
+        self.ports[name] = settings['caller_port']
+        self.wait_for(f'http://{HOST}:{settings["admin_port"]}/readyz')
+
+    def url(self, name: str) -> str:
+        return f'http://{HOST}:{self.ports[name]}'
+
+    def admin_url(self, name: str) -> str:
+        return f'http://{HOST}:{self.daemon_settings[name]["admin_port"]}'
+
+    def state(self, name: str) -> dict[str, Any]:
+        return json.loads(fetch(f'{self.admin_url(name)}/state')[2])
+
+    def faults(self, name: str, **faults: Any) -> None:
+        url = self.store_url if name == 'platform' else self.url(name)
+        fetch(f'{url}/admin/faults', method='POST', body=faults)
+
+    def runs(self, name: str) -> dict[str, Any]:
+        return json.loads(fetch(f'{self.url(name)}/admin/runs')[2])
+
+    def operate(
+        self, *arguments: str, check: bool = True
+    ) -> subprocess.CompletedProcess[str]:
+        """Run the command-line tool."""
+        environment = {
+            **os.environ,
+            'ORIOLEGAUGE_STORE': self.store_url,
+            'ORIOLEGAUGE_OUTPUT': self.output,
+        }
+        done = subprocess.run(
+            [sys.executable, '-m', 'oriolegauge.cli.main', *arguments],
+            capture_output=True,
+            text=True,
+            env=environment,
+            timeout=30,
+        )
+        if check and done.returncode != 0:
+            raise RuntimeError(f'{arguments}: {done.stdout}{done.stderr}')
+        return done
+
+    def new_key(self, budget: str) -> str:
+        """Return a new caller key of the budget."""
+        return json.loads(self.operate('key-create', budget).stdout)['key']
+
+    def wait_for(self, url: str) -> None:
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            try:
+                if fetch(url, timeout=2)[0] == 200:
+                    return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        raise TimeoutError(f'{url} not ready')
+
+    def _standin(
+        self, kind: str, port: int, extra: list[str], name: str | None = None
+    ) -> None:
+        module = f'oriolegauge.standins.{kind}'
+        self.processes[name or kind] = Process(
+            name or kind, [module, '--port', str(port), *extra], self.folder
+        )
+        probes = {'platform': '/hosts', 'engine': '/load'}
+        self.wait_for(f'http://{HOST}:{port}{probes.get(kind, "/admin/runs")}')
+
+
+def chat(
+    base_url: str,
+    key: str,
+    text: str,
+    *,
+    max_tokens: int = 32,
+    headers: dict[str, str] | None = None,
+    stream: bool = False,
+    model: str = 'toaster-7b',
+) -> tuple[int, dict[str, str], bytes]:
+    """Send one chat completion."""
+    return fetch(
+        f'{base_url}/v1/chat/completions',
+        method='POST',
+        headers={'Authorization': f'Bearer {key}', **(headers or {})},
+        body={
+            'model': model,
+            'messages': [{'role': 'user', 'content': text}],
+            'max_tokens': max_tokens,
+            'stream': stream,
+        },
+    )
