--- /dev/null
+++ b/packages/daemon/src/oriolegauge/daemon/bill.py
@@ -0,0 +1,51 @@
+"""The bill that each answer carries."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import orjson
+from oriolegauge.budget import Settled
+
+DONE_EVENT = b'data: [DONE]\n\n'
+
+
+def bill_fields(request_id: str, settled: Settled) -> dict[str, Any]:
+    """Return the bill as a JSON object; token counts."""
+    return {
+        'request_id': request_id,
+        'billed_tokens': settled.billed,
+        'budget_left': settled.left,
+    }
+
+
+def bill_headers(request_id: str, settled: Settled) -> dict[str, str]:
+    """Return the bill as headers of a whole answer."""
+    return {
+        'X-Request-Id': request_id,
+        'X-Billed-Tokens': str(settled.billed),
+        'X-Budget-Left': str(settled.left),
+    }
+
+
+def final_events(
+    tail: Sequence[dict[str, Any]],
+    bill: dict[str, Any],
+    *,
+    with_usage: bool,
+) -> bytes:
+    """Return the last events of a stream with the bill, and the end marker.
+
+    Clients that did not ask for usage get no event without choices, because
+    some of them read the first choice of each event.
+    """
+    shown = [
+        orjson.dumps({**event, 'oriolegauge': bill})
+        for event in tail
+        if event.get('choices') or with_usage
+    ]
+    return b''.join(b'data: %b\n\n' % part for part in shown) + DONE_EVENT
+
+
+def error_event(error: dict[str, Any]) -> bytes:
+    """Return the event that ends a failed stream without an end marker."""
+    return b'data: %b\n\n' % orjson.dumps({'error': error})
--- a/packages/daemon/src/oriolegauge/daemon/callerapi.py
+++ b/packages/daemon/src/oriolegauge/daemon/callerapi.py
@@ -2,27 +2,21 @@
 
 import asyncio
 
-import orjson
 import structlog
 from aiohttp import web
-from oriolegauge.backends import (
-    BackendServer,
-    ServiceCall,
-    ServiceClient,
-)
-from oriolegauge.budget import BudgetManager
 from oriolegauge.config import ConfigTree, DaemonSettings
 from oriolegauge.core.errors import (
     DrainingError,
-    InvalidRequestError,
-    NotFoundError,
     OriolegaugeError,
     StartingError,
 )
 from oriolegauge.core.resultcode import HTTP_STATUS, ResultCode
+from oriolegauge.daemon.answersink import ResponseSink
+from oriolegauge.daemon.bill import error_event
+from oriolegauge.daemon.callercall import CallerCall
 from oriolegauge.daemon.callerrequest import CallerRequest, identify
-from oriolegauge.daemon.completions import Completions, bill_headers
 from oriolegauge.daemon.lifecycle import Lifecycle
+from oriolegauge.daemon.requests import Requests
 
 log = structlog.get_logger()
 
@@ -36,31 +30,22 @@
         settings: DaemonSettings,
         tree: ConfigTree,
         lifecycle: Lifecycle,
-        budgets: BudgetManager,
-        completions: Completions,
-        services: ServiceClient,
+        requests: Requests,
     ) -> None:
         """Use the given parts of the daemon."""
         self._settings = settings
         self._tree = tree
         self._lifecycle = lifecycle
-        self._budgets = budgets
-        self._completions = completions
-        self._services = services
+        self._requests = requests
         self.open_requests = 0
 
     def application(self) -> web.Application:
         """Return the application for the caller port."""
-        app = web.Application(
-            client_max_size=self._settings.max_body_bytes,
-            middlewares=[self._refuse],
-        )
+        app = web.Application(client_max_size=self._settings.max_body_bytes)
         app.add_routes(
             [
-                web.post('/v1/chat/completions', self._complete),
-                web.post('/v1/completions', self._complete),
                 web.get('/v1/models', self._models),
-                web.route('*', '/services/{name}/{path:.*}', self._service),
+                web.route('*', '/{path:.*}', self._call),
             ]
         )
         return app
@@ -78,36 +63,38 @@
             max_request_s=self._settings.max_request_s,
         )
 
-    @web.middleware
-    async def _refuse(self, http: web.Request, handler) -> web.StreamResponse:
+    async def _call(self, http: web.Request) -> web.StreamResponse:
         self.open_requests += 1
+        sink = ResponseSink(http)
+        request_id = ''
         try:
-            return await handler(http)
+            caller = self._identify(http)
+            request_id = caller.request_id
+            call = CallerCall(
+                method=http.method,
+                path=http.path_qs,
+                headers=http.headers,
+                body=await http.read(),
+            )
+            await self._requests.serve(sink, caller, call)
         except OriolegaugeError as error:
-            log.info('request refused', code=error.code.name)
-            return refusal(error)
+            return await _failed(sink, error, request_id)
         finally:
             self.open_requests -= 1
-
-    async def _complete(self, http: web.Request) -> web.StreamResponse:
-        caller = self._identify(http)
-        try:
-            body = orjson.loads(await http.read())
-        except ValueError as error:
-            raise InvalidRequestError('body is not JSON') from error
-        if not isinstance(body, dict):
-            raise InvalidRequestError('body must be an object')
-        return await self._completions.serve(http, caller, body)
+        return sink.response
 
     async def _models(self, http: web.Request) -> web.Response:
-        caller = self._identify(http)
+        try:
+            caller = self._identify(http)
+        except OriolegaugeError as error:
+            return refusal(error)
+        allowed = caller.settings.models
         names = sorted(
             {
                 model
                 for engine in self._tree.servers.engines.values()
                 for model in engine.models
-                if '*' in caller.settings.models
-                or model in caller.settings.models
+                if '*' in allowed or model in allowed
             }
         )
         return web.json_response(
@@ -120,61 +107,45 @@
             }
         )
 
-    async def _service(self, http: web.Request) -> web.Response:
-        caller = self._identify(http)
-        name = http.match_info['name']
-        service = self._tree.services.services.get(name)
-        if service is None:
-            raise NotFoundError(f'no service {name}')
-        reservation = await self._budgets.reserve(
-            budget=caller.budget,
-            request_id=caller.request_id,
-            tokens=service.tokens_per_call,
-            minimum=service.tokens_per_call,
-            deadline=caller.deadline,
-        )
-        server_name, url = next(iter(service.urls.items()))
-        server = BackendServer(name=server_name, url=url, zone='')
-        try:
-            answer = await self._services.call(
-                server,
-                ServiceCall(
-                    request_id=caller.request_id,
-                    method=http.method,
-                    path=f'/{http.match_info["path"]}',
-                    headers=http.headers,
-                    body=await http.read(),
-                ),
-            )
-        except BaseException:
-            self._budgets.release(reservation)
-            raise
-        settled = await self._budgets.settle(
-            reservation, service.tokens_per_call, keyed=caller.keyed
-        )
-        return web.Response(
-            status=answer.status,
-            body=answer.body,
-            headers={**answer.headers, **bill_headers(caller, settled)},
-        )
+
+async def _failed(
+    sink: ResponseSink, error: OriolegaugeError, request_id: str
+) -> web.StreamResponse:
+    log.info(
+        'request failed',
+        code=error.code.name,
+        run_state=error.run_state.value,
+        request_id=request_id,
+        error=error.message,
+    )
+    if not sink.started:
+        return refusal(error, request_id)
+    # The caller has part of the answer: an error event and a cut connection
+    # show that it is not whole.
+    await sink.write(error_event(error_fields(error, request_id)))
+    sink.abort()
+    return sink.response
+
+
+def error_fields(error: OriolegaugeError, request_id: str) -> dict[str, object]:
+    """Return the JSON fields of an error."""
+    return {
+        'code': int(error.code),
+        'name': error.code.name.lower(),
+        'message': error.message,
+        'run_state': error.run_state.value,
+        'retry_after_s': error.retry_after_s,
+        'request_id': request_id,
+    }
 
 
 def refusal(error: OriolegaugeError, request_id: str = '') -> web.Response:
     """Return the JSON error of a refused or failed request."""
-    headers = {}
+    headers = {'X-Request-Id': request_id}
     if error.retry_after_s is not None:
         headers['Retry-After'] = str(max(1, round(error.retry_after_s)))
     return web.json_response(
-        {
-            'error': {
-                'code': int(error.code),
-                'name': error.code.name.lower(),
-                'message': error.message,
-                'run_state': error.run_state.value,
-                'retry_after_s': error.retry_after_s,
-                'request_id': request_id,
-            }
-        },
+        {'error': error_fields(error, request_id)},
         status=HTTP_STATUS.get(error.code, HTTP_STATUS[ResultCode.INTERNAL]),
         headers=headers,
     )
--- /dev/null
+++ b/packages/daemon/src/oriolegauge/daemon/callercall.py
@@ -0,0 +1,36 @@
+"""One HTTP call of a caller, received directly or forwarded by a peer."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+import xxhash
+from oriolegauge.core.errors import InvalidRequestError
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerCall:
+    """Hold method, path with query, headers and body."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def fingerprint(self) -> str:
+        """Return a hash that differs when a key is reused for other work."""
+        digest = xxhash.xxh3_128(f'{self.method} {self.path}\n'.encode())
+        digest.update(self.body)
+        return digest.hexdigest()
+
+    def json_body(self) -> dict[str, Any]:
+        """Return the body as a JSON object; raise InvalidRequestError."""
+        try:
+            body = orjson.loads(self.body)
+        except ValueError as error:
+            raise InvalidRequestError('body is not JSON') from error
+        if not isinstance(body, dict):
+            raise InvalidRequestError('body must be an object')
+        return body
--- a/packages/daemon/src/oriolegauge/daemon/completions.py
+++ b/packages/daemon/src/oriolegauge/daemon/completions.py
@@ -1,30 +1,59 @@
 """Serve completions: reserve, dispatch, relay, settle."""
 
-from collections.abc import Mapping
+import asyncio
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import orjson
-from aiohttp import web
+import structlog
 from oriolegauge.backends import (
-    BackendServer,
     EngineClient,
     EngineRequest,
     EngineStream,
     ServerConnectError,
+    ServerCutError,
+    ServerRejectedError,
 )
 from oriolegauge.backends.enginestream import parse_usage
 from oriolegauge.budget import BudgetManager, Reservation, Settled
-from oriolegauge.config import ConfigTree
 from oriolegauge.core.errors import (
+    AnswerIncompleteError,
     ForbiddenError,
-    InvalidRequestError,
-    NoServerError,
+    OutcomeUnknownError,
+    ServerFailedError,
 )
+from oriolegauge.daemon.answersink import AnswerSink
+from oriolegauge.daemon.bill import bill_fields, bill_headers, final_events
+from oriolegauge.daemon.callercall import CallerCall
 from oriolegauge.daemon.callerrequest import CallerRequest
+from oriolegauge.daemon.completionbody import CompletionBody
+from oriolegauge.daemon.dispatcher import Dispatcher, Slot, SlotRequest
 
-TOKENS_PER_MESSAGE = 16
 MINIMUM_OUTPUT_TOKENS = 1
-WILDCARD = '*'
+MAX_ATTEMPTS = 3
+HTTP_OK = 200
+# An engine reports the usage of a cancelled stream within this time.
+CANCEL_GRACE_S = 2.0
+STREAM_HEADERS = {
+    'Content-Type': 'text/event-stream',
+    'Cache-Control': 'no-cache',
+}
+
+log = structlog.get_logger()
+
+
+@dataclass
+class _Run:
+    """State of one completion across its attempts."""
+
+    caller: CallerRequest
+    body: CompletionBody
+    request: EngineRequest
+    reservation: Reservation
+    slot_request: SlotRequest
+    fingerprint: str
+    sent_events: int = 0
+    tried: set[str] = field(default_factory=set)
 
 
 class Completions:
@@ -33,201 +62,200 @@
     def __init__(
         self,
         *,
-        tree: ConfigTree,
         budgets: BudgetManager,
         engines: EngineClient,
+        dispatcher: Dispatcher,
         default_max_tokens: int,
     ) -> None:
         """Use the given parts of the daemon."""
-        self._tree = tree
         self._budgets = budgets
         self._engines = engines
+        self._dispatcher = dispatcher
         self._default_max_tokens = default_max_tokens
-        self._in_flight: dict[str, int] = {}
 
     async def serve(
-        self,
-        http: web.Request,
-        caller: CallerRequest,
-        body: Mapping[str, Any],
-    ) -> web.StreamResponse:
-        """Answer the caller with a stream or a whole answer."""
-        model = body.get('model')
-        if not isinstance(model, str):
-            raise InvalidRequestError('model must be a string')
-        _check_allowed(caller, model)
-        input_bound = input_token_bound(body)
-        output = self._wanted_output(body)
+        self, sink: AnswerSink, caller: CallerRequest, call: CallerCall
+    ) -> None:
+        """Write the answer with its bill to the sink."""
+        tree = call.json_body()
+        body = CompletionBody.parse(
+            tree, default_max_tokens=self._default_max_tokens
+        )
+        if not _is_allowed(caller, body.model):
+            raise ForbiddenError(f'model {body.model} is not allowed')
+        self._dispatcher.check(call.fingerprint)
         reservation = await self._budgets.reserve(
             budget=caller.budget,
             request_id=caller.request_id,
-            tokens=input_bound + output,
-            minimum=input_bound + MINIMUM_OUTPUT_TOKENS,
+            tokens=body.input_bound + body.wanted_output,
+            minimum=body.input_bound + MINIMUM_OUTPUT_TOKENS,
             deadline=caller.deadline,
         )
-        request = EngineRequest(
-            request_id=caller.request_id,
-            path=http.path,
-            body=body,
-            max_tokens=reservation.tokens - input_bound,
-            priority=caller.priority,
-        )
         try:
-            if body.get('stream'):
-                return await self._stream(http, caller, request, reservation)
-            return await self._whole(caller, request, reservation)
+            run = self._new_run(caller, call, tree, body, reservation)
+            if body.stream:
+                tail, settled = await self._stream(run, sink)
+                await sink.write(
+                    final_events(
+                        tail,
+                        bill_fields(caller.request_id, settled),
+                        with_usage=body.with_usage,
+                    )
+                )
+                await sink.finish()
+            else:
+                await self._whole(run, sink)
         except BaseException:
             self._budgets.release(reservation)
             raise
 
-    def _wanted_output(self, body: Mapping[str, Any]) -> int:
-        wanted = body.get('max_completion_tokens') or body.get('max_tokens')
-        if wanted is None:
-            return self._default_max_tokens
-        if not isinstance(wanted, int) or wanted < 1:
-            raise InvalidRequestError('max_tokens must be a positive integer')
-        return wanted
-
-    def _candidates(self, caller: CallerRequest, model: str):
-        allowed = caller.settings.servers
-        servers = [
-            BackendServer(
-                name=name,
-                url=entry.url,
-                zone=entry.zone,
-                models=frozenset(entry.models),
-                leaving=entry.leaving,
-            )
-            for name, entry in self._tree.servers.engines.items()
-            if model in entry.models
-            and not entry.leaving
-            and (WILDCARD in allowed or name in allowed)
-        ]
-        if not servers:
-            raise NoServerError(f'no server offers {model}', retry_after_s=1)
-        return sorted(servers, key=lambda one: self._in_flight.get(one.name, 0))
-
-    async def _whole(
+    def _new_run(
         self,
         caller: CallerRequest,
-        request: EngineRequest,
+        call: CallerCall,
+        tree: dict[str, Any],
+        body: CompletionBody,
         reservation: Reservation,
-    ) -> web.Response:
-        answer = None
-        for server in self._candidates(caller, request.body['model']):
-            try:
-                answer = await self._engines.whole(server, request)
-            except ServerConnectError:
-                continue
-            break
-        if answer is None:
-            raise NoServerError('all servers unreachable', retry_after_s=1)
-        usage = parse_usage(answer.get('usage', {}))
-        settled = await self._budgets.settle(
-            reservation, usage.total, keyed=caller.keyed
-        )
-        answer['oriolegauge'] = bill_of(caller, settled)
-        return web.json_response(
-            body=orjson.dumps(answer),
-            headers=bill_headers(caller, settled),
+    ) -> _Run:
+        max_tokens = reservation.tokens - body.input_bound
+        return _Run(
+            caller=caller,
+            body=body,
+            request=EngineRequest(
+                request_id=caller.request_id,
+                path=call.path,
+                body=tree,
+                max_tokens=max_tokens,
+                priority=caller.priority,
+            ),
+            reservation=reservation,
+            slot_request=SlotRequest(
+                request_id=caller.request_id,
+                team=caller.team,
+                priority=caller.priority,
+                model=body.model,
+                max_tokens=max_tokens,
+                deadline=caller.deadline,
+                allowed=caller.settings.servers,
+                prefix_key=f'{caller.team}|{body.prefix_key}',
+                fingerprint=call.fingerprint,
+            ),
+            fingerprint=call.fingerprint,
         )
 
+    async def _whole(self, run: _Run, sink: AnswerSink) -> None:
+        answer = await self._attempts(run, self._whole_attempt, sink)
+        usage = parse_usage(answer.get('usage', {}))
+        settled = await self._settle(run, usage.total, usage.output_tokens)
+        request_id = run.caller.request_id
+        answer['oriolegauge'] = bill_fields(request_id, settled)
+        headers = bill_headers(request_id, settled)
+        headers['Content-Type'] = 'application/json'
+        await sink.start(HTTP_OK, headers)
+        await sink.write(orjson.dumps(answer))
+        await sink.finish()
+
     async def _stream(
-        self,
-        http: web.Request,
-        caller: CallerRequest,
-        request: EngineRequest,
-        reservation: Reservation,
-    ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={
-                'Content-Type': 'text/event-stream',
-                'Cache-Control': 'no-cache',
-                'X-Request-Id': caller.request_id,
-            }
-        )
-        for server in self._candidates(caller, request.body['model']):
-            try:
-                async with self._engines.stream(server, request) as stream:
-                    await response.prepare(http)
-                    async for events in stream.events_before_tail():
-                        await response.write(events)
-                    tail = stream.tail()
-            except ServerConnectError:
-                continue
-            settled = await self._settle_stream(caller, reservation, stream)
-            asked = (request.body.get('stream_options') or {}).get(
-                'include_usage'
-            )
-            await response.write(
-                final_events(tail, bill_of(caller, settled), bool(asked))
-            )
-            await response.write_eof()
-            return response
-        raise NoServerError('all servers unreachable', retry_after_s=1)
+        self, run: _Run, sink: AnswerSink
+    ) -> tuple[list[dict[str, Any]], Settled]:
+        stream = await self._attempts(run, self._stream_attempt, sink)
+        tail = stream.tail()
+        usage = stream.usage
+        if usage is None:
+            raise AnswerIncompleteError('engine reported no usage')
+        settled = await self._settle(run, usage.total, usage.output_tokens)
+        return tail, settled
 
-    async def _settle_stream(
-        self,
-        caller: CallerRequest,
-        reservation: Reservation,
-        stream: EngineStream,
-    ) -> Settled:
-        total = stream.usage.total if stream.usage else reservation.tokens
+    async def _settle(self, run: _Run, total: int, output: int) -> Settled:
+        if total > run.reservation.tokens:
+            log.warning(
+                'engine used more tokens than reserved',
+                request_id=run.caller.request_id,
+                used=total,
+                reserved=run.reservation.tokens,
+            )
+        self._dispatcher.learn(run.slot_request, output)
         return await self._budgets.settle(
-            reservation, total, keyed=caller.keyed
+            run.reservation, total, keyed=run.caller.keyed
         )
 
+    async def _attempts(self, run: _Run, attempt, sink: AnswerSink) -> Any:
+        """Try servers until one gives the whole answer."""
+        failure: ServerFailedError = ServerConnectError('no attempt was made')
+        for number in range(MAX_ATTEMPTS):
+            if number:
+                await self._dispatcher.before_retry(failure)
+            try:
+                async with self._dispatcher.slot(
+                    run.slot_request, exclude=frozenset(run.tried)
+                ) as slot:
+                    run.tried.add(slot.server.name)
+                    return await attempt(run, slot, sink)
+            except ServerConnectError as error:
+                failure = error
+            except ServerCutError as error:
+                failure = error
+                self._check_repeatable(run, sink, error)
+            except ServerRejectedError as error:
+                if error.status < 500:
+                    raise
+                failure = error
+                self._check_repeatable(run, sink, error)
+        raise failure
+
+    def _check_repeatable(
+        self, run: _Run, sink: AnswerSink, error: ServerFailedError
+    ) -> None:
+        if run.caller.non_idempotent:
+            raise OutcomeUnknownError(
+                f'connection lost after dispatch: {error.message}'
+            ) from error
+        if run.sent_events and not self._dispatcher.can_resume(
+            run.slot_request, run.tried
+        ):
+            raise AnswerIncompleteError(
+                'no other server can resume the stream', retry_after_s=1
+            ) from error
+
+    async def _whole_attempt(
+        self, run: _Run, slot: Slot, sink: AnswerSink
+    ) -> dict[str, Any]:
+        answer = await self._engines.whole(slot.server, run.request)
+        slot.succeed(parse_usage(answer.get('usage', {})).output_tokens)
+        return answer
+
+    async def _stream_attempt(
+        self, run: _Run, slot: Slot, sink: AnswerSink
+    ) -> EngineStream:
+        request = replace(run.request, resume_tokens=run.sent_events)
+        async with self._engines.stream(slot.server, request) as stream:
+            if not sink.started:
+                await sink.start(
+                    HTTP_OK,
+                    {**STREAM_HEADERS, 'X-Request-Id': run.caller.request_id},
+                )
+            before = run.sent_events
+            async for events in stream.events_before_tail():
+                await sink.write(events)
+                run.sent_events = before + stream.events
+                slot.progress(stream.events)
+                if sink.gone:
+                    await self._cancel(slot, run)
+            slot.succeed(stream.events)
+            return stream
+
+    async def _cancel(self, slot: Slot, run: _Run) -> None:
+        """End a stream that nobody reads; its usage still arrives."""
+        if run.request.request_id in slot.cancelled:
+            return
+        slot.cancelled.add(run.request.request_id)
+        try:
+            async with asyncio.timeout(CANCEL_GRACE_S):
+                await self._engines.cancel(slot.server, run.request.request_id)
+        except (ServerFailedError, TimeoutError) as error:
+            log.info('cancel failed', error=str(error))
+
 
-def input_token_bound(body: Mapping[str, Any]) -> int:
-    """Return an upper bound on the input tokens of a completion body.
-
-    A token covers at least one byte; each message adds template tokens.
-    """
-    messages = body.get('messages')
-    if messages is None:
-        prompt = body.get('prompt', '')
-        if not isinstance(prompt, str):
-            raise InvalidRequestError('prompt must be a string')
-        return len(prompt.encode()) + TOKENS_PER_MESSAGE
-    if not isinstance(messages, list):
-        raise InvalidRequestError('messages must be a list')
-    return sum(
-        len(orjson.dumps(message)) + TOKENS_PER_MESSAGE for message in messages
-    )
-
-
-def bill_of(caller: CallerRequest, settled: Settled) -> dict[str, Any]:
-    """Return the bill that each answer carries."""
-    return {
-        'request_id': caller.request_id,
-        'billed_tokens': settled.billed,
-        'budget_left': settled.left,
-    }
-
-
-def bill_headers(caller: CallerRequest, settled: Settled) -> dict[str, str]:
-    """Return the bill as headers of a whole answer."""
-    return {
-        'X-Request-Id': caller.request_id,
-        'X-Billed-Tokens': str(settled.billed),
-        'X-Budget-Left': str(settled.left),
-    }
-
-
-def final_events(
-    tail: list[dict[str, Any]], bill: dict[str, Any], with_usage: bool
-) -> bytes:
-    """Return the last events with the bill, and the end marker."""
-    parts = []
-    for event in tail:
-        if event.get('choices') or with_usage:
-            parts.append(orjson.dumps({**event, 'oriolegauge': bill}))
-    return b''.join(b'data: %b\n\n' % part for part in parts) + (
-        b'data: [DONE]\n\n'
-    )
-
-
-def _check_allowed(caller: CallerRequest, model: str) -> None:
+def _is_allowed(caller: CallerRequest, model: str) -> bool:
     allowed = caller.settings.models
-    if WILDCARD not in allowed and model not in allowed:
-        raise ForbiddenError(f'model {model} is not allowed for this team')
+    return '*' in allowed or model in allowed
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -19,7 +19,10 @@
 from oriolegauge.daemon.adminapi import AdminApi
 from oriolegauge.daemon.callerapi import CallerApi
 from oriolegauge.daemon.completions import Completions
+from oriolegauge.daemon.dispatcher import Dispatcher
 from oriolegauge.daemon.lifecycle import Lifecycle
+from oriolegauge.daemon.requests import Requests
+from oriolegauge.daemon.servicecalls import ServiceCalls
 from oriolegauge.platform import StoreError
 from oriolegauge.platform.httpobjectstore import HttpObjectStore
 
@@ -84,22 +87,28 @@
 
     async def _listen(self, session: aiohttp.ClientSession) -> None:
         settings = self._settings
-        completions = Completions(
-            tree=self._tree,
-            budgets=self._budgets,
-            engines=EngineClient(
-                session=session, idle_timeout_s=ENGINE_IDLE_TIMEOUT_S
-            ),
-            default_max_tokens=settings.default_max_tokens,
-        )
+        dispatcher = Dispatcher(tree=self._tree)
         self._callers = CallerApi(
             settings=settings,
             tree=self._tree,
             lifecycle=self._lifecycle,
-            budgets=self._budgets,
-            completions=completions,
-            services=ServiceClient(
-                session=session, timeout_s=settings.max_request_s
+            requests=Requests(
+                completions=Completions(
+                    budgets=self._budgets,
+                    engines=EngineClient(
+                        session=session, idle_timeout_s=ENGINE_IDLE_TIMEOUT_S
+                    ),
+                    dispatcher=dispatcher,
+                    default_max_tokens=settings.default_max_tokens,
+                ),
+                services=ServiceCalls(
+                    tree=self._tree,
+                    budgets=self._budgets,
+                    services=ServiceClient(
+                        session=session, timeout_s=settings.max_request_s
+                    ),
+                    dispatcher=dispatcher,
+                ),
             ),
         )
         admin = AdminApi(
--- /dev/null
+++ b/packages/daemon/src/oriolegauge/daemon/servicecalls.py
@@ -0,0 +1,159 @@
+"""Serve calls to plain services."""
+
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+from oriolegauge.backends import (
+    BackendServer,
+    ServerConnectError,
+    ServerCutError,
+    ServiceAnswer,
+    ServiceCall,
+    ServiceClient,
+)
+from oriolegauge.budget import BudgetManager, Reservation, Settled
+from oriolegauge.config import ConfigTree, Service
+from oriolegauge.core.errors import (
+    ForbiddenError,
+    NotFoundError,
+    OutcomeUnknownError,
+)
+from oriolegauge.daemon.answersink import AnswerSink
+from oriolegauge.daemon.bill import bill_headers
+from oriolegauge.daemon.callercall import CallerCall
+from oriolegauge.daemon.callerrequest import CallerRequest
+from oriolegauge.daemon.dispatcher import Dispatcher
+
+ROUTE_PREFIX = '/services/'
+MAX_ATTEMPTS = 3
+HTTP_SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceTarget:
+    """Name a service with the path and repeatability of one call."""
+
+    name: str
+    service: Service
+    path: str
+    non_idempotent: bool
+
+
+class ServiceCalls:
+    """Run one service call from reservation to bill."""
+
+    def __init__(
+        self,
+        *,
+        tree: ConfigTree,
+        budgets: BudgetManager,
+        services: ServiceClient,
+        dispatcher: Dispatcher,
+    ) -> None:
+        """Use the given parts of the daemon."""
+        self._tree = tree
+        self._budgets = budgets
+        self._services = services
+        self._dispatcher = dispatcher
+
+    def target(self, caller: CallerRequest, call: CallerCall) -> ServiceTarget:
+        """Return what the call addresses; raise if missing or forbidden."""
+        name, _, rest = call.path.removeprefix(ROUTE_PREFIX).partition('/')
+        service = self._tree.services.services.get(name)
+        if service is None:
+            raise NotFoundError(f'no service {name}')
+        allowed = caller.settings.services
+        if '*' not in allowed and name not in allowed:
+            raise ForbiddenError(f'service {name} is not allowed')
+        marked = call.method in service.non_idempotent_methods
+        return ServiceTarget(
+            name=name,
+            service=service,
+            path=f'/{rest}',
+            non_idempotent=marked or caller.non_idempotent,
+        )
+
+    async def serve(
+        self, sink: AnswerSink, caller: CallerRequest, call: CallerCall
+    ) -> ServiceAnswer:
+        """Write the answer with its bill to the sink and return it."""
+        target = self.target(caller, call)
+        price = target.service.tokens_per_call
+        reservation = await self._budgets.reserve(
+            budget=caller.budget,
+            request_id=caller.request_id,
+            tokens=price,
+            minimum=price,
+            deadline=caller.deadline,
+        )
+        try:
+            answer = await self._attempts(caller, call, target)
+            settled = await self._settle(reservation, answer, caller, price)
+        except BaseException:
+            self._budgets.release(reservation)
+            raise
+        headers = bill_headers(caller.request_id, settled)
+        await sink.start(answer.status, {**answer.headers, **headers})
+        await sink.write(answer.body)
+        await sink.finish()
+        return answer
+
+    async def _settle(
+        self,
+        reservation: Reservation,
+        answer: ServiceAnswer,
+        caller: CallerRequest,
+        price: int,
+    ) -> Settled:
+        # A call that the service itself failed costs nothing.
+        failed = answer.status >= HTTP_SERVER_ERROR
+        return await self._budgets.settle(
+            reservation, 0 if failed else price, keyed=caller.keyed
+        )
+
+    async def _attempts(
+        self, caller: CallerRequest, call: CallerCall, target: ServiceTarget
+    ) -> ServiceAnswer:
+        outgoing = ServiceCall(
+            request_id=caller.request_id,
+            method=call.method,
+            path=target.path,
+            headers=call.headers,
+            body=call.body,
+        )
+        failure: ServerConnectError | ServerCutError = ServerConnectError(
+            f'service {target.name} has no server'
+        )
+        for number in range(MAX_ATTEMPTS):
+            if number:
+                await self._dispatcher.before_retry(failure)
+            server = self._dispatcher.service_server(
+                target.name, target.service.urls
+            )
+            try:
+                return await self._call(server, outgoing)
+            except ServerConnectError as error:
+                failure = error
+            except ServerCutError as error:
+                if target.non_idempotent:
+                    raise OutcomeUnknownError(
+                        f'connection lost after dispatch: {error.message}'
+                    ) from error
+                failure = error
+        raise failure
+
+    async def _call(
+        self, server: BackendServer, outgoing: ServiceCall
+    ) -> ServiceAnswer:
+        try:
+            answer = await self._services.call(server, outgoing)
+        except (ServerConnectError, ServerCutError):
+            self._dispatcher.service_failed(server.name)
+            raise
+        self._dispatcher.service_succeeded(server.name)
+        return answer
+
+
+def is_service_path(path: str) -> bool:
+    """Tell whether a caller's path addresses a plain service."""
+    return urlsplit(path).path.startswith(ROUTE_PREFIX)
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -18,11 +18,8 @@
 
 def _run(fleet: Fleet) -> int:
     _start(fleet)
-    fleet.operate('team-create', 'cafes')
-    fleet.operate('budget-create', BUDGET, '--tokens', str(PREPAID_TOKENS))
-    key = fleet.new_key(BUDGET)
+    key = fleet.create_team('cafes', tokens=PREPAID_TOKENS)
     _say('created team cafes', f'budget {BUDGET} of {PREPAID_TOKENS} tokens')
-    time.sleep(1)
 
     billed = 0
     status, headers, _ = chat(fleet.url('d1'), key, 'My toaster is dead.')
@@ -72,18 +69,9 @@
     fleet.start_platform()
     for name in ('e1', 'e2'):
         fleet.start_engine(name)
-        fleet.operate(
-            'engine-add',
-            name,
-            '--url',
-            fleet.url(name),
-            '--models',
-            'toaster-7b',
-        )
+        fleet.add_engine(name)
     fleet.start_service('parts')
-    fleet.operate(
-        'service-add', 'parts', '--urls', f'parts={fleet.url("parts")}'
-    )
+    fleet.add_service('parts')
     fleet.plan_daemons({'d1': 'a', 'd2': 'a', 'd3': 'b'})
     for name in fleet.daemon_settings:
         fleet.start_daemon(name)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,6 +14,8 @@
 from typing import Any
 
 START_TIMEOUT_S = 20
+# A change of the configuration reaches all daemons well within this time.
+CONFIG_SETTLE_S = 1.0
 HOST = '127.0.0.1'
 
 
@@ -119,6 +121,47 @@
         port = self.ports.setdefault(name, free_port())
         self._standin('service', port, ['--name', name], name)
 
+    def start_link(self, name: str, target: str) -> str:
+        """Start a relay that can be cut; return its address."""
+        port, admin_port = free_port(), free_port()
+        self.ports[name] = admin_port
+        self.processes[name] = Process(
+            name,
+            [
+                'oriolegauge.standins.link',
+                '--port',
+                str(port),
+                '--admin-port',
+                str(admin_port),
+                '--target',
+                target,
+            ],
+            self.folder,
+        )
+        self.wait_for(f'{self.url(name)}/admin/runs')
+        return f'{HOST}:{port}'
+
+    def link_to_store(self, daemon: str) -> None:
+        """Let a planned daemon reach the store over a relay of its own."""
+        address = self.start_link(
+            f'{daemon}-store', f'{HOST}:{self.store_port}'
+        )
+        self.daemon_settings[daemon]['store_url'] = f'http://{address}'
+
+    def link_between(self, *daemons: str) -> None:
+        """Let planned daemons reach each other over relays."""
+        for name in daemons:
+            for peer in self.daemon_settings[name]['peers']:
+                if peer['name'] in daemons:
+                    peer['address'] = self.start_link(
+                        f'{name}-{peer["name"]}', peer['address']
+                    )
+
+    def set_links(self, mode: str, *names: str) -> None:
+        """Set relays to `pass`, `cut` or `freeze`."""
+        for name in names:
+            self.faults(name, mode=mode)
+
     def plan_daemons(self, zones: dict[str, str], **settings: Any) -> None:
         """Choose ports so that each daemon knows its peers."""
         for name, zone in zones.items():
@@ -199,6 +242,26 @@
         """Return a new caller key of the budget."""
         return json.loads(self.operate('key-create', budget).stdout)['key']
 
+    def add_engine(self, name: str, models: str = 'toaster-7b') -> None:
+        """Enter a started engine into the configuration."""
+        self.operate(
+            'engine-add', name, '--url', self.url(name), '--models', models
+        )
+
+    def add_service(self, name: str) -> None:
+        """Enter a started service into the configuration."""
+        self.operate('service-add', name, '--urls', f'{name}={self.url(name)}')
+
+    def create_team(
+        self, team: str, *, tokens: int, priority: str = 'normal'
+    ) -> str:
+        """Create a team with a budget `main`; return a caller key."""
+        self.operate('team-create', team, '--priority', priority)
+        self.operate('budget-create', f'{team}/main', '--tokens', str(tokens))
+        key = self.new_key(f'{team}/main')
+        time.sleep(CONFIG_SETTLE_S)
+        return key
+
     def wait_for(self, url: str) -> None:
         deadline = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline:
