Add admission queue and router as pure decision logic

Cause: requests were sent to one server without order, limit or refusal. Ruled out: a pull queue per server, because a job could then not go to the server that holds its prefix; the queue hands out the job and the router chooses among the servers with a free slot. Change: priority classes with a floor, fair share between teams, short work first with ageing, straggler share, truthful refusals, concurrency limit and length prediction in admission; two random choices, prefix affinity, ejection, retry and hedge budgets in routing; a bounded window of values in core. Conclusion: the interface is complete; the constants are untuned.

--- /dev/null
+++ b/packages/admission/src/oriolegauge/admission/__init__.py
@@ -0,0 +1,22 @@
+"""Admission of jobs: order, refusals and concurrency limits."""
+
+from oriolegauge.admission.admissionqueue import AdmissionQueue, QueueLimits
+from oriolegauge.admission.concurrencylimit import ConcurrencyLimit
+from oriolegauge.admission.errors import (
+    DeadlineUnreachableError,
+    QueueFullError,
+)
+from oriolegauge.admission.job import Job
+from oriolegauge.admission.lengthpredictor import LengthPredictor
+from oriolegauge.admission.serverslots import ServerSlots
+
+__all__ = (
+    'AdmissionQueue',
+    'ConcurrencyLimit',
+    'DeadlineUnreachableError',
+    'Job',
+    'LengthPredictor',
+    'QueueFullError',
+    'QueueLimits',
+    'ServerSlots',
+)
--- /dev/null
+++ b/packages/admission/src/oriolegauge/admission/runningjobs.py
@@ -0,0 +1,74 @@
+"""Jobs that run, with the stragglers on each backend server."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from oriolegauge.admission.job import Job
+
+
+@dataclass(slots=True)
+class _Running:
+    job: Job
+    started_at: float
+    is_long: bool
+    server: str | None = None
+
+
+class RunningJobs:
+    """Track jobs from the take to the end."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._running: dict[str, _Running] = {}
+        self._stragglers: Counter[str] = Counter()
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._running
+
+    def start(self, job: Job, *, is_long: bool, now: float) -> None:
+        """Add a job that was taken."""
+        self._running[job.request_id] = _Running(job, now, is_long)
+
+    def place(self, request_id: str, server: str) -> None:
+        """Record the backend server of a job, also after a move."""
+        running = self._running.get(request_id)
+        if running is None:
+            return
+        self._count(running, -1)
+        running.server = server
+        self._count(running, 1)
+
+    def is_long(self, request_id: str) -> bool:
+        """Return whether a running job counts as a straggler."""
+        running = self._running.get(request_id)
+        return running is not None and running.is_long
+
+    def mark_long(self, request_id: str) -> None:
+        """Count a job as a straggler that was found long."""
+        running = self._running.get(request_id)
+        if running is None or running.is_long:
+            return
+        running.is_long = True
+        self._count(running, 1)
+
+    def end(self, request_id: str, now: float) -> float | None:
+        """Remove a job; return its running time in seconds."""
+        running = self._running.pop(request_id, None)
+        if running is None:
+            return None
+        self._count(running, -1)
+        return now - running.started_at
+
+    def stragglers(self, server: str) -> int:
+        """Return the number of stragglers on a backend server."""
+        return self._stragglers[server]
+
+    def _count(self, running: _Running, change: int) -> None:
+        if not running.is_long or running.server is None:
+            return
+        self._stragglers[running.server] += change
+        if not self._stragglers[running.server]:
+            self._stragglers.pop(running.server)
--- /dev/null
+++ b/packages/core/src/oriolegauge/core/recentvalues.py
@@ -0,0 +1,32 @@
+"""Quantiles over a bounded window of recent values."""
+
+from bisect import bisect_left, insort
+from collections import deque
+
+
+class RecentValues:
+    """Keep the last values of a measure in arrival and in sorted order."""
+
+    def __init__(self, size: int) -> None:
+        """Keep at most `size` values."""
+        self._size = size
+        self._arrived: deque[float] = deque()
+        self._sorted: list[float] = []
+
+    def __len__(self) -> int:
+        return len(self._sorted)
+
+    def add(self, value: float) -> None:
+        """Add a value and drop the oldest one past the window."""
+        if len(self._arrived) == self._size:
+            oldest = self._arrived.popleft()
+            self._sorted.pop(bisect_left(self._sorted, oldest))
+        self._arrived.append(value)
+        insort(self._sorted, value)
+
+    def quantile(self, share: float) -> float | None:
+        """Return the value at that share of the sorted window, or None."""
+        if not self._sorted:
+            return None
+        position = int(share * len(self._sorted))
+        return self._sorted[min(position, len(self._sorted) - 1)]
--- /dev/null
+++ b/packages/routing/src/oriolegauge/routing/retrybudget.py
@@ -0,0 +1,35 @@
+"""Limit retries to a share of the requests."""
+
+import random
+
+RETRY_SHARE = 0.1
+# Lets a daemon that just started retry at all, and bounds a burst later.
+INITIAL_CREDIT = 1.0
+MAX_CREDIT = 20.0
+BASE_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 2.0
+
+
+class RetryBudget:
+    """Share one budget of retries between all requests of a daemon."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        """Start with the credit for one retry."""
+        self._rng = rng
+        self._credit = INITIAL_CREDIT
+
+    def request(self) -> None:
+        """Count a request that is not a retry."""
+        self._credit = min(MAX_CREDIT, self._credit + RETRY_SHARE)
+
+    def retry(self, attempt: int, *, all_failing: bool = False) -> float | None:
+        """Spend one retry; return the backoff in seconds, or None.
+
+        `attempt` is 1 for the first retry of a request. With all servers
+        failing a retry can't help and is never granted.
+        """
+        if all_failing or self._credit < 1:
+            return None
+        self._credit -= 1
+        longest = min(MAX_BACKOFF_S, BASE_BACKOFF_S * 2**attempt)
+        return longest * (0.5 + self._rng.random() / 2)
--- /dev/null
+++ b/packages/routing/src/oriolegauge/routing/serverhealth.py
@@ -0,0 +1,83 @@
+"""Recent latency and failures of one backend server."""
+
+import math
+from enum import StrEnum
+
+# Samples older than this hardly count.
+LATENCY_TIME_CONSTANT_S = 1.0
+FAILURES_TO_EJECT = 3
+FIRST_EJECTION_S = 1.0
+LONGEST_EJECTION_S = 30.0
+# A server that stays good for this long starts again with a short ejection.
+FORGIVEN_AFTER_S = 60.0
+
+
+class HealthState(StrEnum):
+    """State of a backend server in the ejection cycle."""
+
+    GOOD = 'good'
+    EJECTED = 'ejected'
+    PROBING = 'probing'
+
+
+class ServerHealth:
+    """Follow one backend server from messages of this daemon."""
+
+    def __init__(self) -> None:
+        """Start good and without measurements."""
+        self.state = HealthState.GOOD
+        self.failures = 0
+        self.probes = 0
+        self._time_per_token: float | None = None
+        self._measured_at = -math.inf
+        self._ejected_until = -math.inf
+        self._ejection_s = FIRST_EJECTION_S
+        self._returned_at = -math.inf
+
+    @property
+    def time_per_token(self) -> float | None:
+        """Return the recent seconds per token, or None if unknown."""
+        return self._time_per_token
+
+    @property
+    def ejected_until(self) -> float:
+        """Return the end of the last ejection."""
+        return self._ejected_until
+
+    def observe(self, tokens: int, seconds: float, now: float) -> None:
+        """Add a measurement of tokens that took that many seconds."""
+        if tokens <= 0:
+            return
+        sample = seconds / tokens
+        if self._time_per_token is None:
+            self._time_per_token = sample
+        # Frequent samples weigh less, so that the average follows time.
+        gap = max(seconds / 4, now - self._measured_at)
+        weight = 1 - math.exp(-gap / LATENCY_TIME_CONSTANT_S)
+        self._time_per_token += weight * (sample - self._time_per_token)
+        self._measured_at = now
+
+    def outcome(self, *, ok: bool) -> None:
+        """Count failures in a row."""
+        self.failures = 0 if ok else self.failures + 1
+
+    def eject(self, now: float) -> None:
+        """Take the server out; each ejection in a row doubles its time."""
+        if now - self._returned_at > FORGIVEN_AFTER_S:
+            self._ejection_s = FIRST_EJECTION_S
+        self.state = HealthState.EJECTED
+        self._ejected_until = now + self._ejection_s
+        self._ejection_s = min(LONGEST_EJECTION_S, self._ejection_s * 2)
+
+    def start_probing(self, time_per_token: float | None) -> None:
+        """Let one request through; judge the server by new samples only."""
+        self.state = HealthState.PROBING
+        self.probes = 0
+        self.failures = 0
+        self._time_per_token = time_per_token
+        self._measured_at = -math.inf
+
+    def restore(self, now: float) -> None:
+        """Return the server to full service."""
+        self.state = HealthState.GOOD
+        self._returned_at = now
