--- a/packages/routing/src/oriolegauge/routing/ejection.py
+++ b/packages/routing/src/oriolegauge/routing/ejection.py
@@ -58,6 +58,7 @@
         """
         if not names:
             return []
+        self._judge_all(names, now)
         out = [name for name in names if not self._may_take(name, now)]
         out.sort(key=self._badness)
         # At least half of the servers, rounded up, stay in use.
@@ -77,6 +78,16 @@
         ]
         return statistics.median(known) if known else None
 
+    def _judge_all(self, names: Iterable[str], now: float) -> None:
+        # A server may turn out slow by new samples of its peers alone.
+        middle = self.median()
+        if middle is None:
+            return
+        for name in names:
+            health = self.health(name)
+            if (health.time_per_token or 0) > middle * SLOW_RATIO / 2:
+                self._judge_latency(name, health, now)
+
     def _judge_latency(
         self, name: str, health: ServerHealth, now: float
     ) -> None:
