Queue requests and choose servers by admission and routing policy

Cause: the placeholder sent every request at once to the server with the fewest own requests, so urgent work could not pass waiting work. Change: the dispatcher offers each attempt to the admission queue, places it by the router when a slot is free, and reports ends to both. Ruled out: choosing the server before queueing, which ties a job to a server that may be the last one to get free.

--- a/packages/daemon/src/oriolegauge/daemon/completions.py
+++ b/packages/daemon/src/oriolegauge/daemon/completions.py
@@ -27,7 +27,8 @@
 from oriolegauge.daemon.callercall import CallerCall
 from oriolegauge.daemon.callerrequest import CallerRequest
 from oriolegauge.daemon.completionbody import CompletionBody
-from oriolegauge.daemon.dispatcher import Dispatcher, Slot, SlotRequest
+from oriolegauge.daemon.dispatcher import Dispatcher
+from oriolegauge.daemon.slot import Slot, SlotRequest
 
 MINIMUM_OUTPUT_TOKENS = 1
 MAX_ATTEMPTS = 3
@@ -83,7 +84,6 @@
         )
         if not _is_allowed(caller, body.model):
             raise ForbiddenError(f'model {body.model} is not allowed')
-        self._dispatcher.check(call.fingerprint)
         reservation = await self._budgets.reserve(
             budget=caller.budget,
             request_id=caller.request_id,
@@ -184,7 +184,7 @@
         failure: ServerFailedError = ServerConnectError('no attempt was made')
         for number in range(MAX_ATTEMPTS):
             if number:
-                await self._dispatcher.before_retry(failure)
+                await self._dispatcher.before_retry(number, failure)
             try:
                 async with self._dispatcher.slot(
                     run.slot_request, exclude=frozenset(run.tried)
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -1,6 +1,7 @@
 """Put the parts of one daemon together and run them."""
 
 import asyncio
+import random
 import secrets
 from typing import Any
 
@@ -22,6 +23,7 @@
 from oriolegauge.daemon.dispatcher import Dispatcher
 from oriolegauge.daemon.lifecycle import Lifecycle
 from oriolegauge.daemon.requests import Requests
+from oriolegauge.daemon.serverpool import ServerPool
 from oriolegauge.daemon.servicecalls import ServiceCalls
 from oriolegauge.platform import StoreError
 from oriolegauge.platform.httpobjectstore import HttpObjectStore
@@ -65,6 +67,9 @@
                     group.create_task(self._flush_periodically()),
                 ]
                 await self._listen(session)
+                tasks.append(
+                    group.create_task(self._dispatcher.expire_periodically())
+                )
                 await self._drain_asked.wait()
                 await self._finish()
                 for task in tasks:
@@ -83,11 +88,19 @@
             'lifecycle': self._lifecycle.state,
             'config_versions': self._tree.versions,
             'open_requests': self._callers.open_requests,
+            **self._dispatcher.state(),
         }
 
     async def _listen(self, session: aiohttp.ClientSession) -> None:
         settings = self._settings
-        dispatcher = Dispatcher(tree=self._tree)
+        pool = ServerPool(tree=self._tree, is_leaving=lambda _: False)
+        dispatcher = Dispatcher(
+            pool=pool,
+            zone=settings.zone,
+            rng=random.Random(),
+            clock=asyncio.get_running_loop().time,
+        )
+        self._dispatcher = dispatcher
         self._callers = CallerApi(
             settings=settings,
             tree=self._tree,
--- a/packages/daemon/src/oriolegauge/daemon/servicecalls.py
+++ b/packages/daemon/src/oriolegauge/daemon/servicecalls.py
@@ -126,7 +126,7 @@
         )
         for number in range(MAX_ATTEMPTS):
             if number:
-                await self._dispatcher.before_retry(failure)
+                await self._dispatcher.before_retry(number, failure)
             server = self._dispatcher.service_server(
                 target.name, target.service.urls
             )
@@ -148,9 +148,9 @@
         try:
             answer = await self._services.call(server, outgoing)
         except (ServerConnectError, ServerCutError):
-            self._dispatcher.service_failed(server.name)
+            self._dispatcher.service_ended(server.name, ok=False)
             raise
-        self._dispatcher.service_succeeded(server.name)
+        self._dispatcher.service_ended(server.name, ok=True)
         return answer
 
 
