--- /dev/null
+++ b/packages/ledger/src/oriolegauge/ledger/answerrecord.py
@@ -0,0 +1,148 @@
+"""Answer of one request, readable from its first byte while it grows."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Mapping
+from enum import StrEnum
+from typing import Any
+
+from oriolegauge.core import OriolegaugeError, RunState
+
+RECORD_OVERHEAD_BYTES = 1_000
+# A bytes object and its list slot take about 41 bytes beyond the content.
+PART_OVERHEAD_BYTES = 41
+
+
+class RecordState(StrEnum):
+    """State whether the answer still grows."""
+
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    FAILED = 'failed'
+
+
+class AnswerRecord:
+    """Hold status, headers and bytes of an answer for any number of readers."""
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        fingerprint: str,
+        on_growth: Callable[[int], None],
+        on_end: Callable[['AnswerRecord'], None],
+    ) -> None:
+        """Report growth in bytes to `on_growth` and the end to `on_end`."""
+        self.request_id = request_id
+        self.fingerprint = fingerprint
+        self.status: int | None = None
+        self.headers: Mapping[str, str] = {}
+        self.bill: Any = None
+        self.error: OriolegaugeError | None = None
+        self.state = RecordState.RUNNING
+        self.ended_at: float = 0
+        self.reopens = False
+        self.size_bytes = RECORD_OVERHEAD_BYTES + 2 * len(request_id)
+        self._on_growth = on_growth
+        self._on_end = on_end
+        self._parts: list[bytes] = []
+        self._waiters: set[asyncio.Future[None]] = set()
+
+    @property
+    def run_state(self) -> RunState:
+        """Return what a caller is told about the work of an ended record."""
+        if self.state is RecordState.FINISHED:
+            return RunState.RAN
+        return self.error.run_state if self.error else RunState.UNKNOWN
+
+    def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Set the status and headers; readers of `started` wake up."""
+        self._require_running()
+        self.status = status
+        self.headers = dict(headers)
+        self._grow(
+            sum(len(name) + len(text) for name, text in headers.items())
+            + PART_OVERHEAD_BYTES * 2 * len(headers)
+        )
+        self._wake()
+
+    def append(self, part: bytes) -> None:
+        """Add the next bytes of the answer."""
+        self._require_running()
+        self._parts.append(part)
+        self._grow(len(part) + PART_OVERHEAD_BYTES)
+        self._wake()
+
+    def finish(self, bill: Any, now: float) -> None:
+        """End the answer whole at `now` (seconds) with its bill."""
+        self._require_running()
+        self.bill = bill
+        self._end(RecordState.FINISHED, now)
+
+    def fail(
+        self,
+        error: OriolegaugeError,
+        now: float,
+        *,
+        reopens: bool | None = None,
+    ) -> None:
+        """End the record with an error at `now` (seconds).
+
+        `reopens` lets a retry run again. The default is to do so only if the
+        work did not run; pass True for idempotent work that was cut.
+        """
+        self._require_running()
+        self.error = error
+        if reopens is None:
+            reopens = error.run_state is RunState.NOT_RUN
+        self.reopens = reopens
+        self._end(RecordState.FAILED, now)
+
+    async def started(self) -> int:
+        """Return the status once known; raise the error of a failed record."""
+        while self.status is None:
+            if self.error is not None:
+                raise self.error
+            if self.state is RecordState.FINISHED:
+                raise ValueError('record finished without a status')
+            await self._changed()
+        return self.status
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield all bytes in order; raise the error of a failed record."""
+        position = 0
+        while True:
+            while position < len(self._parts):
+                yield self._parts[position]
+                position += 1
+            if self.error is not None:
+                raise self.error
+            if self.state is RecordState.FINISHED:
+                return
+            await self._changed()
+
+    def _require_running(self) -> None:
+        if self.state is not RecordState.RUNNING:
+            raise ValueError(f'record is {self.state}')
+
+    def _grow(self, size_bytes: int) -> None:
+        self.size_bytes += size_bytes
+        self._on_growth(size_bytes)
+
+    def _end(self, state: RecordState, now: float) -> None:
+        self.state = state
+        self.ended_at = now
+        self._wake()
+        self._on_end(self)
+
+    async def _changed(self) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.add(waiter)
+        try:
+            await waiter
+        finally:
+            self._waiters.discard(waiter)
+
+    def _wake(self) -> None:
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(None)
--- /dev/null
+++ b/packages/ledger/src/oriolegauge/ledger/intentwriter.py
@@ -0,0 +1,294 @@
+"""Write claims and outcomes of one intents object in groups."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from oriolegauge.core import OriolegaugeError
+from oriolegauge.ledger.errors import ClaimRefusedError
+from oriolegauge.ledger.intents import (
+    AlreadyClaimed,
+    Applied,
+    Claim,
+    Claimed,
+    IntentState,
+    Resolution,
+    apply_batch,
+)
+from oriolegauge.platform import (
+    ObjectStore,
+    StoreAnswerLostError,
+    StoredObject,
+    StoreRateLimitError,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from tenacity import (
+    AsyncRetrying,
+    retry_if_exception_type,
+    stop_after_attempt,
+    wait_random_exponential,
+)
+
+BATCH_MAX = 256
+WRITE_ATTEMPTS = 8
+CONFLICT_WAIT_S = 0.005
+CONFLICT_WAIT_MAX_S = 0.1
+STORE_CALL_S = 0.8
+# While the store is down, claims within this time of a failed call are refused
+# without another call.
+DOWN_HOLD_S = 0.2
+RETRY_MAX_S = 5.0
+
+
+@dataclass(eq=False, slots=True)
+class PendingClaim:
+    """Track a claim until its write is known to be applied or not."""
+
+    claim: Claim
+    future: asyncio.Future[Claimed | AlreadyClaimed]
+    sent_version: int | None = None
+    abandoned: bool = False
+
+
+class IntentWriter:
+    """Keep one write in flight for one intents object."""
+
+    def __init__(
+        self, *, store: ObjectStore, key: str, clock: Callable[[], float]
+    ) -> None:
+        """Write the object `key`; `clock` returns Unix time in seconds."""
+        self._store = store
+        self._key = key
+        self._clock = clock
+        self._current: StoredObject | None = None
+        self._claims: list[PendingClaim] = []
+        self._resolutions: dict[tuple[str, int], Resolution] = {}
+        self._task: asyncio.Task[None] | None = None
+        self._wake = asyncio.Event()
+        self._down_until: float = 0
+        self._failures = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing waits to be written."""
+        return self._task is None or self._task.done()
+
+    def add_claim(self, pending: PendingClaim) -> None:
+        """Queue a claim; raise ClaimRefusedError while the store is down."""
+        if asyncio.get_running_loop().time() < self._down_until:
+            raise _refusal(None)
+        self._claims.append(pending)
+        self._start()
+
+    def add_resolution(self, resolution: Resolution) -> None:
+        """Queue an outcome; it is retried until it is stored."""
+        self._resolutions[resolution.request_id, resolution.number] = resolution
+        self._start()
+
+    def find_resolution(self, request_id: str) -> Resolution | None:
+        """Return the newest outcome of the id that is not stored yet."""
+        found = [
+            resolution
+            for resolution in self._resolutions.values()
+            if resolution.request_id == request_id
+        ]
+        return found[-1] if found else None
+
+    def abandon(self, pending: PendingClaim) -> None:
+        """Withdraw a claim whose caller is told that the work did not run."""
+        if pending in self._claims:
+            self._claims.remove(pending)
+        elif pending.future.done():
+            # Reading the exception keeps asyncio from logging it as lost.
+            pending.future.exception()
+            self._withdraw(pending)
+        else:
+            pending.abandoned = True
+
+    async def idle(self) -> None:
+        """Wait until all claims and outcomes are written."""
+        if self._task is not None:
+            await asyncio.shield(self._task)
+
+    async def close(self) -> None:
+        """Stop writing; outcomes not yet stored stay unknown."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait({self._task})
+
+    def _start(self) -> None:
+        self._wake.set()
+        if self.is_idle:
+            self._task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        while self._claims or self._resolutions:
+            self._wake.clear()
+            resolutions, claims = self._take()
+            try:
+                applied = await self._commit(resolutions, claims)
+            except OriolegaugeError as error:
+                self._refuse(claims, error)
+                await self._pause()
+            else:
+                self._failures = 0
+                self._deliver(resolutions, claims, applied)
+
+    def _take(self) -> tuple[list[Resolution], list[PendingClaim]]:
+        queued = list(self._resolutions.values())
+        resolutions = queued[:BATCH_MAX]
+        # A claim must not be judged before the outcome of the same id.
+        later = {resolution.request_id for resolution in queued[BATCH_MAX:]}
+        ready: list[PendingClaim] = []
+        waiting: list[PendingClaim] = []
+        for pending in self._claims:
+            is_ready = (
+                len(ready) < BATCH_MAX and pending.claim.request_id not in later
+            )
+            (ready if is_ready else waiting).append(pending)
+        self._claims = waiting
+        return resolutions, ready
+
+    async def _commit(
+        self, resolutions: list[Resolution], claims: list[PendingClaim]
+    ) -> Applied:
+        # A lost answer needs no rule of its own: the next attempt reads, and
+        # finds the claim by its number or writes it again.
+        retrying = AsyncRetrying(
+            retry=retry_if_exception_type(
+                (VersionConflictError, StoreAnswerLostError)
+            ),
+            stop=stop_after_attempt(WRITE_ATTEMPTS),
+            wait=wait_random_exponential(
+                multiplier=CONFLICT_WAIT_S, max=CONFLICT_WAIT_MAX_S
+            ),
+            reraise=True,
+        )
+        return await retrying(self._attempt, resolutions, claims)
+
+    async def _attempt(
+        self, resolutions: list[Resolution], claims: list[PendingClaim]
+    ) -> Applied:
+        was_cached = self._current is not None
+        applied = await self._apply(resolutions, claims)
+        if not applied.changed and was_cached:
+            # Only a read or a conditional write proves the cache current.
+            self._current = None
+            applied = await self._apply(resolutions, claims)
+        if applied.changed:
+            await self._put(applied, claims)
+        return applied
+
+    async def _apply(
+        self, resolutions: list[Resolution], claims: list[PendingClaim]
+    ) -> Applied:
+        if self._current is None:
+            self._current = await self._read()
+        return apply_batch(
+            self._current.value.get('entries', {}),
+            self._current.version,
+            resolutions,
+            [pending.claim for pending in claims],
+            self._clock(),
+        )
+
+    async def _read(self) -> StoredObject:
+        try:
+            async with asyncio.timeout(STORE_CALL_S):
+                found = await self._store.get(self._key)
+        except (TimeoutError, OSError) as error:
+            raise StoreUnavailableError('the store does not respond') from error
+        return found or StoredObject(self._key, 0, {})
+
+    async def _put(self, applied: Applied, claims: list[PendingClaim]) -> None:
+        version = self._current.version
+        self._current = None
+        earlier = [pending.sent_version for pending in claims]
+        for pending in claims:
+            pending.sent_version = version
+        try:
+            self._current = await self._send(applied.entries, version)
+        except (
+            VersionConflictError,
+            StoreUnavailableError,
+            StoreRateLimitError,
+        ):
+            for pending, sent_version in zip(claims, earlier, strict=True):
+                pending.sent_version = sent_version
+            raise
+
+    async def _send(self, entries: Any, version: int) -> StoredObject:
+        value = {'entries': entries}
+        try:
+            async with asyncio.timeout(STORE_CALL_S):
+                stored = await self._store.put(self._key, value, version)
+        except (TimeoutError, OSError) as error:
+            raise StoreAnswerLostError('the write may be applied') from error
+        return StoredObject(self._key, stored.version, value)
+
+    def _deliver(
+        self,
+        resolutions: list[Resolution],
+        claims: list[PendingClaim],
+        applied: Applied,
+    ) -> None:
+        for resolution in resolutions:
+            self._resolutions.pop(
+                (resolution.request_id, resolution.number), None
+            )
+        for pending, outcome in zip(claims, applied.results, strict=True):
+            if pending.abandoned:
+                self._withdraw(pending)
+            elif isinstance(outcome, OriolegaugeError):
+                pending.future.set_exception(outcome)
+            else:
+                pending.future.set_result(outcome)
+
+    def _refuse(
+        self, claims: Sequence[PendingClaim], error: OriolegaugeError
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self._failures += 1
+        refused = list(claims)
+        if not isinstance(error, VersionConflictError):
+            self._down_until = loop.time() + DOWN_HOLD_S
+            refused += self._claims
+            self._claims = []
+        for pending in refused:
+            if not pending.abandoned:
+                pending.future.set_exception(_refusal(error))
+            self._withdraw(pending)
+
+    def _withdraw(self, pending: PendingClaim) -> None:
+        """Store `not_run` if the claim was or may still be applied."""
+        if pending.sent_version is None:
+            return
+        claim = pending.claim
+        self.add_resolution(
+            Resolution(
+                claim.request_id,
+                claim.holder,
+                claim.number,
+                IntentState.NOT_RUN,
+                fence_version=pending.sent_version,
+            )
+        )
+
+    async def _pause(self) -> None:
+        pause_s = min(RETRY_MAX_S, DOWN_HOLD_S * 2**self._failures)
+        await asyncio.sleep(DOWN_HOLD_S)
+        try:
+            async with asyncio.timeout(pause_s - DOWN_HOLD_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+
+def _refusal(error: OriolegaugeError | None) -> ClaimRefusedError:
+    retry_after_s = error.retry_after_s if error else None
+    return ClaimRefusedError(
+        'the claim could not be stored; nothing was dispatched',
+        retry_after_s=retry_after_s or 1.0,
+    )
