Join retries to running requests and claim non-idempotent work

Cause: a retry ran again and a non-idempotent request had no durable intent. Conclusion: retries still have to reach the owner, which needs the links.

--- a/packages/config/src/oriolegauge/config/daemonsettings.py
+++ b/packages/config/src/oriolegauge/config/daemonsettings.py
@@ -32,6 +32,7 @@
     store_url: str
     peers: tuple[PeerSettings, ...] = ()
     budget_shards: int = 1
+    intent_shards: int = 4
     flush_period_s: float = 2.0
     max_request_s: float = 600.0
     max_body_bytes: int = 1_000_000
--- a/packages/daemon/src/oriolegauge/daemon/completions.py
+++ b/packages/daemon/src/oriolegauge/daemon/completions.py
@@ -1,27 +1,31 @@
 """Serve completions: reserve, dispatch, relay, settle."""
 
 import asyncio
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 import orjson
 import structlog
+from oriolegauge.admission import DeadlineUnreachableError
 from oriolegauge.backends import (
     EngineClient,
     EngineRequest,
-    EngineStream,
     ServerConnectError,
     ServerCutError,
     ServerRejectedError,
+    Usage,
 )
 from oriolegauge.backends.enginestream import parse_usage
 from oriolegauge.budget import BudgetManager, Reservation, Settled
 from oriolegauge.core.errors import (
     AnswerIncompleteError,
     ForbiddenError,
+    OriolegaugeError,
     OutcomeUnknownError,
     ServerFailedError,
 )
+from oriolegauge.core.runstate import RunState
 from oriolegauge.daemon.answersink import AnswerSink
 from oriolegauge.daemon.bill import bill_fields, bill_headers, final_events
 from oriolegauge.daemon.callercall import CallerCall
@@ -56,6 +60,22 @@
     sent_events: int = 0
     tried: set[str] = field(default_factory=set)
 
+    @property
+    def request_id(self) -> str:
+        return self.caller.request_id
+
+
+@dataclass(frozen=True, slots=True)
+class _Outcome:
+    """Hold what an engine answered: a whole answer or the end of a stream."""
+
+    usage: Usage
+    answer: dict[str, Any] | None = None
+    tail: Sequence[dict[str, Any]] = ()
+
+
+Attempt = Callable[[_Run, Slot, AnswerSink], Awaitable[_Outcome]]
+
 
 class Completions:
     """Run one completion request from reservation to bill."""
@@ -91,23 +111,23 @@
             minimum=body.input_bound + MINIMUM_OUTPUT_TOKENS,
             deadline=caller.deadline,
         )
+        run = self._new_run(caller, call, tree, body, reservation)
         try:
-            run = self._new_run(caller, call, tree, body, reservation)
-            if body.stream:
-                tail, settled = await self._stream(run, sink)
-                await sink.write(
-                    final_events(
-                        tail,
-                        bill_fields(caller.request_id, settled),
-                        with_usage=body.with_usage,
-                    )
-                )
-                await sink.finish()
-            else:
-                await self._whole(run, sink)
+            async with asyncio.timeout_at(caller.deadline):
+                outcome = await self._dispatch(run, sink)
+        except TimeoutError as error:
+            self._budgets.release(reservation)
+            raise _deadline_passed(run) from error
         except BaseException:
             self._budgets.release(reservation)
             raise
+        settled = await self._settle(run, outcome.usage)
+        await _send_end(run, sink, outcome, settled)
+
+    async def _dispatch(self, run: _Run, sink: AnswerSink) -> _Outcome:
+        if run.body.stream:
+            return await self._attempts(run, self._stream_attempt, sink)
+        return await self._hedged(run, sink)
 
     def _new_run(
         self,
@@ -143,43 +163,46 @@
             fingerprint=call.fingerprint,
         )
 
-    async def _whole(self, run: _Run, sink: AnswerSink) -> None:
-        answer = await self._attempts(run, self._whole_attempt, sink)
-        usage = parse_usage(answer.get('usage', {}))
-        settled = await self._settle(run, usage.total, usage.output_tokens)
-        request_id = run.caller.request_id
-        answer['oriolegauge'] = bill_fields(request_id, settled)
-        headers = bill_headers(request_id, settled)
-        headers['Content-Type'] = 'application/json'
-        await sink.start(HTTP_OK, headers)
-        await sink.write(orjson.dumps(answer))
-        await sink.finish()
-
-    async def _stream(
-        self, run: _Run, sink: AnswerSink
-    ) -> tuple[list[dict[str, Any]], Settled]:
-        stream = await self._attempts(run, self._stream_attempt, sink)
-        tail = stream.tail()
-        usage = stream.usage
-        if usage is None:
-            raise AnswerIncompleteError('engine reported no usage')
-        settled = await self._settle(run, usage.total, usage.output_tokens)
-        return tail, settled
-
-    async def _settle(self, run: _Run, total: int, output: int) -> Settled:
-        if total > run.reservation.tokens:
+    async def _hedged(self, run: _Run, sink: AnswerSink) -> _Outcome:
+        """Send a second copy of late idempotent work; the first answer wins."""
+        first = asyncio.create_task(
+            self._attempts(run, self._whole_attempt, sink)
+        )
+        copies = {first}
+        try:
+            delay = self._dispatcher.hedge_delay(
+                idempotent=not run.caller.non_idempotent
+            )
+            if delay is not None:
+                await asyncio.wait(copies, timeout=delay)
+                if not first.done() and self._dispatcher.spend_hedge():
+                    copies.add(
+                        asyncio.create_task(
+                            self._attempts(run, self._whole_attempt, sink)
+                        )
+                    )
+            return await _first_success(copies)
+        finally:
+            for copy in copies:
+                copy.cancel()
+            await asyncio.gather(*copies, return_exceptions=True)
+
+    async def _settle(self, run: _Run, usage: Usage) -> Settled:
+        if usage.total > run.reservation.tokens:
             log.warning(
                 'engine used more tokens than reserved',
                 request_id=run.caller.request_id,
-                used=total,
+                used=usage.total,
                 reserved=run.reservation.tokens,
             )
-        self._dispatcher.learn(run.slot_request, output)
+        self._dispatcher.learn(run.slot_request, usage.output_tokens)
         return await self._budgets.settle(
-            run.reservation, total, keyed=run.caller.keyed
+            run.reservation, usage.total, keyed=run.caller.keyed
         )
 
-    async def _attempts(self, run: _Run, attempt, sink: AnswerSink) -> Any:
+    async def _attempts(
+        self, run: _Run, attempt: Attempt, sink: AnswerSink
+    ) -> _Outcome:
         """Try servers until one gives the whole answer."""
         failure: ServerFailedError = ServerConnectError('no attempt was made')
         for number in range(MAX_ATTEMPTS):
@@ -219,14 +242,15 @@
 
     async def _whole_attempt(
         self, run: _Run, slot: Slot, sink: AnswerSink
-    ) -> dict[str, Any]:
+    ) -> _Outcome:
         answer = await self._engines.whole(slot.server, run.request)
-        slot.succeed(parse_usage(answer.get('usage', {})).output_tokens)
-        return answer
+        usage = parse_usage(answer.get('usage', {}))
+        slot.succeed(usage.output_tokens)
+        return _Outcome(usage, answer=answer)
 
     async def _stream_attempt(
         self, run: _Run, slot: Slot, sink: AnswerSink
-    ) -> EngineStream:
+    ) -> _Outcome:
         request = replace(run.request, resume_tokens=run.sent_events)
         async with self._engines.stream(slot.server, request) as stream:
             if not sink.started:
@@ -241,8 +265,11 @@
                 slot.progress(stream.events)
                 if sink.gone:
                     await self._cancel(slot, run)
-            slot.succeed(stream.events)
-            return stream
+            tail = stream.tail()
+        if stream.usage is None:
+            raise ServerCutError('the engine reported no usage')
+        slot.succeed(stream.events)
+        return _Outcome(stream.usage, tail=tail)
 
     async def _cancel(self, slot: Slot, run: _Run) -> None:
         """End a stream that nobody reads; its usage still arrives."""
@@ -259,3 +286,43 @@
 def _is_allowed(caller: CallerRequest, model: str) -> bool:
     allowed = caller.settings.models
     return '*' in allowed or model in allowed
+
+
+def _deadline_passed(run: _Run) -> OriolegaugeError:
+    if run.tried and run.caller.non_idempotent:
+        return OutcomeUnknownError('the deadline passed after dispatch')
+    return DeadlineUnreachableError(
+        'the deadline passed',
+        run_state=RunState.RAN if run.tried else RunState.NOT_RUN,
+        retry_after_s=1,
+    )
+
+
+async def _first_success(
+    copies: set[asyncio.Task[_Outcome]],
+) -> _Outcome:
+    """Return the first answer; raise the last failure if all copies fail."""
+    pending = copies
+    while True:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        for copy in done:
+            if copy.exception() is None or not pending:
+                return copy.result()
+
+
+async def _send_end(
+    run: _Run, sink: AnswerSink, outcome: _Outcome, settled: Settled
+) -> None:
+    bill = bill_fields(run.request_id, settled)
+    if outcome.answer is None:
+        await sink.write(
+            final_events(outcome.tail, bill, with_usage=run.body.with_usage)
+        )
+    else:
+        headers = bill_headers(run.request_id, settled)
+        headers['Content-Type'] = 'application/json'
+        await sink.start(HTTP_OK, headers)
+        await sink.write(orjson.dumps({**outcome.answer, 'oriolegauge': bill}))
+    await sink.finish()
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+import time
 from typing import Any
 
 import aiohttp
@@ -25,6 +26,7 @@
 from oriolegauge.daemon.requests import Requests
 from oriolegauge.daemon.serverpool import ServerPool
 from oriolegauge.daemon.servicecalls import ServiceCalls
+from oriolegauge.ledger import IntentLog, RequestLedger
 from oriolegauge.platform import StoreError
 from oriolegauge.platform.httpobjectstore import HttpObjectStore
 
@@ -61,6 +63,13 @@
                 shard_count=self._settings.budget_shards,
                 clock=asyncio.get_running_loop().time,
             )
+            # Entries of intents are dropped by age, so they carry Unix time.
+            self._intents = IntentLog(
+                store=store,
+                holder=self._holder,
+                shard_count=self._settings.intent_shards,
+                clock=time.time,
+            )
             async with asyncio.TaskGroup() as group:
                 tasks = [
                     group.create_task(self._watch_config(store)),
@@ -122,6 +131,9 @@
                     ),
                     dispatcher=dispatcher,
                 ),
+                ledger=RequestLedger(),
+                intents=self._intents,
+                clock=asyncio.get_running_loop().time,
             ),
         )
         admin = AdminApi(
--- a/packages/daemon/src/oriolegauge/daemon/servicecalls.py
+++ b/packages/daemon/src/oriolegauge/daemon/servicecalls.py
@@ -1,8 +1,10 @@
 """Serve calls to plain services."""
 
+import asyncio
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
+from oriolegauge.admission import DeadlineUnreachableError
 from oriolegauge.backends import (
     BackendServer,
     ServerConnectError,
@@ -16,8 +18,10 @@
 from oriolegauge.core.errors import (
     ForbiddenError,
     NotFoundError,
+    OriolegaugeError,
     OutcomeUnknownError,
 )
+from oriolegauge.core.runstate import RunState
 from oriolegauge.daemon.answersink import AnswerSink
 from oriolegauge.daemon.bill import bill_headers
 from oriolegauge.daemon.callercall import CallerCall
@@ -87,11 +91,15 @@
             deadline=caller.deadline,
         )
         try:
-            answer = await self._attempts(caller, call, target)
-            settled = await self._settle(reservation, answer, caller, price)
+            async with asyncio.timeout_at(caller.deadline):
+                answer = await self._attempts(caller, call, target)
+        except TimeoutError as error:
+            self._budgets.release(reservation)
+            raise _deadline_passed(target) from error
         except BaseException:
             self._budgets.release(reservation)
             raise
+        settled = await self._settle(reservation, answer, caller, price)
         headers = bill_headers(caller.request_id, settled)
         await sink.start(answer.status, {**answer.headers, **headers})
         await sink.write(answer.body)
@@ -157,3 +165,11 @@
 def is_service_path(path: str) -> bool:
     """Tell whether a caller's path addresses a plain service."""
     return urlsplit(path).path.startswith(ROUTE_PREFIX)
+
+
+def _deadline_passed(target: ServiceTarget) -> OriolegaugeError:
+    if target.non_idempotent:
+        return OutcomeUnknownError('the deadline passed after dispatch')
+    return DeadlineUnreachableError(
+        'the deadline passed', run_state=RunState.UNKNOWN, retry_after_s=1
+    )
