Follow the configuration and edit it by conditional updates

Cause: the thin configuration had neither limits nor operators, one daemon per process watched the store, and a lost race in the command-line tool re-applied a change on top of whatever it found.

Change: subtrees `config/limits` and `config/operators`, strict field types, deleted teams as objects, `ConfigFollower` (elected store watch per zone, fetch from peers, ages that only grow on their way between daemons), settings errors with line numbers, TLS contexts. The tool merges changes of different places three-way, refuses changes of the same place with the conflict code, resolves lost answers by change ids and keeps the last 50 changes.

Ruled out: reading `current` from the peers' own verdict, because two daemons that are cut off would keep each other current.

--- /dev/null
+++ b/packages/cli/src/oriolegauge/cli/adminclient.py
@@ -0,0 +1,60 @@
+"""Client of the daemons' admin port."""
+
+import ssl
+from typing import Any
+
+import aiohttp
+from oriolegauge.cli.errors import DaemonRejectedError, DaemonUnreachableError
+from oriolegauge.core.errors import ForbiddenError, UnauthenticatedError
+
+TIMEOUT = aiohttp.ClientTimeout(total=5)
+HTTP_UNAUTHENTICATED = 401
+HTTP_FORBIDDEN = 403
+HTTP_ERROR = 400
+
+
+class AdminClient:
+    """Read the state of daemons and drain them."""
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        token: str,
+        trust: ssl.SSLContext | bool,
+    ) -> None:
+        """Send the token, if there is one, with each call."""
+        self._session = session
+        self._headers = {'Authorization': f'Bearer {token}'} if token else {}
+        self._trust = trust
+
+    async def state(self, url: str) -> dict[str, Any]:
+        """Return the state dump of the daemon at the admin URL."""
+        return await self._call('GET', f'{url}/state')
+
+    async def drain(self, url: str) -> dict[str, Any]:
+        """Ask the daemon at the admin URL to drain."""
+        return await self._call('POST', f'{url}/drain')
+
+    async def _call(self, method: str, url: str) -> dict[str, Any]:
+        try:
+            async with self._session.request(
+                method,
+                url,
+                headers=self._headers,
+                ssl=self._trust,
+                timeout=TIMEOUT,
+            ) as response:
+                _raise_for(response.status, url)
+                return await response.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise DaemonUnreachableError(f'{url}: {error!r}') from error
+
+
+def _raise_for(status: int, url: str) -> None:
+    if status == HTTP_UNAUTHENTICATED:
+        raise UnauthenticatedError(f'{url}: the token is unknown')
+    if status == HTTP_FORBIDDEN:
+        raise ForbiddenError(f'{url}: the token lacks the role')
+    if status >= HTTP_ERROR:
+        raise DaemonRejectedError(f'{url} answered {status}')
--- /dev/null
+++ b/packages/cli/src/oriolegauge/cli/fleetverbs.py
@@ -0,0 +1,140 @@
+"""Verbs on running daemons."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+from oriolegauge.cli.adminclient import AdminClient
+from oriolegauge.cli.budgetverbs import budget_rows
+from oriolegauge.cli.operator import Operator
+from oriolegauge.cli.session import Session
+from oriolegauge.config.configtree import PREFIX, SERVERS_KEY
+from oriolegauge.core import OriolegaugeError
+from oriolegauge.core.errors import NotFoundError
+from oriolegauge.platform import ObjectStore
+
+Row = dict[str, Any]
+
+
+class FleetVerbs:
+    """Show and drain daemons."""
+
+    def __init__(self, session: Session) -> None:
+        """Use the session."""
+        self._session = session
+
+    def status(self) -> dict[str, list[Row]]:
+        """Show daemons, backend servers and budgets."""
+
+        async def read(
+            operator: Operator, store: ObjectStore, admin: AdminClient
+        ) -> dict[str, list[Row]]:
+            objects = {
+                stored.key: stored
+                for stored in await operator.list_objects(PREFIX)
+            }
+            versions = {key: row.version for key, row in objects.items()}
+            urls = await self._urls(store)
+            daemons = await asyncio.gather(
+                *(_daemon_row(admin, *row, versions) for row in urls.items())
+            )
+            servers = objects.get(SERVERS_KEY)
+            shards = await operator.list_objects('budgets/')
+            return {
+                'daemons': list(daemons),
+                'servers': _server_rows(servers.value if servers else {}),
+                'budgets': [
+                    row for shard in shards for row in budget_rows(shard.value)
+                ],
+            }
+
+        return self._session.run_with_daemons(read)
+
+    def drain(self, daemon: str) -> Row:
+        """Drain a daemon; it finishes its requests and stops.
+
+        :param daemon: name or admin URL of the daemon
+        """
+
+        async def drain(
+            operator: Operator, store: ObjectStore, admin: AdminClient
+        ) -> Row:
+            return await admin.drain(await self._url(store, daemon))
+
+        return self._session.run_with_daemons(drain)
+
+    def dump(self, daemon: str) -> Row:
+        """Show the whole state of a daemon.
+
+        :param daemon: name or admin URL of the daemon
+        """
+
+        async def dump(
+            operator: Operator, store: ObjectStore, admin: AdminClient
+        ) -> Row:
+            return await admin.state(await self._url(store, daemon))
+
+        return self._session.run_with_daemons(dump)
+
+    async def _url(self, store: ObjectStore, daemon: str) -> str:
+        if '://' in daemon:
+            return daemon.rstrip('/')
+        urls = await self._urls(store)
+        if daemon not in urls:
+            raise NotFoundError(f'no daemon {daemon}')
+        return urls[daemon]
+
+    async def _urls(self, store: ObjectStore) -> dict[str, str]:
+        options = self._session.options
+        if options.daemons:
+            return dict(map(_named, options.daemons.split(',')))
+        scheme = 'https' if options.ca else 'http'
+        return {
+            host.name: f'{scheme}://{host.address}:{options.admin_port}'
+            for host in await store.hosts()
+        }
+
+
+def _named(text: str) -> tuple[str, str]:
+    name, separator, url = text.strip().partition('=')
+    return (name, url.rstrip('/')) if separator else (name, name.rstrip('/'))
+
+
+async def _daemon_row(
+    admin: AdminClient, name: str, url: str, store_versions: Mapping[str, int]
+) -> Row:
+    try:
+        state = await admin.state(url)
+    except OriolegaugeError as error:
+        return {
+            'daemon': name,
+            'lifecycle': 'unknown',
+            'error': error.code.name.lower(),
+        }
+    held = state.get('config_versions', {})
+    return {
+        'daemon': name,
+        'lifecycle': state.get('lifecycle'),
+        'config_current': state.get('config_current'),
+        'open_requests': state.get('open_requests'),
+        'subtrees_behind': sum(
+            version > held.get(key, 0)
+            for key, version in store_versions.items()
+        ),
+        'subtrees_ahead': sum(
+            version > store_versions.get(key, 0)
+            for key, version in held.items()
+        ),
+    }
+
+
+def _server_rows(servers: Mapping[str, Any]) -> list[Row]:
+    return [
+        {
+            'server': name,
+            'zone': entry['zone'],
+            'models': entry['models'],
+            'leaving': entry.get('leaving', False),
+        }
+        for name, entry in servers.get('engines', {}).items()
+    ]
--- a/packages/cli/src/oriolegauge/cli/operator.py
+++ b/packages/cli/src/oriolegauge/cli/operator.py
@@ -1,55 +1,289 @@
 """Conditional updates of the store on behalf of an operator."""
 
-from collections.abc import Callable, Mapping
-from typing import Any
+import asyncio
+import sys
+import time
+import uuid
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, TypeVar
 
-from oriolegauge.config.configtree import parse_subtree
+from oriolegauge.cli.errors import ChangeUnknownError, EditConflictError
+from oriolegauge.cli.history import add_entry, entry_of, history_key
+from oriolegauge.cli.merge import Patch, diff, merge
+from oriolegauge.config import (
+    ConfigInvalidError,
+    Operators,
+    Role,
+    hash_key,
+    parse_subtree,
+)
+from oriolegauge.config.configtree import OPERATORS_KEY
+from oriolegauge.config.subtrees import MAX_CHANGES
+from oriolegauge.core.errors import ForbiddenError
 from oriolegauge.platform import (
     ObjectStore,
+    StoreAnswerLostError,
     StoredObject,
+    StoreError,
+    StoreRateLimitError,
     VersionConflictError,
 )
+from tenacity import (
+    AsyncRetrying,
+    retry_if_exception_type,
+    stop_after_attempt,
+    wait_random_exponential,
+)
+
+MAX_ATTEMPTS = 10
+RETRY_ATTEMPTS = 6
+MAX_PAUSE_S = 1.0
+
+_Value = Mapping[str, Any]
+_Answer = TypeVar('_Answer')
+
+
+def _anything(current: _Value) -> None:
+    """Accept any current value."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Edit:
+    """Change one subtree from the value that the operator saw.
 
-MAX_ATTEMPTS = 5
+    `guard` raises an error if the edit makes no sense on a current value.
+    """
 
-Update = Callable[[Mapping[str, Any]], dict[str, Any]]
+    key: str
+    patch: Patch
+    guard: Callable[[_Value], None] = _anything
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Update:
+    """Change any object by a function; `done` recognises the change."""
+
+    key: str
+    change: Callable[[_Value], dict[str, Any]]
+    done: Callable[[_Value], bool]
+    name: str
+    change_id: str
 
 
 class Operator:
-    """Change store objects; a lost race is retried on the new value."""
+    """Change store objects so that racing operators lose no change."""
 
-    def __init__(self, store: ObjectStore) -> None:
-        """Use the store."""
+    def __init__(
+        self,
+        store: ObjectStore,
+        *,
+        author: str,
+        token: str = '',
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        """Act as `author`; `clock` gives Unix time in seconds."""
         self._store = store
+        self._author = author
+        self._token = token
+        self._clock = clock
 
-    async def read(self, key: str) -> Mapping[str, Any]:
-        """Return the value of an object, empty if there is none."""
-        found = await self._store.get(key)
-        return found.value if found else {}
+    async def read(self, key: str) -> StoredObject:
+        """Return an object; version 0 and no members if there is none."""
+        found = await self._call(lambda: self._store.get(key))
+        return found or StoredObject(key, 0, {})
 
-    async def list_keys(self, prefix: str) -> list[StoredObject]:
+    async def list_objects(self, prefix: str) -> list[StoredObject]:
         """Return the objects under a prefix."""
-        return await self._store.list_objects(prefix)
-
-    async def update(self, key: str, change: Update) -> StoredObject:
-        """Apply the change to the current value of any object."""
-        for attempt in range(MAX_ATTEMPTS):
-            found = await self._store.get(key)
-            version = found.version if found else 0
-            updated = change(found.value if found else {})
-            try:
-                return await self._store.put(key, updated, version)
-            except VersionConflictError:
-                if attempt == MAX_ATTEMPTS - 1:
-                    raise
-        raise VersionConflictError(f'{key} keeps changing')
-
-    async def update_config(self, key: str, change: Update) -> StoredObject:
-        """Apply the change to a subtree and validate it as a whole."""
-
-        def checked(tree: Mapping[str, Any]) -> dict[str, Any]:
-            updated = change(tree)
-            parse_subtree(key, updated)
-            return updated
-
-        return await self.update(key, checked)
+        return await self._call(lambda: self._store.list_objects(prefix))
+
+    async def change(
+        self,
+        key: str,
+        change: Callable[[dict[str, Any]], dict[str, Any]],
+        *,
+        guard: Callable[[_Value], None] = _anything,
+    ) -> StoredObject:
+        """Change a subtree of the configuration by a function of its value."""
+        seen = await self.read(key)
+        guard(seen.value)
+        base = editable(seen.value)
+        return await self.edit(
+            Edit(key=key, patch=diff(base, change(dict(base))), guard=guard),
+            seen,
+        )
+
+    async def edit(self, edit: Edit, seen: StoredObject) -> StoredObject:
+        """Put an edit in the store; later changes of other places are kept.
+
+        Raise EditConflictError if someone changed the same place, and
+        ConfigInvalidError if the result does not validate.
+        """
+        if not edit.patch:
+            return seen
+        await self.check_rights(edit.key)
+        change = {
+            'id': uuid.uuid4().hex,
+            'author': self._author,
+            'at_unix_s': int(self._clock()),
+        }
+        stored = await self._put_edit(edit, change, seen)
+        await self._record(
+            edit.key, entry_of(change, edit.patch, stored.version), stored
+        )
+        return stored
+
+    async def update(self, update: Update) -> StoredObject:
+        """Put a change of a budget shard in the store and in the history."""
+        await self.check_rights(update.key)
+        current = await self.read(update.key)
+        for _ in range(MAX_ATTEMPTS):
+            if update.done(current.value):
+                return current
+            target = update.change(current.value)
+            stored = await self._try_put(current, target)
+            if stored is not None:
+                await self._record_update(update, current, stored)
+                return stored
+            current = await self._resolve(update.key, update.change_id)
+        raise EditConflictError(f'{update.key} keeps changing')
+
+    async def check_rights(self, key: str, role: Role = Role.OPERATE) -> None:
+        """Raise ForbiddenError if the token may not change the object.
+
+        This guards against mistakes; access to the store itself is the
+        platform's to control.
+        """
+        found = await self.read(OPERATORS_KEY)
+        operators = parse_subtree(OPERATORS_KEY, found.value)
+        assert isinstance(operators, Operators)
+        needed = Role.ADMIN if key == OPERATORS_KEY else role
+        if not operators.permits(
+            hash_key(self._token),
+            role=needed,
+            unix_s=self._clock(),
+            key=key,
+        ):
+            raise ForbiddenError(f'the token may not change {key}')
+
+    async def _put_edit(
+        self, edit: Edit, change: dict[str, Any], seen: StoredObject
+    ) -> StoredObject:
+        current = seen
+        for _ in range(MAX_ATTEMPTS):
+            if _holds_change(current.value, change['id']):
+                return current
+            target = _changed(edit, change, current, seen)
+            stored = await self._try_put(current, target)
+            if stored is not None:
+                return stored
+            current = await self._resolve(edit.key, change['id'])
+        raise EditConflictError(f'{edit.key} keeps changing')
+
+    async def _try_put(
+        self, current: StoredObject, target: dict[str, Any]
+    ) -> StoredObject | None:
+        """Return None if the object has to be read to know the outcome."""
+        try:
+            return await self._call(
+                lambda: self._store.put(current.key, target, current.version)
+            )
+        except (VersionConflictError, StoreAnswerLostError):
+            return None
+
+    async def _resolve(self, key: str, change_id: str) -> StoredObject:
+        try:
+            return await _retry(StoreError, lambda: self.read(key))
+        except StoreError as error:
+            raise ChangeUnknownError(
+                f'{key}: the store went away; it is unknown whether change '
+                f'{change_id} was applied: {error.message}'
+            ) from error
+
+    async def _call(self, call: Callable[[], Awaitable[_Answer]]) -> _Answer:
+        return await _retry(StoreRateLimitError, call)
+
+    async def _record_update(
+        self, update: Update, before: StoredObject, after: StoredObject
+    ) -> None:
+        # Holders change the shard as well, so only the budget is compared.
+        sides = (
+            shard.value.get('budgets', {}).get(update.name, {})
+            for shard in (before, after)
+        )
+        entry = entry_of(
+            {
+                'id': update.change_id,
+                'author': self._author,
+                'at_unix_s': int(self._clock()),
+            },
+            diff(*sides),
+            after.version,
+        )
+        await self._record(f'budgets/{update.name}', entry, after)
+
+    async def _record(
+        self, key: str, entry: dict[str, Any], stored: StoredObject
+    ) -> None:
+        """Write the history; its failure does not undo the change."""
+        try:
+            await self._write_history(key, entry, stored)
+        except StoreError as error:
+            sys.stderr.write(
+                f'warning: {key} was changed, but its history was not '
+                f'written: {error.message}\n'
+            )
+
+    async def _write_history(
+        self, key: str, entry: dict[str, Any], stored: StoredObject
+    ) -> None:
+        for _ in range(MAX_ATTEMPTS):
+            current = await self.read(history_key(key))
+            target = add_entry(current.value, entry, stored)
+            if await self._try_put(current, target) is not None:
+                return
+
+
+async def _retry(
+    failure: type[StoreError], call: Callable[[], Awaitable[_Answer]]
+) -> _Answer:
+    async for attempt in AsyncRetrying(
+        stop=stop_after_attempt(RETRY_ATTEMPTS),
+        wait=wait_random_exponential(multiplier=0.1, max=MAX_PAUSE_S),
+        retry=retry_if_exception_type(failure),
+        sleep=asyncio.sleep,
+        reraise=True,
+    ):
+        with attempt:
+            return await call()
+    raise AssertionError('retries end with a result or an error')
+
+
+def editable(value: _Value) -> dict[str, Any]:
+    """Return a subtree without the list of changes that the tool keeps."""
+    return {name: part for name, part in value.items() if name != 'changes'}
+
+
+def _holds_change(value: _Value, change_id: str) -> bool:
+    return any(row['id'] == change_id for row in value.get('changes', []))
+
+
+def _changed(
+    edit: Edit,
+    change: dict[str, Any],
+    current: StoredObject,
+    seen: StoredObject,
+) -> dict[str, Any]:
+    edit.guard(current.value)
+    merged = merge(editable(current.value), edit.patch)
+    changes = [*current.value.get('changes', []), change][-MAX_CHANGES:]
+    target = {**merged, 'changes': changes}
+    try:
+        parse_subtree(edit.key, target)
+    except ConfigInvalidError as error:
+        if current.version == seen.version:
+            raise
+        raise EditConflictError(
+            f'does not fit a change by someone else: {error.message}'
+        ) from error
+    return target
--- a/packages/cli/src/oriolegauge/cli/output.py
+++ b/packages/cli/src/oriolegauge/cli/output.py
@@ -1,20 +1,50 @@
 """Print results as a table or as JSON."""
 
 import json
-import os
 import sys
 from collections.abc import Mapping, Sequence
 from typing import Any
 
 from tabulate import tabulate
 
-FORMAT_VARIABLE = 'ORIOLEGAUGE_OUTPUT'
+Rows = Sequence[Mapping[str, Any]]
+Result = Mapping[str, Any] | Rows | None
 
 
-def show(result: Mapping[str, Any] | Sequence[Mapping[str, Any]]) -> None:
-    """Print rows or one record."""
-    if os.environ.get(FORMAT_VARIABLE) == 'json':
-        sys.stdout.write(f'{json.dumps(result)}\n')
-        return
-    rows = [result] if isinstance(result, Mapping) else result
-    sys.stdout.write(f'{tabulate(rows, headers="keys")}\n')
+def render(result: Result, output: str) -> str:
+    """Return rows, one record or sections of rows as text."""
+    if output == 'json':
+        return json.dumps(result)
+    if isinstance(result, Mapping):
+        if result and all(_is_rows(part) for part in result.values()):
+            return '\n\n'.join(
+                f'{name}\n{_table(rows)}' for name, rows in result.items()
+            )
+        return json.dumps(result, indent=2)
+    return _table(result or [])
+
+
+def show(result: Result, output: str) -> None:
+    """Print a result; print nothing for none."""
+    if result is not None:
+        sys.stdout.write(f'{render(result, output)}\n')
+        sys.stdout.flush()
+
+
+def _is_rows(part: Any) -> bool:
+    return isinstance(part, list) and all(
+        isinstance(row, Mapping) for row in part
+    )
+
+
+def _table(rows: Rows) -> str:
+    cells = [
+        {name: _cell(value) for name, value in row.items()} for row in rows
+    ]
+    return tabulate(cells, headers='keys')
+
+
+def _cell(value: Any) -> Any:
+    if isinstance(value, (list, dict, tuple)):
+        return json.dumps(value)
+    return value
--- a/packages/config/src/oriolegauge/config/__init__.py
+++ b/packages/config/src/oriolegauge/config/__init__.py
@@ -1,16 +1,26 @@
 """Configuration tree and daemon settings."""
 
+from oriolegauge.config.configfollower import ConfigFollower, FollowerTiming
+from oriolegauge.config.configpeers import ConfigPeers, PeerConfig
 from oriolegauge.config.configtree import ConfigTree
 from oriolegauge.config.daemonsettings import (
     DaemonSettings,
     PeerSettings,
-    load_settings,
+    PeerTlsSettings,
+    TlsSettings,
 )
 from oriolegauge.config.errors import ConfigInvalidError, SettingsInvalidError
-from oriolegauge.config.keys import hash_key, new_key
+from oriolegauge.config.followerstate import FollowerState
+from oriolegauge.config.keys import hash_key, new_key, new_token, team_of
+from oriolegauge.config.parse import parse_subtree
+from oriolegauge.config.settingsfile import load_settings
 from oriolegauge.config.subtrees import (
     CallerKey,
     EngineEntry,
+    Limits,
+    Operators,
+    QueueLengths,
+    Role,
     Servers,
     Service,
     Services,
@@ -19,17 +29,31 @@
 
 __all__ = (
     'CallerKey',
+    'ConfigFollower',
     'ConfigInvalidError',
+    'ConfigPeers',
     'ConfigTree',
     'DaemonSettings',
     'EngineEntry',
+    'FollowerState',
+    'FollowerTiming',
+    'Limits',
+    'Operators',
+    'PeerConfig',
     'PeerSettings',
+    'PeerTlsSettings',
+    'QueueLengths',
+    'Role',
     'Servers',
     'Service',
     'Services',
     'SettingsInvalidError',
     'Team',
+    'TlsSettings',
     'hash_key',
     'load_settings',
     'new_key',
+    'new_token',
+    'parse_subtree',
+    'team_of',
 )
--- /dev/null
+++ b/packages/config/src/oriolegauge/config/configinbox.py
@@ -0,0 +1,90 @@
+"""Acceptance of configuration objects from the store and from peers."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+import structlog
+from oriolegauge.config.configtree import ConfigTree
+from oriolegauge.config.errors import ConfigInvalidError
+from oriolegauge.platform import StoredObject
+
+log = structlog.get_logger()
+
+
+class ConfigInbox:
+    """Apply newer objects; count the ones that are refused."""
+
+    def __init__(
+        self, tree: ConfigTree, applied: Callable[[str], None] | None
+    ) -> None:
+        """Apply to the tree and call `applied` with each changed key."""
+        self._tree = tree
+        self._applied = applied
+        self.store_behind: dict[str, int] = {}
+        self.rejected: dict[str, int] = {}
+        self.refused_lower = 0
+        self.refused_invalid = 0
+
+    def version(self, key: str) -> int:
+        """Return the highest version seen, in force or rejected."""
+        return max(self._tree.version(key), self.rejected.get(key, 0))
+
+    def covers(self, versions: Mapping[str, int]) -> bool:
+        """Tell whether none of the versions is higher than the ones seen."""
+        return all(
+            self.version(key) >= version for key, version in versions.items()
+        )
+
+    def accept(self, stored: StoredObject) -> bool:
+        """Put the object in force if it is newer and valid."""
+        if stored.version <= self.version(stored.key):
+            return False
+        try:
+            self._tree.apply(stored)
+        except ConfigInvalidError as error:
+            self._reject(stored, error)
+            return False
+        self.rejected.pop(stored.key, None)
+        if self._applied is not None:
+            self._applied(stored.key)
+        return True
+
+    def accept_from_store(self, stored: StoredObject) -> None:
+        """Accept an object of the store; report one that is behind."""
+        if self.accept(stored):
+            self.store_behind.pop(stored.key, None)
+            return
+        self._note(stored.key, stored.version)
+
+    def accept_list(self, listed: Iterable[StoredObject]) -> None:
+        """Accept all objects of the store; report missing ones as behind."""
+        missing = set(self._tree.versions)
+        for stored in listed:
+            missing.discard(stored.key)
+            self.accept_from_store(stored)
+        for key in missing:
+            self._note(key, 0)
+
+    def _note(self, key: str, version: int) -> None:
+        held = self._tree.version(key)
+        if version >= held:
+            self.store_behind.pop(key, None)
+            return
+        self.refused_lower += 1
+        if self.store_behind.get(key) != version:
+            self.store_behind[key] = version
+            log.warning(
+                'store holds a lower configuration version; not applied',
+                key=key,
+                store_version=version,
+                version_in_force=held,
+            )
+
+    def _reject(self, stored: StoredObject, error: ConfigInvalidError) -> None:
+        self.rejected[stored.key] = stored.version
+        self.refused_invalid += 1
+        log.warning(
+            'configuration rejected',
+            key=stored.key,
+            version=stored.version,
+            error=error.message,
+        )
--- a/packages/config/src/oriolegauge/config/configtree.py
+++ b/packages/config/src/oriolegauge/config/configtree.py
@@ -1,19 +1,42 @@
 """The configuration in force, one versioned object per subtree."""
 
-from collections.abc import Mapping
-from typing import Any
-
-from oriolegauge.config.errors import ConfigInvalidError
-from oriolegauge.config.subtrees import Servers, Services, Team
+from dataclasses import replace
+from typing import TypeVar
+
+from oriolegauge.config.daemonsettings import DaemonSettings
+from oriolegauge.config.parse import (
+    LIMITS_KEY,
+    OPERATORS_KEY,
+    PREFIX,
+    SERVERS_KEY,
+    SERVICES_KEY,
+    TEAM_PREFIX,
+    Subtree,
+    parse_subtree,
+)
+from oriolegauge.config.subtrees import (
+    Limits,
+    Operators,
+    Servers,
+    Services,
+    Team,
+)
 from oriolegauge.platform import StoredObject
-from pydantic import TypeAdapter, ValidationError
 
-PREFIX = 'config/'
-TEAM_PREFIX = 'config/teams/'
-SERVERS_KEY = 'config/servers'
-SERVICES_KEY = 'config/services'
+# The daemon and the command-line tool import the keys from here.
+__all__ = (
+    'LIMITS_KEY',
+    'OPERATORS_KEY',
+    'PREFIX',
+    'SERVERS_KEY',
+    'SERVICES_KEY',
+    'TEAM_PREFIX',
+    'ConfigTree',
+    'Subtree',
+    'parse_subtree',
+)
 
-Subtree = Team | Servers | Services
+_Kind = TypeVar('_Kind', Servers, Services, Limits, Operators)
 
 
 class ConfigTree:
@@ -32,52 +55,78 @@
     @property
     def servers(self) -> Servers:
         """Return the engines."""
-        found = self._parsed.get(SERVERS_KEY)
-        return found if isinstance(found, Servers) else Servers(engines={})
+        return self._single(SERVERS_KEY, Servers)
 
     @property
     def services(self) -> Services:
         """Return the plain services."""
-        found = self._parsed.get(SERVICES_KEY)
-        return found if isinstance(found, Services) else Services(services={})
+        return self._single(SERVICES_KEY, Services)
+
+    @property
+    def limits(self) -> Limits:
+        """Return the limits that all daemons share."""
+        return self._single(LIMITS_KEY, Limits)
+
+    @property
+    def operators(self) -> Operators:
+        """Return the operators and their rights."""
+        return self._single(OPERATORS_KEY, Operators)
+
+    @property
+    def teams(self) -> dict[str, Team]:
+        """Return the teams by name, without deleted ones."""
+        return {
+            key.removeprefix(TEAM_PREFIX): found
+            for key, found in self._parsed.items()
+            if isinstance(found, Team) and not found.deleted
+        }
 
     def team(self, name: str) -> Team | None:
-        """Return the team's subtree, or None."""
+        """Return the team's subtree, or None if unknown or deleted."""
         found = self._parsed.get(TEAM_PREFIX + name)
-        return found if isinstance(found, Team) else None
+        if isinstance(found, Team) and not found.deleted:
+            return found
+        return None
+
+    def limits_for(self, settings: DaemonSettings) -> Limits:
+        """Return the limits in force on a host with these settings."""
+        if LIMITS_KEY not in self._parsed:
+            return Limits(
+                max_body_bytes=settings.max_body_bytes,
+                max_request_s=settings.max_request_s,
+                default_max_tokens=settings.default_max_tokens,
+            )
+        return replace(
+            self.limits,
+            max_body_bytes=min(
+                self.limits.max_body_bytes, settings.max_body_bytes
+            ),
+            max_request_s=min(
+                self.limits.max_request_s, settings.max_request_s
+            ),
+        )
+
+    def stored(self, key: str) -> StoredObject | None:
+        """Return the object in force under the key, for a peer's fetch."""
+        return self._objects.get(key)
+
+    def version(self, key: str) -> int:
+        """Return the version in force, 0 for none."""
+        found = self._objects.get(key)
+        return found.version if found else 0
 
     def apply(self, stored: StoredObject) -> bool:
         """Put a subtree in force if it is newer.
 
         Raise ConfigInvalidError and keep the old one if it does not validate.
         """
-        current = self._objects.get(stored.key)
-        if current is not None and stored.version <= current.version:
+        if stored.version <= self.version(stored.key):
             return False
-        self._parsed[stored.key] = parse_subtree(stored.key, stored.value)
+        parsed = parse_subtree(stored.key, stored.value)
+        self._parsed[stored.key] = parsed
         self._objects[stored.key] = stored
         return True
 
-
-def parse_subtree(key: str, tree: Mapping[str, Any]) -> Subtree:
-    """Return the typed subtree; raise ConfigInvalidError with the places."""
-    try:
-        return TypeAdapter(_type_of(key)).validate_python(dict(tree))
-    except ValidationError as error:
-        places = '; '.join(
-            f'{".".join(map(str, row["loc"]))}: {row["msg"]}'
-            for row in error.errors()
-        )
-        raise ConfigInvalidError(f'{key}: {places}') from error
-
-
-def _type_of(key: str) -> type[Subtree]:
-    if key.startswith(TEAM_PREFIX):
-        return Team
-    match key:
-        case 'config/servers':
-            return Servers
-        case 'config/services':
-            return Services
-        case _:
-            raise ConfigInvalidError(f'unknown subtree {key}')
+    def _single(self, key: str, kind: type[_Kind]) -> _Kind:
+        found = self._parsed.get(key)
+        return found if isinstance(found, kind) else kind()
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -18,8 +18,8 @@
 
 def _run(fleet: Fleet) -> int:
     _start(fleet)
-    fleet.operate('team-create', 'cafes')
-    fleet.operate('budget-create', BUDGET, '--tokens', str(PREPAID_TOKENS))
+    fleet.operate('team', 'create', 'cafes')
+    fleet.operate('budget', 'create', BUDGET, '--tokens', str(PREPAID_TOKENS))
     key = fleet.new_key(BUDGET)
     _say('created team cafes', f'budget {BUDGET} of {PREPAID_TOKENS} tokens')
     time.sleep(1)
@@ -73,7 +73,8 @@
     for name in ('e1', 'e2'):
         fleet.start_engine(name)
         fleet.operate(
-            'engine-add',
+            'server',
+            'add',
             name,
             '--url',
             fleet.url(name),
@@ -82,7 +83,7 @@
         )
     fleet.start_service('parts')
     fleet.operate(
-        'service-add', 'parts', '--urls', f'parts={fleet.url("parts")}'
+        'service', 'add', 'parts', '--urls', f'parts={fleet.url("parts")}'
     )
     fleet.plan_daemons({'d1': 'a', 'd2': 'a', 'd3': 'b'})
     for name in fleet.daemon_settings:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -197,7 +197,7 @@
 
     def new_key(self, budget: str) -> str:
         """Return a new caller key of the budget."""
-        return json.loads(self.operate('key-create', budget).stdout)['key']
+        return json.loads(self.operate('key', 'create', budget).stdout)['key']
 
     def wait_for(self, url: str) -> None:
         deadline = time.monotonic() + START_TIMEOUT_S
