--- a/packages/daemon/src/oriolegauge/daemon/callerapi.py
+++ b/packages/daemon/src/oriolegauge/daemon/callerapi.py
@@ -4,6 +4,7 @@
 
 import structlog
 from aiohttp import web
+
 from oriolegauge.config import ConfigTree, DaemonSettings
 from oriolegauge.core.errors import (
     DrainingError,
--- a/packages/daemon/src/oriolegauge/daemon/callercall.py
+++ b/packages/daemon/src/oriolegauge/daemon/callercall.py
@@ -6,6 +6,7 @@
 
 import orjson
 import xxhash
+
 from oriolegauge.core.errors import InvalidRequestError
 
 
--- a/packages/daemon/src/oriolegauge/daemon/completionbody.py
+++ b/packages/daemon/src/oriolegauge/daemon/completionbody.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import orjson
+
 from oriolegauge.core.errors import InvalidRequestError
 
 # Chat templates add a few tokens around each message; 16 covers all of them.
--- a/packages/daemon/src/oriolegauge/daemon/completions.py
+++ b/packages/daemon/src/oriolegauge/daemon/completions.py
@@ -7,6 +7,7 @@
 
 import orjson
 import structlog
+
 from oriolegauge.admission import DeadlineUnreachableError
 from oriolegauge.backends import (
     EngineClient,
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -9,6 +9,7 @@
 import aiohttp
 import structlog
 from aiohttp import web
+
 from oriolegauge.backends import EngineClient, ServiceClient
 from oriolegauge.budget import BudgetManager
 from oriolegauge.config import (
--- a/packages/daemon/src/oriolegauge/daemon/keyedrequests.py
+++ b/packages/daemon/src/oriolegauge/daemon/keyedrequests.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 import structlog
+
 from oriolegauge.admission import DeadlineUnreachableError
 from oriolegauge.core.errors import OriolegaugeError, OutcomeUnknownError
 from oriolegauge.core.runstate import RunState
--- a/packages/daemon/src/oriolegauge/daemon/requests.py
+++ b/packages/daemon/src/oriolegauge/daemon/requests.py
@@ -5,6 +5,7 @@
 from urllib.parse import unquote, urlsplit
 
 import orjson
+
 from oriolegauge.core.errors import NotFoundError
 from oriolegauge.daemon.answersink import AnswerSink
 from oriolegauge.daemon.callercall import CallerCall
--- a/packages/platform/src/oriolegauge/platform/httpobjectstore.py
+++ b/packages/platform/src/oriolegauge/platform/httpobjectstore.py
@@ -6,6 +6,8 @@
 
 import aiohttp
 import orjson
+from yarl import URL
+
 from oriolegauge.platform.errors import (
     StoreAnswerLostError,
     StoreRateLimitError,
@@ -14,7 +16,6 @@
 )
 from oriolegauge.platform.hoststatus import HostStatus
 from oriolegauge.platform.storedobject import StoredObject
-from yarl import URL
 
 CALL_TIMEOUT_S = 2.0
 HTTP_NOT_FOUND = 404
--- a/packages/standins/src/oriolegauge/standins/link.py
+++ b/packages/standins/src/oriolegauge/standins/link.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from aiohttp import web
+
 from oriolegauge.standins.server import arguments, serve
 
 CHUNK_BYTES = 65_536
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -240,24 +240,28 @@
 
     def new_key(self, budget: str) -> str:
         """Return a new caller key of the budget."""
-        return json.loads(self.operate('key-create', budget).stdout)['key']
+        return json.loads(self.operate('key', 'create', budget).stdout)['key']
 
     def add_engine(self, name: str, models: str = 'toaster-7b') -> None:
         """Enter a started engine into the configuration."""
         self.operate(
-            'engine-add', name, '--url', self.url(name), '--models', models
+            'server', 'add', name, '--url', self.url(name), '--models', models
         )
 
     def add_service(self, name: str) -> None:
         """Enter a started service into the configuration."""
-        self.operate('service-add', name, '--urls', f'{name}={self.url(name)}')
+        self.operate(
+            'service', 'add', name, '--urls', f'{name}={self.url(name)}'
+        )
 
     def create_team(
         self, team: str, *, tokens: int, priority: str = 'normal'
     ) -> str:
         """Create a team with a budget `main`; return a caller key."""
-        self.operate('team-create', team, '--priority', priority)
-        self.operate('budget-create', f'{team}/main', '--tokens', str(tokens))
+        self.operate('team', 'create', team, '--priority', priority)
+        self.operate(
+            'budget', 'create', f'{team}/main', '--tokens', str(tokens)
+        )
         key = self.new_key(f'{team}/main')
         time.sleep(CONFIG_SETTLE_S)
         return key
