--- /dev/null
+++ b/packages/wire/src/oriolegauge/wire/peerserver.py
@@ -0,0 +1,117 @@
+"""Server side of the links between daemons."""
+
+import ssl
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from aiohttp import WSCloseCode, web
+from oriolegauge.wire.envelope import Sender
+from oriolegauge.wire.linklimits import LinkLimits
+from oriolegauge.wire.peerconnection import Handler, PeerConnection
+from oriolegauge.wire.peerlink import LINK_PATH, MEMBER_HEADER
+
+log = structlog.get_logger()
+
+
+class PeerServer:
+    """Accept links of members and dispatch their messages to the handler.
+
+    The handler returns a message, an async iterator of messages (a streamed
+    answer, for `Forward`) or None (answered as `Ack`); its errors are answered
+    as `Failure`. With an `ssl_context` that requires client certificates, the
+    certificate has to name the member (common name or DNS name).
+    """
+
+    def __init__(
+        self,
+        *,
+        sender: Callable[[], Sender],
+        handler: Handler,
+        is_member: Callable[[str], bool],
+        limits: LinkLimits | None = None,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        """Serve the members for which `is_member` holds."""
+        self._sender = sender
+        self._handler = handler
+        self._is_member = is_member
+        self._limits = limits or LinkLimits()
+        self._ssl_context = ssl_context
+        self._connections: dict[str, PeerConnection] = {}
+        self._runner: web.AppRunner | None = None
+
+    async def listen(self, address: str, port: int) -> int:
+        """Listen on the address; return the port, also if 0 was asked."""
+        app = web.Application()
+        app.router.add_get(LINK_PATH, self.handle)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner, address, port, ssl_context=self._ssl_context
+        )
+        await site.start()
+        return self._runner.addresses[0][1]
+
+    async def close(self) -> None:
+        """Cancel all calls, close all links and stop listening."""
+        for connection in list(self._connections.values()):
+            await connection.stop()
+        if self._runner:
+            await self._runner.cleanup()
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Serve one link until it closes."""
+        member = request.headers.get(MEMBER_HEADER, '')
+        if not self._is_welcome(member, request):
+            log.warning('stranger turned away', name=member)
+            raise web.HTTPForbidden
+        socket = web.WebSocketResponse(
+            max_msg_size=self._limits.max_message_bytes,
+            heartbeat=self._limits.ping_period_s,
+            timeout=self._limits.close_timeout_s,
+            compress=False,
+        )
+        await socket.prepare(request)
+        connection = PeerConnection(
+            member=member,
+            socket=socket,
+            sender=self._sender,
+            handler=self._handler,
+            limits=self._limits,
+        )
+        await self._replace(member, connection)
+        try:
+            await connection.run()
+        finally:
+            if self._connections.get(member) is connection:
+                self._connections.pop(member)
+        return socket
+
+    async def _replace(self, member: str, connection: PeerConnection) -> None:
+        # A member has one link here; an earlier one is left over from a cut
+        # that this side has not noticed.
+        earlier = self._connections.get(member)
+        self._connections[member] = connection
+        if earlier:
+            await earlier.close(WSCloseCode.GOING_AWAY)
+
+    def _is_welcome(self, member: str, request: web.Request) -> bool:
+        if not self._is_member(member):
+            return False
+        transport = request.transport
+        if transport is None:
+            return False
+        certificate = transport.get_extra_info('peercert')
+        return not certificate or member in _names(certificate)
+
+
+def _names(certificate: dict[str, Any]) -> set[str]:
+    names = {
+        value
+        for kind, value in certificate.get('subjectAltName', ())
+        if kind == 'DNS'
+    }
+    for part in certificate.get('subject', ()):
+        names.update(value for kind, value in part if kind == 'commonName')
+    return names
