--- a/packages/cli/src/oriolegauge/cli/budgetverbs.py
+++ b/packages/cli/src/oriolegauge/cli/budgetverbs.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from oriolegauge.budget import create_budget, shard_key, top_up
+from oriolegauge.budget import apply_top_up, create_budget, shard_key
 from oriolegauge.cli.errors import EditConflictError, UsageError
 from oriolegauge.cli.operator import Operator, Update
 from oriolegauge.cli.session import Session
@@ -39,7 +39,7 @@
             # The amount is entered as a top-up so that its id tells after a
             # lost answer whether this call created the budget.
             empty = create_budget(shard, budget, 0)
-            return top_up(empty, budget, payment, tokens)
+            return apply_top_up(empty, budget, payment, tokens)
 
         return self._pay(budget, payment, tokens, create)
 
@@ -57,7 +57,7 @@
             budget,
             payment,
             tokens,
-            lambda shard: top_up(shard, budget, payment, tokens),
+            lambda shard: apply_top_up(shard, budget, payment, tokens),
         )
 
     def show_all(self, team: str = '') -> list[dict[str, Any]]:
--- a/packages/wire/src/oriolegauge/wire/codec.py
+++ b/packages/wire/src/oriolegauge/wire/codec.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import capnp
+
 from oriolegauge.wire.envelope import Envelope, Sender
 from oriolegauge.wire.errors import MalformedMessageError
 from oriolegauge.wire.messages import MESSAGE_TYPES
--- a/packages/wire/src/oriolegauge/wire/peerconnection.py
+++ b/packages/wire/src/oriolegauge/wire/peerconnection.py
@@ -6,6 +6,7 @@
 
 import structlog
 from aiohttp import ClientError, WSCloseCode, WSMsgType, web
+
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.core.resultcode import ResultCode
 from oriolegauge.core.runstate import RunState
--- a/packages/wire/src/oriolegauge/wire/peerlink.py
+++ b/packages/wire/src/oriolegauge/wire/peerlink.py
@@ -10,6 +10,12 @@
 
 import aiohttp
 import structlog
+from tenacity import (
+    AsyncRetrying,
+    retry_if_exception_type,
+    wait_exponential_jitter,
+)
+
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.core.runstate import RunState
 from oriolegauge.wire.answerstream import AnswerStream
@@ -25,11 +31,6 @@
 )
 from oriolegauge.wire.linklimits import LinkLimits
 from oriolegauge.wire.messages import Cancel, End, Failure, Message
-from tenacity import (
-    AsyncRetrying,
-    retry_if_exception_type,
-    wait_exponential_jitter,
-)
 
 MEMBER_HEADER = 'X-Oriolegauge-Member'
 LINK_PATH = '/link'
--- a/packages/wire/tests/test_peerlink.py
+++ b/packages/wire/tests/test_peerlink.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import pytest
+
 from oriolegauge.core import RunState
 from oriolegauge.core.errors import AnswerIncompleteError, NotFoundError
 from oriolegauge.wire import (
