--- a/packages/backends/src/oriolegauge/backends/engineclient.py
+++ b/packages/backends/src/oriolegauge/backends/engineclient.py
@@ -61,7 +61,10 @@
         try:
             return orjson.loads(await response.read())
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-            raise ServerCutError(f'answer cut: {error!r}') from error
+            raise ServerCutError(
+                f'answer cut: {error!r}',
+                timed_out=isinstance(error, TimeoutError),
+            ) from error
         finally:
             response.release()
 
@@ -86,7 +89,10 @@
         except aiohttp.ClientConnectorError as error:
             raise ServerConnectError(str(error)) from error
         except (aiohttp.ClientError, TimeoutError) as error:
-            raise ServerCutError(f'no answer: {error!r}') from error
+            raise ServerCutError(
+                f'no answer: {error!r}',
+                timed_out=isinstance(error, TimeoutError),
+            ) from error
         if response.status != HTTP_OK:
             raise ServerRejectedError(
                 f'{server.name} answered {response.status}',
@@ -115,7 +121,10 @@
                 f'{server.name} unreachable: {error}'
             ) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise ServerCutError(f'{server.name}: {error!r}') from error
+            raise ServerCutError(
+                f'{server.name}: {error!r}',
+                timed_out=isinstance(error, TimeoutError),
+            ) from error
         if response.status != HTTP_OK:
             body = await response.read()
             raise ServerRejectedError(
--- a/packages/backends/src/oriolegauge/backends/enginestream.py
+++ b/packages/backends/src/oriolegauge/backends/enginestream.py
@@ -47,7 +47,10 @@
                     self.events += ready.count(EVENT_END)
                     yield ready
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise ServerCutError(f'stream cut: {error!r}') from error
+            raise ServerCutError(
+                f'stream cut: {error!r}',
+                timed_out=isinstance(error, TimeoutError),
+            ) from error
         if DONE not in self._tail:
             raise ServerCutError('stream ended without its end marker')
 
--- a/packages/backends/src/oriolegauge/backends/errors.py
+++ b/packages/backends/src/oriolegauge/backends/errors.py
@@ -3,6 +3,8 @@
 from oriolegauge.core.errors import ServerFailedError
 from oriolegauge.core.runstate import RunState
 
+HTTP_SERVER_ERROR = 500
+
 
 class ServerConnectError(ServerFailedError):
     """Report a connection that failed before any byte was sent."""
@@ -15,6 +17,11 @@
 
     run_state = RunState.UNKNOWN
 
+    def __init__(self, message: str, *, timed_out: bool = False) -> None:
+        """Tell whether the server was silent, or the connection was lost."""
+        super().__init__(message)
+        self.timed_out = timed_out
+
 
 class ServerRejectedError(ServerFailedError):
     """Report an error status of the backend server."""
@@ -26,3 +33,8 @@
         super().__init__(message)
         self.status = status
         self.body = body
+
+    @property
+    def is_server_fault(self) -> bool:
+        """Tell whether another server may answer the same request."""
+        return self.status >= HTTP_SERVER_ERROR
--- a/packages/backends/src/oriolegauge/backends/serviceclient.py
+++ b/packages/backends/src/oriolegauge/backends/serviceclient.py
@@ -34,6 +34,7 @@
     path: str
     headers: Mapping[str, str]
     body: bytes
+    timeout_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,14 +53,9 @@
         self,
         *,
         session: aiohttp.ClientSession,
-        timeout_s: float,
     ) -> None:
-        """Give up on a call after `timeout_s`."""
+        """Use the session for all calls."""
         self._session = session
-        self._timeout = aiohttp.ClientTimeout(
-            total=timeout_s,
-            sock_connect=CONNECT_TIMEOUT_S,
-        )
 
     async def call(
         self,
@@ -75,7 +71,9 @@
                 server.url + call.path,
                 data=call.body or None,
                 headers=headers,
-                timeout=self._timeout,
+                timeout=aiohttp.ClientTimeout(
+                    total=call.timeout_s, sock_connect=CONNECT_TIMEOUT_S
+                ),
                 allow_redirects=False,
             ) as response:
                 body = await response.read()
@@ -84,7 +82,10 @@
                 f'{server.name} unreachable: {error}'
             ) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise ServerCutError(f'{server.name}: {error!r}') from error
+            raise ServerCutError(
+                f'{server.name}: {error!r}',
+                timed_out=isinstance(error, TimeoutError),
+            ) from error
         return ServiceAnswer(
             response.status, forwardable(response.headers), body
         )
--- a/packages/daemon/src/oriolegauge/daemon/answersink.py
+++ b/packages/daemon/src/oriolegauge/daemon/answersink.py
@@ -35,6 +35,7 @@
         self._http = http
         self._response: web.StreamResponse | None = None
         self._gone = False
+        self.request_id = ''
 
     @property
     def started(self) -> bool:
--- a/packages/daemon/src/oriolegauge/daemon/callerapi.py
+++ b/packages/daemon/src/oriolegauge/daemon/callerapi.py
@@ -5,19 +5,34 @@
 import structlog
 from aiohttp import web
 
-from oriolegauge.config import ConfigTree, DaemonSettings
+from oriolegauge.config import ConfigTree, DaemonSettings, Limits
 from oriolegauge.core.errors import (
     DrainingError,
     OriolegaugeError,
     StartingError,
 )
-from oriolegauge.core.resultcode import HTTP_STATUS, ResultCode
-from oriolegauge.daemon.answersink import ResponseSink
+from oriolegauge.core.resultcode import ResultCode
+from oriolegauge.daemon.answersink import AnswerSink, ResponseSink
 from oriolegauge.daemon.bill import error_event
 from oriolegauge.daemon.callercall import CallerCall
 from oriolegauge.daemon.callerrequest import CallerRequest, identify
+from oriolegauge.daemon.errors import (
+    BodyTooLargeError,
+    TooManyConnectionsError,
+)
+from oriolegauge.daemon.forwarder import Forwarder
 from oriolegauge.daemon.lifecycle import Lifecycle
-from oriolegauge.daemon.requests import Requests
+from oriolegauge.daemon.metrics import Metrics
+from oriolegauge.daemon.refusal import error_fields, refusal
+from oriolegauge.daemon.requests import (
+    Requests,
+    is_status_path,
+    status_request_id,
+)
+
+# aiohttp checks the size against its own limit first; this one is larger than
+# any configured limit, so that ours decides and answers with a result code.
+HARD_BODY_BYTES = 100_000_000
 
 log = structlog.get_logger()
 
@@ -32,17 +47,21 @@
         tree: ConfigTree,
         lifecycle: Lifecycle,
         requests: Requests,
+        forwarder: Forwarder,
+        metrics: Metrics,
     ) -> None:
         """Use the given parts of the daemon."""
         self._settings = settings
         self._tree = tree
         self._lifecycle = lifecycle
         self._requests = requests
+        self._forwarder = forwarder
+        self._metrics = metrics
         self.open_requests = 0
 
     def application(self) -> web.Application:
         """Return the application for the caller port."""
-        app = web.Application(client_max_size=self._settings.max_body_bytes)
+        app = web.Application(client_max_size=HARD_BODY_BYTES)
         app.add_routes(
             [
                 web.get('/v1/models', self._models),
@@ -51,42 +70,103 @@
         )
         return app
 
-    def _identify(self, http: web.Request) -> CallerRequest:
+    async def serve_forwarded(self, sink: AnswerSink, call: CallerCall) -> None:
+        """Serve a call that another daemon received."""
+        self.open_requests += 1
+        try:
+            caller = self._identify(call)
+            await self._requests.serve(sink, caller, call)
+        finally:
+            self.open_requests -= 1
+
+    @property
+    def _limits(self) -> Limits:
+        return self._tree.limits_for(self._settings)
+
+    def _identify(self, call: CallerCall) -> CallerRequest:
         match self._lifecycle.state:
             case 'starting':
                 raise StartingError('not yet serving', retry_after_s=1)
             case 'drained' | 'stopped':
                 raise DrainingError('daemon is draining', retry_after_s=1)
         return identify(
-            http.headers,
+            call.headers,
             tree=self._tree,
             now=asyncio.get_running_loop().time(),
-            max_request_s=self._settings.max_request_s,
+            max_request_s=self._limits.max_request_s,
         )
 
     async def _call(self, http: web.Request) -> web.StreamResponse:
-        self.open_requests += 1
+        started_at = asyncio.get_running_loop().time()
         sink = ResponseSink(http)
-        request_id = ''
+        code = ResultCode.OK
+        self.open_requests += 1
         try:
-            caller = self._identify(http)
-            request_id = caller.request_id
-            call = CallerCall(
-                method=http.method,
-                path=http.path_qs,
-                headers=http.headers,
-                body=await http.read(),
-            )
-            await self._requests.serve(sink, caller, call)
+            await self._serve(http, sink)
         except OriolegaugeError as error:
-            return await _failed(sink, error, request_id)
+            code = error.code
+            return await self._failed(sink, error)
         finally:
             self.open_requests -= 1
+            seconds = asyncio.get_running_loop().time() - started_at
+            self._metrics.count(code=code.name.lower(), seconds=seconds)
+        return sink.response
+
+    async def _serve(self, http: web.Request, sink: ResponseSink) -> None:
+        if self.open_requests > self._settings.max_connections:
+            raise TooManyConnectionsError(
+                'too many requests are open', retry_after_s=1
+            )
+        call = await self._read(http)
+        caller = self._identify(call)
+        sink.request_id = caller.request_id
+        shared_id = _shared_id(caller, call)
+        if shared_id is None:
+            await self._requests.serve(sink, caller, call)
+            return
+        await self._forwarder.serve(
+            sink,
+            shared_id,
+            call,
+            timeout_s=self._limits.max_request_s,
+            locally=lambda own: self._requests.serve(own, caller, call),
+        )
+
+    async def _read(self, http: web.Request) -> CallerCall:
+        limit = self._limits.max_body_bytes
+        if (http.content_length or 0) > limit:
+            raise BodyTooLargeError(f'the body exceeds {limit} bytes')
+        body = await http.read()
+        if len(body) > limit:
+            raise BodyTooLargeError(f'the body exceeds {limit} bytes')
+        return CallerCall(
+            method=http.method,
+            path=http.path_qs,
+            headers=http.headers,
+            body=body,
+        )
+
+    async def _failed(
+        self, sink: ResponseSink, error: OriolegaugeError
+    ) -> web.StreamResponse:
+        log.info(
+            'request failed',
+            code=error.code.name,
+            run_state=error.run_state.value,
+            request_id=sink.request_id,
+            error=error.message,
+        )
+        if not sink.started:
+            return refusal(error, sink.request_id)
+        # The caller has part of the answer: an error event and a cut
+        # connection show that it is not whole.
+        await sink.write(error_event(error_fields(error, sink.request_id)))
+        sink.abort()
         return sink.response
 
     async def _models(self, http: web.Request) -> web.Response:
         try:
-            caller = self._identify(http)
+            caller = self._identify(await self._read(http))
         except OriolegaugeError as error:
             return refusal(error)
         allowed = caller.settings.models
@@ -109,44 +189,8 @@
         )
 
 
-async def _failed(
-    sink: ResponseSink, error: OriolegaugeError, request_id: str
-) -> web.StreamResponse:
-    log.info(
-        'request failed',
-        code=error.code.name,
-        run_state=error.run_state.value,
-        request_id=request_id,
-        error=error.message,
-    )
-    if not sink.started:
-        return refusal(error, request_id)
-    # The caller has part of the answer: an error event and a cut connection
-    # show that it is not whole.
-    await sink.write(error_event(error_fields(error, request_id)))
-    sink.abort()
-    return sink.response
-
-
-def error_fields(error: OriolegaugeError, request_id: str) -> dict[str, object]:
-    """Return the JSON fields of an error."""
-    return {
-        'code': int(error.code),
-        'name': error.code.name.lower(),
-        'message': error.message,
-        'run_state': error.run_state.value,
-        'retry_after_s': error.retry_after_s,
-        'request_id': request_id,
-    }
-
-
-def refusal(error: OriolegaugeError, request_id: str = '') -> web.Response:
-    """Return the JSON error of a refused or failed request."""
-    headers = {'X-Request-Id': request_id}
-    if error.retry_after_s is not None:
-        headers['Retry-After'] = str(max(1, round(error.retry_after_s)))
-    return web.json_response(
-        {'error': error_fields(error, request_id)},
-        status=HTTP_STATUS.get(error.code, HTTP_STATUS[ResultCode.INTERNAL]),
-        headers=headers,
-    )
+def _shared_id(caller: CallerRequest, call: CallerCall) -> str | None:
+    """Return the id whose owner serves the call, None for any daemon."""
+    if is_status_path(call.path):
+        return status_request_id(caller, call)
+    return caller.request_id if caller.keyed else None
--- a/packages/daemon/src/oriolegauge/daemon/completions.py
+++ b/packages/daemon/src/oriolegauge/daemon/completions.py
@@ -12,7 +12,6 @@
 from oriolegauge.backends import (
     EngineClient,
     EngineRequest,
-    ServerConnectError,
     ServerCutError,
     ServerRejectedError,
     Usage,
@@ -32,6 +31,7 @@
 from oriolegauge.daemon.callercall import CallerCall
 from oriolegauge.daemon.callerrequest import CallerRequest
 from oriolegauge.daemon.completionbody import CompletionBody
+from oriolegauge.daemon.crashguard import CrashGuard, CrowdedError
 from oriolegauge.daemon.dispatcher import Dispatcher
 from oriolegauge.daemon.slot import Slot, SlotRequest
 
@@ -40,6 +40,7 @@
 HTTP_OK = 200
 # An engine reports the usage of a cancelled stream within this time.
 CANCEL_GRACE_S = 2.0
+SUSPECT_WAIT_S = 0.1
 STREAM_HEADERS = {
     'Content-Type': 'text/event-stream',
     'Cache-Control': 'no-cache',
@@ -87,12 +88,14 @@
         budgets: BudgetManager,
         engines: EngineClient,
         dispatcher: Dispatcher,
-        default_max_tokens: int,
+        guard: CrashGuard,
+        default_max_tokens: Callable[[], int],
     ) -> None:
         """Use the given parts of the daemon."""
         self._budgets = budgets
         self._engines = engines
         self._dispatcher = dispatcher
+        self._guard = guard
         self._default_max_tokens = default_max_tokens
 
     async def serve(
@@ -101,10 +104,11 @@
         """Write the answer with its bill to the sink."""
         tree = call.json_body()
         body = CompletionBody.parse(
-            tree, default_max_tokens=self._default_max_tokens
+            tree, default_max_tokens=self._default_max_tokens()
         )
         if not _is_allowed(caller, body.model):
             raise ForbiddenError(f'model {body.model} is not allowed')
+        self._guard.check(call.fingerprint)
         reservation = await self._budgets.reserve(
             budget=caller.budget,
             request_id=caller.request_id,
@@ -205,31 +209,65 @@
         self, run: _Run, attempt: Attempt, sink: AnswerSink
     ) -> _Outcome:
         """Try servers until one gives the whole answer."""
-        failure: ServerFailedError = ServerConnectError('no attempt was made')
-        for number in range(MAX_ATTEMPTS):
-            if number:
-                await self._dispatcher.before_retry(number, failure)
+        number = 0
+        crowded: set[str] = set()
+        while True:
+            self._guard.check(run.fingerprint)
             try:
-                async with self._dispatcher.slot(
-                    run.slot_request, exclude=frozenset(run.tried)
-                ) as slot:
-                    run.tried.add(slot.server.name)
-                    return await attempt(run, slot, sink)
-            except ServerConnectError as error:
-                failure = error
-            except ServerCutError as error:
-                failure = error
-                self._check_repeatable(run, sink, error)
-            except ServerRejectedError as error:
-                if error.status < 500:
+                return await self._in_slot(run, crowded, attempt, sink)
+            except CrowdedError as error:
+                # A suspect waits for a server without another suspect.
+                crowded = self._next_crowded(run, crowded, error)
+                await asyncio.sleep(SUSPECT_WAIT_S)
+            except ServerFailedError as error:
+                number += 1
+                self._check_repeatable(run, error)
+                if number == MAX_ATTEMPTS:
                     raise
-                failure = error
-                self._check_repeatable(run, sink, error)
-        raise failure
+                await self._dispatcher.before_retry(number, error)
 
-    def _check_repeatable(
-        self, run: _Run, sink: AnswerSink, error: ServerFailedError
-    ) -> None:
+    async def _in_slot(
+        self,
+        run: _Run,
+        crowded: set[str],
+        attempt: Attempt,
+        sink: AnswerSink,
+    ) -> _Outcome:
+        async with self._dispatcher.slot(
+            run.slot_request, exclude=frozenset(run.tried | crowded)
+        ) as slot:
+            return await self._guarded(run, slot, sink, attempt)
+
+    def _next_crowded(
+        self, run: _Run, crowded: set[str], error: CrowdedError
+    ) -> set[str]:
+        """Return the servers to avoid next; all of them come round again."""
+        known = crowded | {error.server}
+        everywhere = self._dispatcher.server_names(run.slot_request)
+        return set() if everywhere <= known | run.tried else known
+
+    async def _guarded(
+        self, run: _Run, slot: Slot, sink: AnswerSink, attempt: Attempt
+    ) -> _Outcome:
+        """Run an attempt; report a crash before anything is sent again."""
+        server = slot.server.name
+        async with self._guard.running(run.fingerprint, server):
+            run.tried.add(server)
+            try:
+                outcome = await attempt(run, slot, sink)
+            except ServerCutError as error:
+                if not error.timed_out:
+                    await self._guard.crashed(server, slot.started_at)
+                raise
+        await self._guard.succeeded(run.fingerprint)
+        return outcome
+
+    def _check_repeatable(self, run: _Run, error: ServerFailedError) -> None:
+        """Raise what the caller gets if no other server may try."""
+        if error.run_state is RunState.NOT_RUN:
+            return
+        if isinstance(error, ServerRejectedError) and not error.is_server_fault:
+            raise error
         if run.caller.non_idempotent:
             raise OutcomeUnknownError(
                 f'connection lost after dispatch: {error.message}'
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+import ssl
 import time
 from typing import Any
 
@@ -12,78 +13,183 @@
 
 from oriolegauge.backends import EngineClient, ServiceClient
 from oriolegauge.budget import BudgetManager
-from oriolegauge.config import (
-    ConfigInvalidError,
-    ConfigTree,
-    DaemonSettings,
+from oriolegauge.config import ConfigFollower, ConfigTree, DaemonSettings
+from oriolegauge.config.tlscontexts import (
+    peer_client_context,
+    peer_server_context,
+    server_context,
 )
-from oriolegauge.config.configtree import PREFIX
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.daemon.adminapi import AdminApi
 from oriolegauge.daemon.callerapi import CallerApi
 from oriolegauge.daemon.completions import Completions
+from oriolegauge.daemon.crashguard import CrashGuard
+from oriolegauge.daemon.deadholders import DeadHolders
 from oriolegauge.daemon.dispatcher import Dispatcher
+from oriolegauge.daemon.forwarder import Forwarder
+from oriolegauge.daemon.heartbeats import Heartbeats
 from oriolegauge.daemon.lifecycle import Lifecycle
+from oriolegauge.daemon.meshpeers import MeshBudgetPeers, MeshConfigPeers
+from oriolegauge.daemon.metrics import Metrics
+from oriolegauge.daemon.peerhandler import PeerHandler
+from oriolegauge.daemon.peermesh import PeerMesh
 from oriolegauge.daemon.requests import Requests
 from oriolegauge.daemon.serverpool import ServerPool
+from oriolegauge.daemon.serverwatch import ServerWatch
 from oriolegauge.daemon.servicecalls import ServiceCalls
 from oriolegauge.ledger import IntentLog, RequestLedger
-from oriolegauge.platform import StoreError
+from oriolegauge.membership import LeavingServers
 from oriolegauge.platform.httpobjectstore import HttpObjectStore
 
-WATCH_RETRY_S = 0.5
 DRAIN_POLL_S = 0.05
-ENGINE_IDLE_TIMEOUT_S = 30.0
+# Outcomes of intents that the store does not take in this time stay unknown.
+INTENT_FLUSH_S = 5.0
+INCARNATION_BYTES = 6
 
 log = structlog.get_logger()
 
 
 class Daemon:
-    """Run one router daemon until it is stopped."""
+    """Run one router daemon until it is drained."""
 
-    def __init__(self, settings: DaemonSettings) -> None:
-        """Prepare a daemon with checked settings."""
+    def __init__(
+        self, settings: DaemonSettings, session: aiohttp.ClientSession
+    ) -> None:
+        """Put the parts together; needs a running event loop."""
         self._settings = settings
+        clock = asyncio.get_running_loop().time
+        rng = random.Random()
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._holder = f'{settings.name}/{incarnation}'
         self._lifecycle = Lifecycle()
         self._tree = ConfigTree()
-        self._holder = f'{settings.name}/{secrets.token_hex(4)}'
         self._drain_asked = asyncio.Event()
         self._runners: list[web.AppRunner] = []
+        self._metrics = Metrics(self._gauges)
+        self._clock = clock
+
+        peer_tls = settings.peer_tls
+        self._mesh = PeerMesh(
+            settings=settings,
+            incarnation=incarnation,
+            session=session,
+            handler=self._answer_peer,
+            clock=clock,
+            server_ssl=peer_server_context(peer_tls) if peer_tls else None,
+            client_ssl=peer_client_context(peer_tls) if peer_tls else None,
+        )
+        self._store = HttpObjectStore(
+            url=settings.store_url,
+            session=session,
+            timeout_s=settings.store_timeout_s,
+        )
+        self._follower = ConfigFollower(
+            settings=settings,
+            tree=self._tree,
+            store=self._store,
+            peers=MeshConfigPeers(self._mesh),
+            clock=clock,
+            rng=rng,
+            applied=self._config_applied,
+        )
+        self._budgets = BudgetManager(
+            store=self._store,
+            holder=self._holder,
+            shard_count=settings.budget_shards,
+            clock=clock,
+            peers=MeshBudgetPeers(self._mesh),
+            zone=settings.zone,
+            rng=rng,
+        )
+        # Entries of intents are dropped by age, so they carry Unix time.
+        self._intents = IntentLog(
+            store=self._store,
+            holder=self._holder,
+            shard_count=settings.intent_shards,
+            clock=time.time,
+        )
+        self._leaving = LeavingServers()
+        pool = ServerPool(tree=self._tree, is_leaving=self._leaving.is_leaving)
+        engines = EngineClient(
+            session=session, idle_timeout_s=settings.engine_idle_timeout_s
+        )
+        self._server_watch = ServerWatch(
+            tree=self._tree,
+            pool=pool,
+            engines=engines,
+            store=self._store,
+            leaving=self._leaving,
+            clock=clock,
+        )
+        self._dispatcher = Dispatcher(
+            pool=pool, zone=settings.zone, rng=rng, clock=clock
+        )
+        self._guard = CrashGuard(
+            origin=self._holder,
+            name=settings.name,
+            mesh=self._mesh,
+            clock=clock,
+        )
+        self._requests = self._build_requests(engines, session)
+        self._callers = CallerApi(
+            settings=settings,
+            tree=self._tree,
+            lifecycle=self._lifecycle,
+            requests=self._requests,
+            forwarder=Forwarder(mesh=self._mesh, name=settings.name),
+            metrics=self._metrics,
+        )
+        self._peer_handler = PeerHandler(
+            budgets=self._budgets,
+            tree=self._tree,
+            guard=self._guard,
+            store=self._store,
+            serve=self._callers.serve_forwarded,
+            on_heartbeat=self._follower.notice,
+        )
+        self._heartbeats = Heartbeats(
+            member=settings.name,
+            incarnation=incarnation,
+            zone=settings.zone,
+            lifecycle=self._lifecycle,
+            tree=self._tree,
+            follower=self._follower,
+            dispatcher=self._dispatcher,
+            mesh=self._mesh,
+            clock=clock,
+        )
+        self._dead_holders = DeadHolders(
+            holder=self._holder,
+            mesh=self._mesh,
+            budgets=self._budgets,
+            store=self._store,
+            clock=clock,
+        )
 
     async def run(self) -> None:
         """Serve until a drain has finished."""
-        async with aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0)
-        ) as session:
-            store = HttpObjectStore(
-                url=self._settings.store_url, session=session
-            )
-            self._budgets = BudgetManager(
-                store=store,
-                holder=self._holder,
-                shard_count=self._settings.budget_shards,
-                clock=asyncio.get_running_loop().time,
-            )
-            # Entries of intents are dropped by age, so they carry Unix time.
-            self._intents = IntentLog(
-                store=store,
-                holder=self._holder,
-                shard_count=self._settings.intent_shards,
-                clock=time.time,
-            )
-            async with asyncio.TaskGroup() as group:
-                tasks = [
-                    group.create_task(self._watch_config(store)),
-                    group.create_task(self._flush_periodically()),
-                ]
-                await self._listen(session)
-                tasks.append(
-                    group.create_task(self._dispatcher.expire_periodically())
+        await self._listen()
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(job)
+                for job in (
+                    self._mesh.run(
+                        self._heartbeats.own, self._heartbeats.take_over
+                    ),
+                    self._follower.run(),
+                    self._become_ready(),
+                    self._flush_periodically(),
+                    self._dead_holders.run(),
+                    self._server_watch.run(),
+                    self._dispatcher.expire_periodically(),
                 )
-                await self._drain_asked.wait()
-                await self._finish()
-                for task in tasks:
-                    task.cancel()
+            ]
+            await self._drain_asked.wait()
+            await self._finish_requests()
+            await self._return_grants()
+            for task in tasks:
+                task.cancel()
+        await self._close()
 
     def start_drain(self) -> None:
         """Begin to drain; repeated calls do nothing."""
@@ -92,87 +198,124 @@
 
     def state(self) -> dict[str, Any]:
         """Return the state dump, without prompts, answers or keys."""
+        follower = self._follower.state()
+        now = self._clock()
         return {
             'name': self._settings.name,
+            'zone': self._settings.zone,
             'holder': self._holder,
             'lifecycle': self._lifecycle.state,
-            'config_versions': self._tree.versions,
             'open_requests': self._callers.open_requests,
+            'running_keyed': self._requests.running,
+            'config_current': follower.config_current,
+            'config_versions': self._tree.versions,
+            'config_refused_lower': follower.refused_lower,
+            'config_refused_invalid': follower.refused_invalid,
+            'store_calls': self._store.calls,
+            'members': {
+                name: member.state
+                for name, member in self._mesh.view().members.items()
+            },
+            'leaving_servers': sorted(self._leaving.leaving()),
+            'quarantined': len(self._guard.quarantined),
+            'budgets': self._budgets.state(),
+            'loop_time_s': now,
             **self._dispatcher.state(),
         }
 
-    async def _listen(self, session: aiohttp.ClientSession) -> None:
-        settings = self._settings
-        pool = ServerPool(tree=self._tree, is_leaving=lambda _: False)
-        dispatcher = Dispatcher(
-            pool=pool,
-            zone=settings.zone,
-            rng=random.Random(),
-            clock=asyncio.get_running_loop().time,
-        )
-        self._dispatcher = dispatcher
-        self._callers = CallerApi(
-            settings=settings,
-            tree=self._tree,
-            lifecycle=self._lifecycle,
-            requests=Requests(
-                completions=Completions(
-                    budgets=self._budgets,
-                    engines=EngineClient(
-                        session=session, idle_timeout_s=ENGINE_IDLE_TIMEOUT_S
-                    ),
-                    dispatcher=dispatcher,
-                    default_max_tokens=settings.default_max_tokens,
+    def _build_requests(
+        self, engines: EngineClient, session: aiohttp.ClientSession
+    ) -> Requests:
+        return Requests(
+            completions=Completions(
+                budgets=self._budgets,
+                engines=engines,
+                dispatcher=self._dispatcher,
+                guard=self._guard,
+                default_max_tokens=lambda: (
+                    self._tree.limits_for(self._settings).default_max_tokens
                 ),
-                services=ServiceCalls(
-                    tree=self._tree,
-                    budgets=self._budgets,
-                    services=ServiceClient(
-                        session=session, timeout_s=settings.max_request_s
-                    ),
-                    dispatcher=dispatcher,
-                ),
-                ledger=RequestLedger(),
-                intents=self._intents,
-                clock=asyncio.get_running_loop().time,
             ),
+            services=ServiceCalls(
+                tree=self._tree,
+                budgets=self._budgets,
+                services=ServiceClient(session=session),
+                dispatcher=self._dispatcher,
+            ),
+            ledger=RequestLedger(),
+            intents=self._intents,
+            clock=self._clock,
+        )
+
+    async def _answer_peer(self, sender, message):
+        return await self._peer_handler.answer(sender, message)
+
+    def _config_applied(self, key: str) -> None:
+        log.info(
+            'configuration applied', key=key, version=self._tree.version(key)
         )
+        self._server_watch.apply_config()
+
+    def _gauges(self) -> dict[str, float]:
+        return {
+            'config_current': float(self._follower.current(self._clock())),
+            'open_requests': self._callers.open_requests,
+            'members_alive': len(self._mesh.view().members),
+            'store_calls': self._store.calls,
+            'quarantined_requests': len(self._guard.quarantined),
+            **{
+                f'waiting_{name}': count
+                for name, count in self._dispatcher.waiting.items()
+            },
+        }
+
+    async def _listen(self) -> None:
+        settings = self._settings
         admin = AdminApi(
             lifecycle=self._lifecycle,
+            tree=self._tree,
+            metrics=self._metrics,
             state=self.state,
+            config_current=lambda: self._follower.current(self._clock()),
             start_drain=self.start_drain,
         )
-        await self._serve(self._callers.application(), settings.caller_port)
-        await self._serve(admin.application(), settings.admin_port)
+        # The peer port opens first: a refused connection there is taken as
+        # the end of the process.
+        await self._mesh.listen()
+        caller_tls, admin_tls = settings.caller_tls, settings.admin_tls
+        await self._serve(
+            admin.application(),
+            settings.admin_port,
+            server_context(admin_tls) if admin_tls else None,
+        )
+        await self._serve(
+            self._callers.application(),
+            settings.caller_port,
+            server_context(caller_tls) if caller_tls else None,
+        )
         log.info('listening', name=settings.name, port=settings.caller_port)
 
-    async def _serve(self, app: web.Application, port: int) -> None:
-        runner = web.AppRunner(app, access_log=None)
+    async def _serve(
+        self, app: web.Application, port: int, context: ssl.SSLContext | None
+    ) -> None:
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            max_line_size=self._settings.max_header_bytes,
+            max_field_size=self._settings.max_header_bytes,
+        )
         await runner.setup()
-        await web.TCPSite(runner, self._settings.address, port).start()
+        site = web.TCPSite(
+            runner, self._settings.address, port, ssl_context=context
+        )
+        await site.start()
         self._runners.append(runner)
 
-    async def _watch_config(self, store: HttpObjectStore) -> None:
-        while True:
-            try:
-                await self._follow(store)
-            except StoreError as error:
-                log.warning('configuration watch ended', error=str(error))
-            await asyncio.sleep(WATCH_RETRY_S)
-
-    async def _follow(self, store: HttpObjectStore) -> None:
-        for stored in await store.list_objects(PREFIX):
-            self._apply(stored)
+    async def _become_ready(self) -> None:
+        await self._follower.wait_ready()
+        self._server_watch.apply_config()
         self._lifecycle.serve()
-        highest = max(self._tree.versions.values(), default=0)
-        async for stored in store.watch(PREFIX, highest):
-            self._apply(stored)
-
-    def _apply(self, stored) -> None:
-        try:
-            self._tree.apply(stored)
-        except ConfigInvalidError as error:
-            log.warning('configuration rejected', error=error.message)
+        log.info('serving', name=self._settings.name)
 
     async def _flush_periodically(self) -> None:
         while True:
@@ -180,15 +323,28 @@
             try:
                 await self._budgets.flush()
             except OriolegaugeError as error:
-                log.warning('flush failed', error=error.message)
+                log.warning('budgets not flushed', error=error.message)
 
-    async def _finish(self) -> None:
+    async def _finish_requests(self) -> None:
+        """Accept until the balancer has noticed, then finish what runs."""
         await asyncio.sleep(self._settings.drain_notice_s)
         self._lifecycle.finish()
-        while self._callers.open_requests:
+        while self._callers.open_requests or self._requests.running:
             await asyncio.sleep(DRAIN_POLL_S)
-        await self._budgets.flush()
+
+    async def _return_grants(self) -> None:
+        try:
+            async with asyncio.timeout(INTENT_FLUSH_S):
+                await self._intents.flush()
+        except TimeoutError:
+            log.warning('outcomes of intents not stored')
+        await self._budgets.drain()
+        await self._intents.close()
+
+    async def _close(self) -> None:
         for runner in self._runners:
             await runner.cleanup()
+        # The peer port closes last, when all grants are returned.
+        await self._mesh.close()
         self._lifecycle.stop()
         log.info('drained', name=self._settings.name)
--- /dev/null
+++ b/packages/daemon/src/oriolegauge/daemon/deadholders.py
@@ -0,0 +1,93 @@
+"""Close the grants of daemons that ended."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from oriolegauge.budget import BudgetManager
+from oriolegauge.core.errors import OriolegaugeError
+from oriolegauge.daemon.peermesh import PeerMesh
+from oriolegauge.platform import ObjectStore
+
+CHECK_PERIOD_S = 0.5
+# Holders of processes that ended while no daemon watched are found by a read
+# of all shards.
+STORE_READ_PERIOD_S = 60.0
+SHARD_PREFIX = 'budgets/'
+
+log = structlog.get_logger()
+
+
+class DeadHolders:
+    """Watch for holders whose process ended and close them."""
+
+    def __init__(
+        self,
+        *,
+        holder: str,
+        mesh: PeerMesh,
+        budgets: BudgetManager,
+        store: ObjectStore,
+        clock: Callable[[], float],
+    ) -> None:
+        """Close through `budgets` what the mesh's member table proves dead."""
+        self._holder = holder
+        self._name = holder.partition('/')[0]
+        self._mesh = mesh
+        self._budgets = budgets
+        self._store = store
+        self._clock = clock
+        self._seen: dict[str, float] = {}
+        self._next_read = clock()
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        while True:
+            self._note_heartbeats()
+            if self._clock() >= self._next_read:
+                await self._note_stored()
+            for holder in list(self._seen):
+                if self._is_dead(holder):
+                    await self._close(holder)
+            await asyncio.sleep(CHECK_PERIOD_S)
+
+    def _note_heartbeats(self) -> None:
+        for name, found in self._mesh.heartbeats.items():
+            holder = f'{name}/{found.heartbeat.incarnation}'
+            self._seen[holder] = found.heard_at
+
+    async def _note_stored(self) -> None:
+        self._next_read = self._clock() + STORE_READ_PERIOD_S
+        read_at = self._clock()
+        try:
+            shards = await self._store.list_objects(SHARD_PREFIX)
+        except OriolegaugeError as error:
+            log.info('budget shards not read', error=error.message)
+            return
+        for shard in shards:
+            for holder in shard.value.get('positions', {}):
+                process = holder.partition('.')[0]
+                self._seen.setdefault(process, read_at)
+
+    def _is_dead(self, holder: str) -> bool:
+        if holder == self._holder:
+            return False
+        member, _, incarnation = holder.partition('/')
+        if member == self._name:
+            # This process holds the address, so an earlier one has ended.
+            return True
+        return self._mesh.table.is_closable(
+            member,
+            incarnation,
+            seen_at=self._seen[holder],
+            now=self._clock(),
+        )
+
+    async def _close(self, holder: str) -> None:
+        del self._seen[holder]
+        log.info('closing holder', holder=holder)
+        try:
+            await self._budgets.close_dead(holder)
+        except OriolegaugeError as error:
+            log.warning('holder not closed yet', error=error.message)
--- a/packages/daemon/src/oriolegauge/daemon/dispatcher.py
+++ b/packages/daemon/src/oriolegauge/daemon/dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections import Counter
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -59,19 +60,20 @@
         self._retries = RetryBudget(rng=rng)
         self._hedges = HedgePolicy()
         self._limits: dict[str, ConcurrencyLimit] = {}
+        self._tokens: Counter[str] = Counter()
         self._waiting: dict[str, _Waiting] = {}
         self._numbers = itertools.count(1)
         self._peer_in_flight: dict[str, int] = {}
         self._daemons = 1
 
     @property
-    def in_flight(self) -> dict[str, int]:
-        """Return this daemon's running requests per server."""
-        return {
-            name: limit.in_flight
+    def in_flight(self) -> list[tuple[str, int, int]]:
+        """Return server, running requests and their tokens, where any."""
+        return [
+            (name, limit.in_flight, self._tokens[name])
             for name, limit in self._limits.items()
             if limit.in_flight
-        }
+        ]
 
     @property
     def waiting(self) -> dict[str, int]:
@@ -96,12 +98,17 @@
             },
         }
 
-    def observe_peers(self, in_flight: Mapping[str, int], daemons: int) -> None:
-        """Take over what heartbeats say of other daemons' requests."""
-        self._peer_in_flight = dict(in_flight)
+    def observe_peers(
+        self,
+        requests: Mapping[str, int],
+        tokens: Mapping[str, int],
+        daemons: int,
+    ) -> None:
+        """Take over what heartbeats say of other daemons' work."""
+        for name in self._peer_in_flight.keys() | tokens.keys():
+            self._router.peer_load(name, tokens.get(name, 0))
+        self._peer_in_flight = dict(requests)
         self._daemons = max(1, daemons)
-        for name, jobs in in_flight.items():
-            self._router.peer_load(name, jobs)
 
     def learn(self, request: SlotRequest, output_tokens: int) -> None:
         """Note the output length of a finished request."""
@@ -130,6 +137,10 @@
             ).items()
         )
 
+    def server_names(self, request: SlotRequest) -> set[str]:
+        """Return the servers that may run the request."""
+        return set(self._pool.usable(request.model, request.allowed))
+
     async def before_retry(
         self, attempt: int, failure: ServerFailedError
     ) -> None:
@@ -271,6 +282,7 @@
             return
         self._queue.placed(job.request_id, name)
         self._limit(name).started()
+        self._tokens[name] += job.predicted_tokens
         self._router.started(name, job.predicted_tokens, now)
         if not waiting.granted.done():
             waiting.granted.set_result(waiting.servers[name])
@@ -304,6 +316,7 @@
     def _end(self, job: Job, slot: Slot, *, failed: bool = True) -> None:
         now = self._clock()
         name = slot.server.name
+        self._tokens[name] -= job.predicted_tokens
         limit = self._limit(name)
         seconds = now - slot.started_at
         if slot.ok:
--- a/packages/daemon/src/oriolegauge/daemon/main.py
+++ b/packages/daemon/src/oriolegauge/daemon/main.py
@@ -5,10 +5,15 @@
 import sys
 from pathlib import Path
 
+import aiohttp
 import defopt
 import structlog
 
-from oriolegauge.config import SettingsInvalidError, load_settings
+from oriolegauge.config import (
+    DaemonSettings,
+    SettingsInvalidError,
+    load_settings,
+)
 from oriolegauge.daemon.daemon import Daemon
 from oriolegauge.daemon.logs import configure_logs
 
@@ -27,15 +32,19 @@
         return int(error.code)
     if check:
         return 0
-    asyncio.run(_run(Daemon(checked)))
+    asyncio.run(_run(checked))
     return 0
 
 
-async def _run(daemon: Daemon) -> None:
+async def _run(settings: DaemonSettings) -> None:
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, daemon.start_drain)
-    await daemon.run()
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0)
+    ) as session:
+        daemon = Daemon(settings, session)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, daemon.start_drain)
+        await daemon.run()
 
 
 def run() -> None:
--- /dev/null
+++ b/packages/daemon/src/oriolegauge/daemon/peermesh.py
@@ -0,0 +1,201 @@
+"""Links to all other daemons, heartbeats and the member table."""
+
+import asyncio
+import ssl
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from dataclasses import dataclass
+
+import aiohttp
+import structlog
+
+from oriolegauge.config import DaemonSettings
+from oriolegauge.core.errors import OriolegaugeError
+from oriolegauge.membership import AliveMember, Evidence, MemberTable, View
+from oriolegauge.wire import (
+    LINK_PATH,
+    LinkLimits,
+    PeerLink,
+    PeerServer,
+    PeerUnreachableError,
+    Sender,
+)
+from oriolegauge.wire.messages import Heartbeat, Message
+
+HEARTBEAT_PERIOD_S = 0.5
+
+Answer = Message | AsyncIterator[Message] | None
+Handler = Callable[[Sender, Message], Awaitable[Answer]]
+
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class HeardHeartbeat:
+    """Keep a peer's last heartbeat with the loop time of its arrival."""
+
+    heartbeat: Heartbeat
+    heard_at: float
+
+
+class PeerMesh:
+    """Keep one link per peer and judge who is alive."""
+
+    def __init__(
+        self,
+        *,
+        settings: DaemonSettings,
+        incarnation: str,
+        session: aiohttp.ClientSession,
+        handler: Handler,
+        clock: Callable[[], float],
+        server_ssl: ssl.SSLContext | None = None,
+        client_ssl: ssl.SSLContext | None = None,
+    ) -> None:
+        """Answer messages of peers with `handler`; `clock` is in seconds."""
+        self._settings = settings
+        self._incarnation = incarnation
+        self._handler = handler
+        self._clock = clock
+        self._heartbeats: dict[str, HeardHeartbeat] = {}
+        self.table = MemberTable(
+            name=settings.name,
+            incarnation=incarnation,
+            zone=settings.zone,
+            now=clock(),
+        )
+        limits = LinkLimits(
+            max_message_bytes=settings.max_peer_message_bytes,
+        )
+        scheme = 'wss' if client_ssl else 'ws'
+        self._links = {
+            peer.name: PeerLink(
+                peer=peer.name,
+                url=f'{scheme}://{peer.address}{LINK_PATH}',
+                session=session,
+                sender=self._sender,
+                limits=limits,
+                ssl_context=client_ssl,
+                on_refused=self._note_refused,
+                on_answered=self._note_answered,
+            )
+            for peer in settings.peers
+        }
+        self._server = PeerServer(
+            sender=self._sender,
+            handler=self._handle,
+            is_member=self._links.__contains__,
+            limits=limits,
+            ssl_context=server_ssl,
+        )
+
+    @property
+    def heartbeats(self) -> Mapping[str, HeardHeartbeat]:
+        """Return the last heartbeat of each peer that was ever heard."""
+        return self._heartbeats
+
+    def view(self) -> View:
+        """Return the members that are alive now."""
+        return self.table.view(self._clock())
+
+    def peers(self) -> list[AliveMember]:
+        """Return the other members that are alive and linked."""
+        return [
+            member
+            for name, member in self.view().members.items()
+            if name in self._links and self._links[name].connected
+        ]
+
+    def link(self, member: str) -> PeerLink:
+        """Return the link to a member; raise PeerUnreachableError."""
+        found = self._links.get(member)
+        if found is None:
+            raise PeerUnreachableError(f'{member} is not a configured peer')
+        return found
+
+    async def call(self, member: str, message: Message) -> Message:
+        """Call one member within the configured time."""
+        timeout_s = self._settings.peer_timeout_s
+        return await self.link(member).call(message, timeout_s)
+
+    async def broadcast(self, message: Message) -> None:
+        """Call all members alive; failures are left to later exchanges."""
+        await asyncio.gather(
+            *(self.call(peer.name, message) for peer in self.peers()),
+            return_exceptions=True,
+        )
+
+    async def listen(self) -> None:
+        """Accept links of peers."""
+        await self._server.listen(
+            self._settings.address, self._settings.peer_port
+        )
+
+    async def close(self) -> None:
+        """Stop accepting links."""
+        await self._server.close()
+
+    async def run(
+        self,
+        heartbeat: Callable[[], Heartbeat],
+        after_beat: Callable[[], None],
+    ) -> None:
+        """Keep the links open and send heartbeats until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for link in self._links.values():
+                group.create_task(link.run())
+            group.create_task(self._beat(heartbeat, after_beat))
+
+    async def _beat(
+        self,
+        heartbeat: Callable[[], Heartbeat],
+        after_beat: Callable[[], None],
+    ) -> None:
+        while True:
+            message = heartbeat()
+            self.table.set_own(
+                incarnation=self._incarnation, state=message.state
+            )
+            ambiguous = self.table.members_to_ask()
+            for name, link in self._links.items():
+                if link.connected:
+                    await self._send(link, message, ask=name in ambiguous)
+            after_beat()
+            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+
+    async def _send(
+        self, link: PeerLink, message: Heartbeat, *, ask: bool
+    ) -> None:
+        try:
+            if ask:
+                await link.call(message, HEARTBEAT_PERIOD_S)
+            else:
+                await link.send(message)
+        except OriolegaugeError as error:
+            log.info('heartbeat not sent', peer=link.peer, error=str(error))
+
+    async def _handle(self, sender: Sender, message: Message) -> Answer:
+        if not isinstance(message, Heartbeat):
+            return await self._handler(sender, message)
+        now = self._clock()
+        if self.table.observe(message, now):
+            self._heartbeats[message.member] = HeardHeartbeat(message, now)
+        return await self._handler(sender, message)
+
+    def _note_refused(self, peer: str, started_at: float) -> None:
+        self.table.evidence(
+            peer,
+            Evidence.REFUSED,
+            started_at=started_at,
+            now=self._clock(),
+        )
+
+    def _note_answered(self, sender: Sender, asked_at: float) -> None:
+        self.table.answered(
+            sender.name,
+            sender.incarnation,
+            asked_at=asked_at,
+            now=self._clock(),
+        )
+
+    def _sender(self) -> Sender:
+        return Sender(self._settings.name, self._incarnation)
--- a/packages/daemon/src/oriolegauge/daemon/servicecalls.py
+++ b/packages/daemon/src/oriolegauge/daemon/servicecalls.py
@@ -128,6 +128,7 @@
             path=target.path,
             headers=call.headers,
             body=call.body,
+            timeout_s=target.service.timeout_s,
         )
         failure: ServerConnectError | ServerCutError = ServerConnectError(
             f'service {target.name} has no server'
--- a/packages/membership/src/oriolegauge/membership/memberrecord.py
+++ b/packages/membership/src/oriolegauge/membership/memberrecord.py
@@ -92,7 +92,7 @@
     def silent_since(self) -> float:
         """Return since when no member has heard of this one."""
         own = [found.silent_since for found in self.living.values()]
-        return max(self.silent_floor, *own, *self.reports.values())
+        return max([self.silent_floor, *own, *self.reports.values()])
 
     def shift(self, pause_s: float) -> None:
         """Leave a pause of this daemon out of the silence of the member."""
--- a/packages/wire/src/oriolegauge/wire/codec.py
+++ b/packages/wire/src/oriolegauge/wire/codec.py
@@ -153,7 +153,26 @@
     return set_rows, get_rows
 
 
+def _struct_codec(kind: type) -> tuple[_Encoder, _Decoder]:
+    def set_struct(builder: Any, name: str, value: Any) -> None:
+        _fill(builder.init(name), value, _SHAPES[kind])
+
+    def get_struct(reader: Any) -> Any:
+        return _read(reader, kind)
+
+    return set_struct, get_struct
+
+
+def _set_sorted(builder: Any, name: str, value: frozenset[Any]) -> None:
+    _set_list(builder, name, tuple(sorted(value)))
+
+
 def _field_codec(hint: Any) -> tuple[_Encoder, _Decoder]:
+    if dataclasses.is_dataclass(hint):
+        _describe(hint)
+        return _struct_codec(hint)
+    if typing.get_origin(hint) is frozenset:
+        return _set_sorted, frozenset
     if typing.get_origin(hint) is tuple:
         item = typing.get_args(hint)[0]
         if dataclasses.is_dataclass(item):
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -31,6 +31,10 @@
     storeAnswer @24 :StoreAnswer;
     ack @25 :Ack;
     failure @26 :Failure;
+    settleAnswer @27 :SettleAnswer;
+    recallAnswer @28 :RecallAnswer;
+    suspectClaim @29 :SuspectClaim;
+    suspectRelease @30 :SuspectRelease;
   }
 }
 
@@ -40,50 +44,83 @@
   zone @2 :Text;
   state @3 :Text;
   configVersions @4 :List(ConfigVersion);
-  inFlight @5 :List(ServerTokens);
+  inFlight @5 :List(ServerInFlight);
   queueLengths @6 :List(UInt32);
   suspects @7 :List(ServerSuspects);
   heard @8 :List(Heard);
   storeReachedAgeMs @9 :Int64;
+  watchesStore @10 :Bool;
 }
 
 struct ConfigVersion { key @0 :Text; version @1 :Int64; }
-struct ServerTokens { server @0 :Text; tokens @1 :Int64; }
+struct ServerInFlight {
+  server @0 :Text;
+  requests @1 :UInt32;
+  tokens @2 :Int64;
+}
 struct ServerSuspects { server @0 :Text; fingerprints @1 :List(Text); }
 struct Heard { member @0 :Text; incarnation @1 :Text; ageMs @2 :UInt32; }
 
 struct Reserve {
-  budget @0 :Text;
-  requestId @1 :Text;
-  tokens @2 :Int64;
-  minimum @3 :Int64;
-  holder @4 :Text;
+  reservationId @0 :Text;
+  asker @1 :Text;
+  budget @2 :Text;
+  requestId @3 :Text;
+  tokens @4 :Int64;
+  minimum @5 :Int64;
+  mayDraw @6 :Bool;
+}
+struct ReserveAnswer {
+  reservationId @0 :Text;
+  tokens @1 :Int64;
+  holder @2 :Text;
 }
-struct ReserveAnswer { granted @0 :Int64; free @1 :Int64; }
 struct Settle {
+  reservationId @0 :Text;
+  asker @1 :Text;
+  budget @2 :Text;
+  requestId @3 :Text;
+  tokens @4 :Int64;
+}
+struct SettleAnswer {
+  reservationId @0 :Text;
+  accepted @1 :Bool;
+  billed @2 :Int64;
+  left @3 :Int64;
+}
+struct Release { reservationId @0 :Text; asker @1 :Text; }
+struct Recall { budget @0 :Text; asker @1 :Text; tokens @2 :Int64; }
+struct RecallAnswer {
   budget @0 :Text;
-  requestId @1 :Text;
-  tokens @2 :Int64;
-  keyed @3 :Bool;
+  returned @1 :Int64;
+  reserved @2 :Int64;
 }
-struct Release { budget @0 :Text; requestId @1 :Text; }
-struct Recall { budget @0 :Text; tokens @1 :Int64; }
 
-struct JournalEntry {
+struct Settlement {
   position @0 :Int64;
   budget @1 :Text;
   requestId @2 :Text;
   tokens @3 :Int64;
   keyed @4 :Bool;
+  pooled @5 :Bool;
 }
-struct JournalShard { shardKey @0 :Text; entries @1 :List(JournalEntry); }
+struct JournalEntry { holder @0 :Text; settlement @1 :Settlement; }
+struct DeferredSettle { settle @0 :Settle; peer @1 :Text; holder @2 :Text; }
+struct JournalFloor { holder @0 :Text; shard @1 :Text; position @2 :Int64; }
 struct JournalAppend {
-  holder @0 :Text;
-  shardKey @1 :Text;
-  entries @2 :List(JournalEntry);
+  origin @0 :Text;
+  entries @1 :List(JournalEntry);
+  deferred @2 :List(DeferredSettle);
+  floors @3 :List(JournalFloor);
+  resolved @4 :List(Text);
+  closing @5 :Bool;
+}
+struct JournalQuery { origin @0 :Text; }
+struct JournalAnswer {
+  origin @0 :Text;
+  entries @1 :List(JournalEntry);
+  deferred @2 :List(DeferredSettle);
 }
-struct JournalQuery { holder @0 :Text; }
-struct JournalAnswer { shards @0 :List(JournalShard); }
 
 struct ConfigFetch { keys @0 :List(Text); }
 struct ConfigObject { key @0 :Text; version @1 :Int64; value @2 :Data; }
@@ -102,13 +139,18 @@
 struct Cancel {}
 
 struct CrashReport {
-  reportId @0 :Text;
-  server @1 :Text;
-  fingerprints @2 :List(Text);
-  quarantined @3 :List(Text);
-  cleared @4 :List(Text);
+  origin @0 :Text;
+  number @1 :Int64;
+  server @2 :Text;
+  fingerprints @3 :List(Text);
+  repeats @4 :List(Text);
+  cleared @5 :List(Text);
+  ageS @6 :Float64;
 }
 
+struct SuspectClaim { fingerprint @0 :Text; server @1 :Text; }
+struct SuspectRelease { fingerprint @0 :Text; server @1 :Text; }
+
 struct StoreCall {
   operation @0 :Text;
   key @1 :Text;
@@ -117,7 +159,7 @@
 }
 struct StoreAnswer { status @0 :Text; version @1 :Int64; value @2 :Data; }
 
-struct Ack {}
+struct Ack { accepted @0 :Bool; }
 struct Failure {
   code @0 :UInt16;
   runState @1 :Text;
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -2,7 +2,21 @@
 
 from dataclasses import dataclass
 
+from oriolegauge.budget.messages import (
+    Ack,
+    JournalAnswer,
+    JournalAppend,
+    JournalQuery,
+    Recall,
+    RecallAnswer,
+    Release,
+    Reserve,
+    ReserveAnswer,
+    Settle,
+    SettleAnswer,
+)
 from oriolegauge.core.runstate import RunState
+from oriolegauge.routing.crashquarantine import CrashReport
 
 NEVER_MS = -1
 
@@ -16,10 +30,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerTokens:
-    """State a member's tokens in flight on a backend server."""
+class ServerInFlight:
+    """State a member's requests and their tokens on a backend server."""
 
     server: str
+    requests: int
     tokens: int
 
 
@@ -53,98 +68,12 @@
     zone: str
     state: str
     config_versions: tuple[ConfigVersion, ...] = ()
-    in_flight: tuple[ServerTokens, ...] = ()
+    in_flight: tuple[ServerInFlight, ...] = ()
     queue_lengths: tuple[int, ...] = ()
     suspects: tuple[ServerSuspects, ...] = ()
     heard: tuple[Heard, ...] = ()
     store_reached_age_ms: int = NEVER_MS
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Reserve:
-    """Ask a peer to reserve tokens of its grant for a request."""
-
-    budget: str
-    request_id: str
-    tokens: int
-    minimum: int
-    holder: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReserveAnswer:
-    """State the tokens granted (0 if refused) and those still free."""
-
-    granted: int
-    free: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Settle:
-    """Bill the tokens of a request reserved at a peer."""
-
-    budget: str
-    request_id: str
-    tokens: int
-    keyed: bool
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Release:
-    """Free the tokens of a request reserved at a peer."""
-
-    budget: str
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Recall:
-    """Ask a holder to return free tokens of a budget to the store."""
-
-    budget: str
-    tokens: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class JournalEntry:
-    """Hold one numbered settlement that the store may not have yet."""
-
-    position: int
-    budget: str
-    request_id: str
-    tokens: int
-    keyed: bool
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class JournalShard:
-    """Group the journal entries of one budget shard."""
-
-    shard_key: str
-    entries: tuple[JournalEntry, ...]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class JournalAppend:
-    """Copy settlements of a holder to a peer."""
-
-    holder: str
-    shard_key: str
-    entries: tuple[JournalEntry, ...]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class JournalQuery:
-    """Ask for the copied settlements of a holder."""
-
-    holder: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class JournalAnswer:
-    """Return the copied settlements of a holder."""
-
-    shards: tuple[JournalShard, ...]
+    watches_store: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -213,15 +142,20 @@
     """Tell the peer that the answer is no longer wanted."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CrashReport:
-    """Tell all members which requests ran on a server that crashed."""
+@dataclass(frozen=True, slots=True)
+class SuspectClaim:
+    """Ask the coordinator whether a suspect may run on a server."""
 
-    report_id: str
+    fingerprint: str
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectRelease:
+    """Tell the coordinator that a suspect no longer runs on a server."""
+
+    fingerprint: str
     server: str
-    fingerprints: tuple[str, ...] = ()
-    quarantined: tuple[str, ...] = ()
-    cleared: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -243,11 +177,6 @@
     value: bytes = b''
 
 
-@dataclass(frozen=True, slots=True)
-class Ack:
-    """Confirm a message that has no other answer."""
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Failure:
     """Report why a call failed and whether its work ran."""
@@ -263,8 +192,10 @@
     'reserve': Reserve,
     'reserveAnswer': ReserveAnswer,
     'settle': Settle,
+    'settleAnswer': SettleAnswer,
     'release': Release,
     'recall': Recall,
+    'recallAnswer': RecallAnswer,
     'journalAppend': JournalAppend,
     'journalQuery': JournalQuery,
     'journalAnswer': JournalAnswer,
@@ -280,6 +211,8 @@
     'storeAnswer': StoreAnswer,
     'ack': Ack,
     'failure': Failure,
+    'suspectClaim': SuspectClaim,
+    'suspectRelease': SuspectRelease,
 }
 
 Message = (
@@ -287,8 +220,10 @@
     | Reserve
     | ReserveAnswer
     | Settle
+    | SettleAnswer
     | Release
     | Recall
+    | RecallAnswer
     | JournalAppend
     | JournalQuery
     | JournalAnswer
@@ -304,4 +239,6 @@
     | StoreAnswer
     | Ack
     | Failure
+    | SuspectClaim
+    | SuspectRelease
 )
--- a/packages/wire/tests/test_peerlink.py
+++ b/packages/wire/tests/test_peerlink.py
@@ -40,11 +40,12 @@
 
 def reserve(tokens: int = 5, request_id: str = 'r1') -> Reserve:
     return Reserve(
+        reservation_id='x',
+        asker='d1',
         budget='b',
         request_id=request_id,
         tokens=tokens,
         minimum=1,
-        holder='d1/inc1',
     )
 
 
@@ -62,7 +63,7 @@
         self.seen.append((sender, message))
         match message:
             case Reserve(tokens=tokens):
-                return ReserveAnswer(granted=tokens, free=10)
+                return ReserveAnswer('x', tokens, 'd1/1')
             case Recall():
                 await self.gate.wait()
                 self.finished.append('recall')
@@ -177,14 +178,14 @@
             ) as link,
         ):
             assert await link.call(reserve(7), 5) == ReserveAnswer(
-                granted=7, free=10
+                'x', 7, 'd1/1'
             )
             with pytest.raises(PeerFailedError) as caught:
-                await link.call(JournalQuery(holder='x/1'), 5)
+                await link.call(JournalQuery('x/1'), 5)
             assert caught.value.code == NotFoundError.code
             assert caught.value.run_state is RunState.NOT_RUN
             peer.gate.set()
-            assert await link.call(Recall(budget='b', tokens=1), 5) == Ack()
+            assert await link.call(Recall('b', 'd1', 1), 5) == Ack()
             await link.send(reserve(9))
             await until(lambda: len(peer.seen) == 4)
             assert peer.seen[0] == (CLIENT, reserve(7))
@@ -196,9 +197,7 @@
         async with serving(peer.handle) as port:
             proxy = Proxy(port)
             async with linked(await proxy.start()) as link:
-                call = asyncio.create_task(
-                    link.call(Recall(budget='b', tokens=1), 60)
-                )
+                call = asyncio.create_task(link.call(Recall('b', 'd1', 1), 60))
                 await until(lambda: bool(peer.seen))
                 proxy.cut()
                 with pytest.raises(PeerUnreachableError) as caught:
@@ -218,10 +217,10 @@
         peer = Peer()
         async with serving(peer.handle) as port, linked(port) as link:
             with pytest.raises(PeerTimeoutError):
-                await link.call(Recall(budget='b', tokens=1), 0.05)
+                await link.call(Recall('b', 'd1', 1), 0.05)
             call = asyncio.create_task(link.call(reserve(3), 5))
             peer.gate.set()
-            assert (await call).granted == 3
+            assert (await call).tokens == 3
             await until(lambda: link.dropped_answers == 1)
 
     async def test_oversized_message(self):
@@ -319,7 +318,7 @@
             assert await anext(slow) == Head(status=200)
             for number in range(50):
                 answer = await link.call(reserve(number + 1), 5)
-                assert answer.granted == number + 1
+                assert answer.tokens == number + 1
             await until(lambda: link.dropped_answers > 100)
             with pytest.raises(StreamOverflowError):
                 [part async for part in slow]
@@ -370,14 +369,14 @@
 
         def answers(asked: int) -> list[bytes]:
             return [
-                self.answer(asked + 1, ReserveAnswer(granted=1, free=0)),
-                self.answer(asked, ReserveAnswer(granted=2, free=0), name='d9'),
-                self.answer(asked, ReserveAnswer(granted=3, free=0)),
-                self.answer(asked, ReserveAnswer(granted=4, free=0)),
+                self.answer(asked + 1, ReserveAnswer('x', 1, 'd1/1')),
+                self.answer(asked, ReserveAnswer('x', 2, 'd1/1'), name='d9'),
+                self.answer(asked, ReserveAnswer('x', 3, 'd1/1')),
+                self.answer(asked, ReserveAnswer('x', 4, 'd1/1')),
             ]
 
         async def use(link: PeerLink):
-            granted = [(await link.call(reserve(), 5)).granted for _ in 'abc']
+            granted = [(await link.call(reserve(), 5)).tokens for _ in 'abc']
             await until(lambda: link.dropped_answers == 9)
             return granted
 
