--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -91,6 +91,8 @@
         self.ports: dict[str, int] = {}
         self.store_port = 0
         self.output = output
+        self.python = [sys.executable, '-m']
+        self.key = ''
         self.daemon_settings: dict[str, dict[str, Any]] = {}
 
     def __enter__(self) -> 'Fleet':
