--- a/packages/ledger/src/oriolegauge/ledger/intentlog.py
+++ b/packages/ledger/src/oriolegauge/ledger/intentlog.py
@@ -25,6 +25,7 @@
 
 CLAIM_WAIT_S = 1.0
 REQUEST_ID_MAX_BYTES = 256
+HOLDER_MAX_BYTES = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +61,8 @@
         `clock` returns Unix time in seconds: entries of all holders are
         dropped by age, so their clocks must agree within hours.
         """
+        if len(json.dumps(holder)) > HOLDER_MAX_BYTES:
+            raise ValueError('the holder name is too long')
         self._store = store
         self._holder = holder
         self._shard_count = shard_count
--- a/packages/ledger/src/oriolegauge/ledger/intentwriter.py
+++ b/packages/ledger/src/oriolegauge/ledger/intentwriter.py
@@ -69,6 +69,7 @@
         self._wake = asyncio.Event()
         self._down_until: float = 0
         self._failures = 0
+        self._is_closed = False
 
     @property
     def is_idle(self) -> bool:
@@ -100,9 +101,7 @@
         """Withdraw a claim whose caller is told that the work did not run."""
         if pending in self._claims:
             self._claims.remove(pending)
-        elif pending.future.done():
-            # Reading the exception keeps asyncio from logging it as lost.
-            pending.future.exception()
+        elif pending.future.done() or self.is_idle:
             self._withdraw(pending)
         else:
             pending.abandoned = True
@@ -114,13 +113,14 @@
 
     async def close(self) -> None:
         """Stop writing; outcomes not yet stored stay unknown."""
+        self._is_closed = True
         if self._task is not None:
             self._task.cancel()
             await asyncio.wait({self._task})
 
     def _start(self) -> None:
         self._wake.set()
-        if self.is_idle:
+        if self.is_idle and not self._is_closed:
             self._task = asyncio.create_task(self._run())
 
     async def _run(self) -> None:
@@ -277,7 +277,7 @@
         )
 
     async def _pause(self) -> None:
-        pause_s = min(RETRY_MAX_S, DOWN_HOLD_S * 2**self._failures)
+        pause_s = min(RETRY_MAX_S, DOWN_HOLD_S * 2 ** min(self._failures, 8))
         await asyncio.sleep(DOWN_HOLD_S)
         try:
             async with asyncio.timeout(pause_s - DOWN_HOLD_S):
