--- a/packages/admission/src/oriolegauge/admission/admissionqueue.py
+++ b/packages/admission/src/oriolegauge/admission/admissionqueue.py
@@ -129,7 +129,8 @@
         return [
             server.name
             for server in servers
-            if server.free > 0 and self._fits(server, key, job.priority)
+            if server.free > 0
+            and self._fits(server, key, job.priority, job.request_id)
         ]
 
     def placed(self, request_id: str, server: str) -> None:
@@ -307,7 +308,11 @@
         return self._classes[priority].peek(fits)
 
     def _fits(
-        self, server: ServerSlots, key: LaneKey, priority: Priority
+        self,
+        server: ServerSlots,
+        key: LaneKey,
+        priority: Priority,
+        taken: str | None = None,
     ) -> bool:
         if not _may_run(server, key):
             return False
@@ -315,7 +320,7 @@
             return True
         # A server with a single slot must be able to run stragglers too.
         share = max(1, server.limit // 2)
-        if self._running.stragglers(server.name) < share:
+        if self._running.stragglers(server.name, besides=taken) < share:
             return True
         return not self._has_short_work(server, priority)
 
--- a/packages/admission/src/oriolegauge/admission/concurrencylimit.py
+++ b/packages/admission/src/oriolegauge/admission/concurrencylimit.py
@@ -18,7 +18,8 @@
         self._limit = float(initial)
         self._maximum = maximum
         self._in_flight = 0
-        self._recent: float | None = None
+        self._tokens: float = 0
+        self._seconds: float = 0
         self._best = math.inf
         self._last_best = math.inf
         self._window_end = -math.inf
@@ -61,8 +62,7 @@
         self._in_flight = max(0, self._in_flight - 1)
         if tokens <= 0 or seconds <= 0:
             return
-        sample = seconds / tokens
-        self._observe(sample, now)
+        self._observe(tokens, seconds, now)
         self._adapt(busy, now)
 
     def failed(self) -> None:
@@ -70,18 +70,20 @@
         self._in_flight = max(0, self._in_flight - 1)
         self._limit = max(1, self._limit * MAX_CUT)
 
-    def _observe(self, sample: float, now: float) -> None:
+    def _observe(self, tokens: int, seconds: float, now: float) -> None:
         if now >= self._window_end:
             self._last_best = self._best
             self._best = math.inf
             self._window_end = now + WINDOW_S
-        self._best = min(self._best, sample)
-        if self._recent is None:
-            self._recent = sample
-        self._recent += SMOOTHING * (sample - self._recent)
+        # Sums are smoothed, not the quotients: the time before the first
+        # token would make short answers look like a slow server.
+        weight = SMOOTHING if self._tokens else 1
+        self._tokens += weight * (tokens - self._tokens)
+        self._seconds += weight * (seconds - self._seconds)
+        self._best = min(self._best, self._seconds / self._tokens)
 
     def _adapt(self, busy: int, now: float) -> None:
-        recent = self._recent or 0
+        recent = self._seconds / self._tokens
         best = min(self._best, self._last_best)
         if recent <= TOLERANCE * best:
             # A limit that isn't used says nothing about a higher one.
@@ -90,7 +92,7 @@
                 self._limit = min(self._maximum, grown)
             return
         # One cut per round of answers: their latencies are of one cause.
-        if now < self._changed_at + recent * 10:
+        if now < self._changed_at + self._seconds:
             return
         self._changed_at = now
         ratio = max(MAX_CUT, TOLERANCE * best / recent)
--- a/packages/admission/src/oriolegauge/admission/runningjobs.py
+++ b/packages/admission/src/oriolegauge/admission/runningjobs.py
@@ -62,9 +62,11 @@
         self._count(running, -1)
         return now - running.started_at
 
-    def stragglers(self, server: str) -> int:
-        """Return the number of stragglers on a backend server."""
-        return self._stragglers[server]
+    def stragglers(self, server: str, *, besides: str | None = None) -> int:
+        """Return the stragglers on a backend server besides a job."""
+        own = self._running.get(besides) if besides else None
+        counted = own and own.is_long and own.server == server
+        return self._stragglers[server] - bool(counted)
 
     def _count(self, running: _Running, change: int) -> None:
         if not running.is_long or running.server is None:
