Pause stragglers for short work; see engine queues in first tokens

Cause: with a cap on new stragglers alone, short work waited longer than first in first out, because stragglers that run fill the servers when no short work waits. The limit grew to 12 with 8 slots, and short work waited in the engine. Change: to_pause names a straggler that gives way, paused queues it again; the length prediction keeps an average per power of two of the caller's bound; the limit also compares the median time to the first token with the best.

--- a/bench/queuescenarios.py
+++ b/bench/queuescenarios.py
@@ -37,6 +37,7 @@
     begun_at: float | None = None
     ended_at: float | None = None
     refused: bool = False
+    done: int = 0
     chunks: list[tuple[float, int]] = field(default_factory=list)
 
     @property
@@ -54,7 +55,12 @@
 class QueueRun:
     """Drive a queue policy over a list of requests."""
 
-    def __init__(self, queue: Any, *, adaptive: bool) -> None:
+    def __init__(
+        self, queue: Any, *, adaptive: bool, resume: bool = False
+    ) -> None:
+        self._resume = resume
+        self._streams: dict[str, tuple[Stream, Engine]] = {}
+        self.pauses = 0
         self.clock = Clock()
         self.engines = {
             name: Engine(name, self.clock)
@@ -126,6 +132,20 @@
             self.queue.placed(job.request_id, name)
             self._start(job, name)
             slots = self._slots()
+        while self._resume and (job := self.queue.to_pause(slots, self.clock.now)):
+            self._pause(job)
+            slots = self._slots()
+
+    def _pause(self, job: Job) -> None:
+        self.pauses += 1
+        work = self._works[job.request_id]
+        stream, engine = self._streams[job.request_id]
+        engine.cancel(stream)
+        work.done += stream.done
+        if self._limits:
+            self._limits[engine.name].finished(0, 0, self.clock.now)
+        self.queue.paused(job, stream.done, self.clock.now)
+        self._pump()
 
     def _slots(self) -> list[ServerSlots]:
         found = []
@@ -148,20 +168,31 @@
             self._limits[name].started()
 
         def progress(stream: Stream, tokens: int, seconds: float) -> None:
-            work.begun_at = stream.begun_at
+            if self._limits and stream.done == tokens:
+                self._limits[name].first_token(
+                    self.clock.now - started_at, self.clock.now
+                )
+            if work.begun_at is None:
+                work.begun_at = stream.begun_at
             work.chunks.append((self.clock.now, tokens))
-            self.queue.progress(job.request_id, stream.done)
+            self.queue.progress(job.request_id, work.done + stream.done)
 
         def end(stream: Stream) -> None:
             now = self.clock.now
             work.ended_at = now
             if self._limits:
-                self._limits[name].finished(work.tokens, now - started_at, now)
-            self._lengths.observe(job.team, MODEL, work.tokens)
-            self.queue.finished(job, work.tokens, now)
+                self._limits[name].finished(
+                    stream.tokens, now - started_at, now
+                )
+            self._lengths.observe(
+                job.team, MODEL, work.tokens, work.max_tokens
+            )
+            self.queue.finished(job, stream.tokens, now)
             self._pump()
 
-        self.engines[name].submit(Stream(work.tokens, progress, end))
+        stream = Stream(work.tokens - work.done, progress, end)
+        self._streams[job.request_id] = stream, self.engines[name]
+        self.engines[name].submit(stream)
 
 
 def ours() -> QueueRun:
@@ -245,6 +276,8 @@
 
 LONG_FACTOR = 50
 LONG_SHARE = 0.01
+# The prefill of a long answer is not longer, only its decoding.
+LONG_DECODE_SHARE = 0.927
 STRAGGLER_LOAD = 0.9
 STRAGGLER_RUN_S = 1200.0
 
@@ -252,24 +285,27 @@
 def straggler_works(capacity: float, seed: int) -> list[Work]:
     """Return short jobs with 1% that are 50 times longer.
 
-    Half of the long jobs state a large bound; the others look short.
+    Half of the long jobs come from one team; the others come from teams with
+    short work, of which a third states no useful bound either.
     """
     rng = random.Random(seed)
-    mean = MEAN_SHORT_TOKENS * (1 + LONG_SHARE * (LONG_FACTOR - 1))
-    unit = STRAGGLER_LOAD * capacity / mean
+    short_s = MEAN_SHORT_TOKENS / capacity
+    mean_s = short_s * (1 + LONG_SHARE * (LONG_FACTOR * LONG_DECODE_SHARE - 1))
+    unit = STRAGGLER_LOAD / mean_s
     works = []
     for at in arrivals(rng, lambda _: unit, unit, STRAGGLER_RUN_S):
         is_long = rng.random() < LONG_SHARE
-        is_stated = rng.random() < 0.5
+        is_known = rng.random() < 0.5
+        is_bounded = not is_long and rng.random() < 2 / 3
         factor = LONG_FACTOR if is_long else 1
-        team = 'reviews' if is_long and is_stated else f't{rng.randrange(4)}'
+        team = 'reviews' if is_long and is_known else f't{rng.randrange(4)}'
         works.append(
             Work(
                 arrival=at,
                 team=team,
                 priority=Priority.NORMAL,
                 tokens=short_tokens(rng) * factor,
-                max_tokens=8000,
+                max_tokens=400 if is_bounded else 8000,
             )
         )
     return works
--- a/packages/admission/src/oriolegauge/admission/admissionqueue.py
+++ b/packages/admission/src/oriolegauge/admission/admissionqueue.py
@@ -1,10 +1,10 @@
 """Order waiting jobs and refuse work that cannot be served."""
 
+import dataclasses
 import heapq
 import itertools
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 
 from oriolegauge.admission.classqueue import ClassQueue, Place
 from oriolegauge.admission.errors import (
@@ -27,7 +27,7 @@
 LENGTH_WINDOW = 256
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class QueueLimits:
     """Bound and tune the queue."""
 
@@ -40,6 +40,11 @@
     # A job this many times longer than the median is a straggler.
     straggler_factor: float = 8.0
     min_straggler_tokens: int = 1024
+    # Stragglers hold at most this share of a server while short work waits.
+    straggler_share: float = 0.5
+    # A resumed straggler runs at least this long, because a resume costs
+    # another prefill.
+    min_run_s: float = 2.0
 
 
 class AdmissionQueue:
@@ -155,6 +160,46 @@
             self._lengths.add(tokens)
             self._rate.ended(tokens, seconds)
 
+    def to_pause(
+        self, servers: Iterable[ServerSlots], now: float
+    ) -> Job | None:
+        """Return a running straggler that should give way to short work.
+
+        It is on a full server where stragglers hold more than their share
+        while short work waits. The caller cancels its stream and calls
+        `paused`; it may leave it, for example if the stream can't resume.
+        """
+        for server in servers:
+            if server.free > 0:
+                continue
+            share = self._straggler_slots(server)
+            if self._running.stragglers(server.name) <= share:
+                continue
+            job = self._running.longest(
+                server.name, now - self._limits.min_run_s
+            )
+            if job and self._has_short_work(server, job.priority):
+                return job
+        return None
+
+    def paused(self, job: Job, tokens: int, now: float) -> None:
+        """Queue a job again that was stopped after that many tokens.
+
+        `take` returns it as before. It has run, so `expire` never does.
+        """
+        seconds = self._running.end(job.request_id, now)
+        if seconds is None:
+            return
+        self._rate.observe_slots(len(self._running) + 1, now)
+        self._rate.ended(tokens, seconds)
+        self._classes[job.priority].charge(
+            job.team, tokens - job.predicted_tokens
+        )
+        lane = LaneKey(job.model, job.allowed_servers, is_long=True)
+        place = dataclasses.replace(self._place_of(job), lane=lane)
+        self._classes[job.priority].push(place)
+        self._places[job.request_id] = place
+
     def remove(self, request_id: str) -> Job | None:
         """Remove a waiting job, for example of a caller that left."""
         place = self._places.get(request_id)
@@ -318,12 +363,15 @@
             return False
         if not key.is_long:
             return True
-        # A server with a single slot must be able to run stragglers too.
-        share = max(1, server.limit // 2)
+        share = self._straggler_slots(server)
         if self._running.stragglers(server.name, besides=taken) < share:
             return True
         return not self._has_short_work(server, priority)
 
+    def _straggler_slots(self, server: ServerSlots) -> int:
+        # A server with a single slot must be able to run stragglers too.
+        return max(1, int(server.limit * self._limits.straggler_share))
+
     def _has_short_work(self, server: ServerSlots, priority: Priority) -> bool:
         # Short work of lower classes doesn't count: it must not go before
         # long work of a higher class.
--- a/packages/admission/src/oriolegauge/admission/concurrencylimit.py
+++ b/packages/admission/src/oriolegauge/admission/concurrencylimit.py
@@ -2,27 +2,34 @@
 
 import math
 
-# The best time per token is the lowest of the current and the last window.
-WINDOW_S = 30.0
-# Time per token may rise to this multiple of the best before the limit falls.
-TOLERANCE = 1.5
+from oriolegauge.core.recentvalues import RecentValues
+
+# The best time is the lowest of the current and the last window.
+WINDOW_S = 60.0
+# Time per token rises with the batch long before a server is full, so it may
+# reach this multiple of the best.
+TOKEN_TOLERANCE = 2.0
+# A queue inside the server shows in the time to the first token.
+FIRST_TOKEN_TOLERANCE = 2.0
 SMOOTHING = 0.2
-MAX_CUT = 0.7
+FIRST_TOKENS = 16
+MIN_FIRST_TOKENS = 8
+SMALL_CUT = 0.92
+LARGE_CUT = 0.7
 
 
 class ConcurrencyLimit:
-    """Adapt the limit to the time per token against the best recent one."""
+    """Adapt the limit to recent latency against the best recent one."""
 
     def __init__(self, *, initial: int = 8, maximum: int = 256) -> None:
         """Start at `initial`; stay between 1 and `maximum`."""
         self._limit = float(initial)
         self._maximum = maximum
         self._in_flight = 0
-        self._tokens: float = 0
-        self._seconds: float = 0
-        self._best = math.inf
-        self._last_best = math.inf
-        self._window_end = -math.inf
+        self._token_time = _TokenTime()
+        self._best_token_time = _WindowedBest()
+        self._first_tokens = RecentValues(FIRST_TOKENS)
+        self._best_first_token = _WindowedBest()
         self._changed_at = -math.inf
 
     @property
@@ -49,6 +56,18 @@
         """Count a job that was sent."""
         self._in_flight += 1
 
+    def first_token(self, latency_s: float, now: float) -> None:
+        """Adapt to the time from the sending to the first token."""
+        self._first_tokens.add(latency_s)
+        median = self._first_tokens.quantile(0.5)
+        if median is None or len(self._first_tokens) < MIN_FIRST_TOKENS:
+            return
+        best = self._best_first_token.lowest(median, now)
+        ratio = FIRST_TOKEN_TOLERANCE * best / median
+        if ratio < 1:
+            self._cut(ratio)
+            self._changed_at = now
+
     def finished(
         self,
         tokens: int,
@@ -62,38 +81,60 @@
         self._in_flight = max(0, self._in_flight - 1)
         if tokens <= 0 or seconds <= 0:
             return
-        self._observe(tokens, seconds, now)
-        self._adapt(busy, now)
+        recent = self._token_time.add(tokens, seconds)
+        best = self._best_token_time.lowest(recent, now)
+        ratio = TOKEN_TOLERANCE * best / recent
+        if ratio < 1:
+            if now >= self._changed_at + seconds:
+                self._cut(ratio)
+                self._changed_at = now
+        elif busy + 1 > self._limit:
+            # A limit that isn't used says nothing about a higher one.
+            grown = self._limit + 1 / self._limit
+            self._limit = min(self._maximum, grown)
 
     def failed(self) -> None:
         """Count a failed job and reduce the limit."""
         self._in_flight = max(0, self._in_flight - 1)
-        self._limit = max(1, self._limit * MAX_CUT)
+        self._cut(LARGE_CUT)
 
-    def _observe(self, tokens: int, seconds: float, now: float) -> None:
-        if now >= self._window_end:
-            self._last_best = self._best
-            self._best = math.inf
-            self._window_end = now + WINDOW_S
-        # Sums are smoothed, not the quotients: the time before the first
-        # token would make short answers look like a slow server.
+    def _cut(self, ratio: float) -> None:
+        cut = min(SMALL_CUT, max(LARGE_CUT, ratio))
+        self._limit = max(1, self._limit * cut)
+        # The next cut needs latencies that this one has reached.
+        self._first_tokens = RecentValues(FIRST_TOKENS)
+
+
+class _TokenTime:
+    """Smooth the time per token.
+
+    Sums are smoothed, not the quotients: the time before the first token
+    would make short answers look like a slow server.
+    """
+
+    def __init__(self) -> None:
+        self._tokens: float = 0
+        self._seconds: float = 0
+
+    def add(self, tokens: int, seconds: float) -> float:
         weight = SMOOTHING if self._tokens else 1
         self._tokens += weight * (tokens - self._tokens)
         self._seconds += weight * (seconds - self._seconds)
-        self._best = min(self._best, self._seconds / self._tokens)
+        return self._seconds / self._tokens
 
-    def _adapt(self, busy: int, now: float) -> None:
-        recent = self._seconds / self._tokens
-        best = min(self._best, self._last_best)
-        if recent <= TOLERANCE * best:
-            # A limit that isn't used says nothing about a higher one.
-            if busy * 2 >= self._limit:
-                grown = self._limit + 1 / self._limit
-                self._limit = min(self._maximum, grown)
-            return
-        # One cut per round of answers: their latencies are of one cause.
-        if now < self._changed_at + self._seconds:
-            return
-        self._changed_at = now
-        ratio = max(MAX_CUT, TOLERANCE * best / recent)
-        self._limit = max(1, self._limit * ratio)
+
+class _WindowedBest:
+    """Keep the lowest value of the current and the last window."""
+
+    def __init__(self) -> None:
+        self._best = math.inf
+        self._last_best = math.inf
+        self._window_end = -math.inf
+
+    def lowest(self, value: float, now: float) -> float:
+        if now >= self._window_end:
+            self._last_best = self._best
+            self._best = math.inf
+            self._window_end = now + WINDOW_S
+        self._best = min(self._best, value)
+        return min(self._best, self._last_best)
--- a/packages/admission/src/oriolegauge/admission/lengthpredictor.py
+++ b/packages/admission/src/oriolegauge/admission/lengthpredictor.py
@@ -7,27 +7,41 @@
 # Used until the first answer of a model is known.
 DEFAULT_TOKENS = 256
 
+# The empty team holds the averages of a model over all teams.
+_ALL_TEAMS = ''
+
 
 class LengthPredictor:
-    """Average the output of each team and model, in bounded memory."""
+    """Average the output of each team and model, in bounded memory.
+
+    Callers of short work often state a small bound, so each power of two of
+    the bound has an average of its own.
+    """
 
     def __init__(self) -> None:
         """Start without past answers."""
-        self._averages: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._averages: OrderedDict[tuple[str, str, int], float] = OrderedDict()
 
     def predict(self, team: str, model: str, max_tokens: int) -> int:
         """Return the expected output tokens, at most `max_tokens`."""
-        average = self._averages.get((team, model))
-        if average is None:
-            average = self._averages.get(('', model), DEFAULT_TOKENS)
-        return max(1, min(max_tokens, round(average)))
-
-    def observe(self, team: str, model: str, tokens: int) -> None:
-        """Learn the output tokens of a complete answer."""
-        # The empty team holds the average of the model over all teams.
-        for key in ((team, model), ('', model)):
-            average = self._averages.get(key, tokens)
-            self._averages[key] = average + SMOOTHING * (tokens - average)
-            self._averages.move_to_end(key)
+        for bound in (max_tokens, 0):
+            for name in (team, _ALL_TEAMS):
+                key = (name, model, bound.bit_length())
+                if key in self._averages:
+                    return max(1, min(max_tokens, round(self._averages[key])))
+        return max(1, min(max_tokens, DEFAULT_TOKENS))
+
+    def observe(
+        self, team: str, model: str, tokens: int, max_tokens: int = 0
+    ) -> None:
+        """Learn the output of a complete answer; a bound of 0 is unknown."""
+        for bound in {max_tokens, 0}:
+            for name in (team, _ALL_TEAMS):
+                self._learn((name, model, bound.bit_length()), tokens)
         while len(self._averages) > MAX_KEYS:
             self._averages.popitem(last=False)
+
+    def _learn(self, key: tuple[str, str, int], tokens: int) -> None:
+        average = self._averages.get(key, tokens)
+        self._averages[key] = average + SMOOTHING * (tokens - average)
+        self._averages.move_to_end(key)
--- a/packages/admission/src/oriolegauge/admission/runningjobs.py
+++ b/packages/admission/src/oriolegauge/admission/runningjobs.py
@@ -32,6 +32,22 @@
         """Add a job that was taken."""
         self._running[job.request_id] = _Running(job, now, is_long)
 
+    def longest(self, server: str, before: float) -> Job | None:
+        """Return the straggler on a server that was taken first.
+
+        Jobs that were taken after `before` don't count.
+        """
+        found = [
+            running
+            for running in self._running.values()
+            if running.is_long
+            and running.server == server
+            and running.started_at <= before
+        ]
+        if not found:
+            return None
+        return min(found, key=lambda running: running.started_at).job
+
     def place(self, request_id: str, server: str) -> None:
         """Record the backend server of a job, also after a move."""
         running = self._running.get(request_id)
