--- a/packages/admission/src/oriolegauge/admission/runningjobs.py
+++ b/packages/admission/src/oriolegauge/admission/runningjobs.py
@@ -32,6 +32,22 @@
         """Add a job that was taken."""
         self._running[job.request_id] = _Running(job, now, is_long)
 
+    def longest(self, server: str, before: float) -> Job | None:
+        """Return the straggler on a server that was taken first.
+
+        Jobs that were taken after `before` don't count.
+        """
+        found = [
+            running
+            for running in self._running.values()
+            if running.is_long
+            and running.server == server
+            and running.started_at <= before
+        ]
+        if not found:
+            return None
+        return min(found, key=lambda running: running.started_at).job
+
     def place(self, request_id: str, server: str) -> None:
         """Record the backend server of a job, also after a move."""
         running = self._running.get(request_id)
@@ -62,9 +78,11 @@
         self._count(running, -1)
         return now - running.started_at
 
-    def stragglers(self, server: str) -> int:
-        """Return the number of stragglers on a backend server."""
-        return self._stragglers[server]
+    def stragglers(self, server: str, *, besides: str | None = None) -> int:
+        """Return the stragglers on a backend server besides a job."""
+        own = self._running.get(besides) if besides else None
+        counted = own and own.is_long and own.server == server
+        return self._stragglers[server] - bool(counted)
 
     def _count(self, running: _Running, change: int) -> None:
         if not running.is_long or running.server is None:
