Fuzz followers and operators on a paused clock

Cause: the follower and the tool had no test of faults that happen together.

Change: a rule-based machine with four followers in two zones, racing operators, lost answers, cut and hanging store paths, cut links, stale peer answers, restarts in outages and restored backups. Its oracle is the log of the store. Six broken variants are each caught.

--- /dev/null
+++ b/packages/cli/tests/test_config_machine.py
@@ -0,0 +1,320 @@
+"""Configuration in force and operators' changes under faults."""
+
+import os
+from dataclasses import replace
+
+import pytest
+import structlog
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from oriolegauge.cli.operator import Operator
+from oriolegauge.config import ConfigFollower, ConfigTree
+from oriolegauge.config.configtree import TEAM_PREFIX
+from oriolegauge.testkit import StoreFault
+
+from .configworld import ZONES, World, places_changed
+
+IN_FORCE_S = 5
+CURRENT_S = 10
+NAMES = st.sampled_from(sorted(ZONES))
+TEAMS = st.sampled_from(('cafes', 'taxis'))
+PRIORITIES = st.sampled_from(('urgent', 'normal', 'batch'))
+FAULTS = st.lists(
+    st.sampled_from(
+        (StoreFault.NONE, StoreFault.LOSE_BEFORE, StoreFault.LOSE_AFTER)
+    ),
+    max_size=4,
+)
+
+
+def add_key(number):
+    entry = {f'{number:064x}': {'budget': f'b{number}'}}
+    return lambda tree: {**tree, 'keys': {**tree.get('keys', {}), **entry}}
+
+
+def set_priority(priority):
+    return lambda tree: {**tree, 'priority': priority}
+
+
+CHANGES = st.one_of(
+    st.integers(0, 40).map(add_key), PRIORITIES.map(set_priority)
+)
+
+
+class ConfigMachine(RuleBasedStateMachine):
+    """Compare followers and operators with the log of the store."""
+
+    types: dict = {}
+
+    def __init__(self):
+        super().__init__()
+        self.world = World(**self.types)
+        self.faulty_since = self.world.now
+        self.changed_at = self.world.now
+        self.world.advance(1)
+
+    def teardown(self):
+        self.world.close()
+
+    @rule(team=TEAMS, changes=st.lists(CHANGES, min_size=1, max_size=3))
+    def race(self, team, changes):
+        self.world.operate(*((TEAM_PREFIX + team, row) for row in changes))
+
+    @rule(team=TEAMS, changes=st.lists(CHANGES, min_size=2), faults=FAULTS)
+    def race_with_lost_answers(self, team, changes, faults):
+        self.world.store.next_faults = faults
+        self.world.operate(*((TEAM_PREFIX + team, row) for row in changes[:3]))
+        self.world.store.next_faults = []
+
+    @rule(seconds=st.sampled_from((0.1, 0.7, 3.0, 11.0)))
+    def pause(self, seconds):
+        self.world.advance(seconds)
+
+    @rule(outage=st.booleans())
+    def switch_store(self, outage):
+        fault = StoreFault.OUTAGE if outage else StoreFault.NONE
+        self.world.store.fault = fault
+
+    @rule(name=NAMES, cut=st.booleans(), hangs=st.booleans())
+    def cut_store_path(self, name, cut, hangs):
+        path = self.world.nodes[name].path
+        path.cut, path.hangs = cut, hangs
+
+    @rule(name=NAMES)
+    def leave_one_store_path(self, name):
+        for other, node in self.world.nodes.items():
+            node.path.cut = other != name
+
+    @rule(left=NAMES, right=NAMES)
+    def cut_link(self, left, right):
+        self.world.cut_links ^= {frozenset((left, right))}
+
+    @rule()
+    def heal(self):
+        self.world.cut_links.clear()
+        self.world.store.fault = StoreFault.NONE
+        for node in self.world.nodes.values():
+            node.path.cut = node.stale_answers = False
+
+    @rule(name=NAMES, stale=st.booleans())
+    def answer_stale(self, name, stale):
+        self.world.nodes[name].stale_answers = stale
+
+    @rule(name=NAMES)
+    def restart(self, name):
+        self.world.restart(name)
+
+    @rule(name=NAMES, seconds=st.sampled_from((0.3, 1.9, 4.0)))
+    def restart_in_outage(self, name, seconds):
+        self.world.store.fault = StoreFault.OUTAGE
+        self.world.restart(name)
+        self.world.advance(seconds)
+
+    @rule()
+    def back_up(self):
+        self.world.store.save()
+
+    @rule()
+    def restore(self):
+        self.world.store.restore()
+
+    @rule(team=TEAMS, change=CHANGES)
+    def change_and_wait(self, team, change):
+        """Without new faults, a change is in force everywhere in 5 s."""
+        for node in self.world.nodes.values():
+            node.stale_answers = False
+        self.world.operate((TEAM_PREFIX + team, change))
+        self.world.advance(IN_FORCE_S)
+        store = self.world.store
+        for name in self.world.reachable():
+            held = self.world.nodes[name].tree.versions
+            for key, stored in store.objects.items():
+                if key.startswith('config/') and key not in store.reused:
+                    assert held.get(key, 0) >= stored.version, (name, key)
+            assert self.world.nodes[name].follower.ready
+            assert self.world.nodes[name].follower.current(self.world.now)
+
+    @invariant()
+    def nothing_reverts(self):
+        for node in self.world.nodes.values():
+            highest = {}
+            for key, version in node.applied:
+                assert version > highest.get(key, 0), (node.name, key)
+                highest[key] = version
+            for key, version in node.tree.versions.items():
+                held = node.tree.stored(key).value
+                assert any(
+                    row.key == key
+                    and row.version == version
+                    and row.value == held
+                    for _, row, _ in self.world.store.log
+                )
+
+    @invariant()
+    def current_is_true(self):
+        """A follower that calls itself current holds what was known 10 s ago."""
+        now = self.world.now
+        for node in self.world.nodes.values():
+            if not node.follower.current(now):
+                continue
+            for at, stored, _ in self.world.store.log:
+                if at < now - CURRENT_S - 0.5:
+                    if stored.key in self.world.store.reused:
+                        continue
+                    held = node.tree.versions.get(stored.key, 0)
+                    assert held >= stored.version, (node.name, stored.key)
+
+    @invariant()
+    def ready_holds_what_peers_hold(self):
+        world = self.world
+        cut = world.store.fault is not StoreFault.NONE
+        for node in world.nodes.values():
+            newly = node.follower.ready and not node.ready_seen
+            node.ready_seen = node.follower.ready
+            if not newly or not (cut or node.path.cut):
+                continue
+            for key, version in self.peers_held(node):
+                held = node.tree.versions.get(key, 0)
+                assert held >= version, (node.name, key)
+            assert node.follower.store_age_s(world.now) is not None
+
+    def peers_held(self, node):
+        # Versions that a linked peer gained before the newcomer's start; a
+        # peer may have learned others since its last heartbeat.
+        for peer in world_peers(self.world, node):
+            for key, version in peer.tree.versions.items():
+                if peer.started_at < node.started_at and any(
+                    row.key == key
+                    and row.version == version
+                    and at < node.started_at - 5
+                    for at, row, _ in self.world.store.log
+                ):
+                    yield key, version
+
+    @invariant()
+    def operators_lose_no_change(self):
+        store = self.world.store
+        committed = []
+        for _, stored, before in store.log:
+            author = stored.value['changes'][-1]['author']
+            committed.append(author)
+            known = {
+                row['author'] for row in (before or {}).get('changes', [])
+            }
+            assert author not in known, 'applied twice'
+            # One change replaces or adds one place, never another one.
+            assert len(places_changed(before, stored.value)) <= 2
+        assert len(committed) == len(set(committed)), 'applied twice'
+        for author, outcome in self.world.outcomes.items():
+            if outcome == 'STORE_CONFLICT':
+                assert author not in committed
+
+
+def world_peers(world, node):
+    return [
+        peer
+        for name, peer in world.nodes.items()
+        if name != node.name and world.linked(name, node.name)
+    ]
+
+
+class ObliviousTree(ConfigTree):
+    """Apply whatever comes, also a lower version."""
+
+    def version(self, key):
+        return 0
+
+
+class BlindOperator(Operator):
+    """Put over whatever is in the store."""
+
+    async def _try_put(self, current, target):
+        found = await self._store.get(current.key)
+        version = found.version if found else 0
+        return await self._store.put(current.key, target, version)
+
+
+class ForgetfulOperator(Operator):
+    """Take a lost answer for a change that was not applied."""
+
+    async def _resolve(self, key, change_id):
+        found = await super()._resolve(key, change_id)
+        return replace(found, value={**found.value, 'changes': []})
+
+
+class LoneFollower(ConfigFollower):
+    """Never watch the store unless elected."""
+
+    def _watches(self, now):
+        live = self._live(now)
+        return self._is_elected(self._name, self._zone, live)
+
+
+class EagerFollower(ConfigFollower):
+    """Serve at once with whatever is held."""
+
+    def _holds_enough(self, now, live, covered):
+        return True
+
+
+class CredulousFollower(ConfigFollower):
+    """Take a peer's word without holding what the peer holds."""
+
+    def _refresh(self, now):
+        super()._refresh(now)
+        if any(peer.store_age_s is not None for peer in self._live(now)):
+            self._contact_at = now
+
+
+def check(machine, *, steps=25, examples=12):
+    options = settings(
+        max_examples=int(os.environ.get('FUZZ_STEPS', examples)),
+        stateful_step_count=steps,
+        deadline=None,
+        derandomize='FUZZ_SEED' not in os.environ,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+        phases=(Phase.generate,),
+        report_multiple_bugs=False,
+    )
+    if 'FUZZ_SEED' in os.environ:
+        machine = seed(int(os.environ['FUZZ_SEED']))(machine)
+    run_state_machine_as_test(machine, settings=options)
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+    yield
+    structlog.reset_defaults()
+
+
+@pytest.mark.fuzz
+class TestConfigMachine:
+    """Guard P8: in force within 5 s, never reverted, no change lost."""
+
+    def test_holds(self):
+        check(ConfigMachine)
+
+    @pytest.mark.parametrize(
+        'types',
+        [
+            {'tree_type': ObliviousTree},
+            {'operator_type': BlindOperator},
+            {'operator_type': ForgetfulOperator},
+            {'follower_type': LoneFollower},
+            {'follower_type': EagerFollower},
+            {'follower_type': CredulousFollower},
+        ],
+        ids=lambda types: next(iter(types.values())).__name__,
+    )
+    def test_catches_broken_variant(self, types):
+        broken = type('BrokenMachine', (ConfigMachine,), {'types': types})
+        with pytest.raises(AssertionError):
+            check(broken, examples=150)
--- a/packages/config/src/oriolegauge/config/configfollower.py
+++ b/packages/config/src/oriolegauge/config/configfollower.py
@@ -67,6 +67,7 @@
         self._started_at = clock()
         self._contact_at: float | None = None
         self._store_failures = 0
+        self._store_failing = False
         self._inbox = ConfigInbox(tree, applied)
         self._fetch = PeerFetch(
             name=self._name,
@@ -168,7 +169,11 @@
                 await self._watch.read_all()
         except (StoreError, TimeoutError) as error:
             self._store_failures += 1
-            log.info('configuration store read failed', error=repr(error))
+            if not self._store_failing:
+                log.warning('configuration store lost', error=repr(error))
+            self._store_failing = True
+        else:
+            self._store_failing = False
 
     def _reads_store(self, now: float) -> bool:
         return not self.ready or self._watches(now)
