--- a/packages/cli/src/oriolegauge/cli/configverbs.py
+++ b/packages/cli/src/oriolegauge/cli/configverbs.py
@@ -114,6 +114,16 @@
         wanted = load_wanted(source)
         return self._session.run(lambda operator: apply_all(operator, wanted))
 
+    def republish(self, key: str) -> Row:
+        """Write a subtree again as it is, so that its version rises.
+
+        :param key: subtree, for example teams/cafes
+        """
+        stored = self._session.run(
+            lambda operator: operator.republish(full_key(key))
+        )
+        return {'key': stored.key, 'version': stored.version}
+
     def history(self, key: str) -> list[Row]:
         """Show the last 50 changes of a subtree or budget.
 
--- a/packages/cli/src/oriolegauge/cli/main.py
+++ b/packages/cli/src/oriolegauge/cli/main.py
@@ -74,6 +74,7 @@
             'edit': config.edit,
             'diff': config.diff,
             'apply': config.apply,
+            'republish': config.republish,
             'history': config.history,
             'watch': config.watch,
         },
--- a/packages/cli/src/oriolegauge/cli/operator.py
+++ b/packages/cli/src/oriolegauge/cli/operator.py
@@ -20,7 +20,7 @@
 )
 from oriolegauge.config.configtree import OPERATORS_KEY
 from oriolegauge.config.subtrees import MAX_CHANGES
-from oriolegauge.core.errors import ForbiddenError
+from oriolegauge.core.errors import ForbiddenError, NotFoundError
 from oriolegauge.platform import (
     ObjectStore,
     StoreAnswerLostError,
@@ -121,6 +121,16 @@
         """
         if not edit.patch:
             return seen
+        return await self._edit(edit, seen)
+
+    async def republish(self, key: str) -> StoredObject:
+        """Put a subtree again as it is, after a backup was restored."""
+        seen = await self.read(key)
+        if seen.version == 0:
+            raise NotFoundError(f'no {key}')
+        return await self._edit(Edit(key=key, patch=()), seen)
+
+    async def _edit(self, edit: Edit, seen: StoredObject) -> StoredObject:
         await self.check_rights(edit.key)
         change = {
             'id': uuid.uuid4().hex,
--- a/packages/cli/tests/configworld.py
+++ b/packages/cli/tests/configworld.py
@@ -31,7 +31,7 @@
         self.clock = clock
         self.log: list[tuple[float, StoredObject, Any]] = []
         self.backup: tuple[dict, int] = ({}, 0)
-        self.generation = 0
+        self.restarted = asyncio.Event()
         self.highest: dict[str, int] = {}
         # Versions that a restored backup gave out a second time.
         self.reused: set[str] = set()
@@ -53,7 +53,8 @@
 
     def restore(self) -> None:
         self.objects, self._revision = copy.deepcopy(self.backup)
-        self.generation += 1
+        self.restarted.set()
+        self.restarted = asyncio.Event()
         self.reused.update(
             key
             for key, version in self.highest.items()
@@ -79,14 +80,20 @@
 
     async def watch(self, prefix, after) -> AsyncIterator[StoredObject]:
         await self._pass()
-        generation = self.store.generation
-        async for stored in self.store.watch(prefix, after):
-            if self.store.generation != generation:
-                raise StoreUnavailableError('the store restarted')
+        restarted = asyncio.ensure_future(self.store.restarted.wait())
+        changes = self.store.watch(prefix, after)
+        while True:
+            change = asyncio.ensure_future(anext(changes))
+            await asyncio.wait(
+                {restarted, change}, return_when='FIRST_COMPLETED'
+            )
             if self.cut:
                 # A cut connection stays silent, also after the cut.
                 await asyncio.Event().wait()
-            yield stored
+            if restarted.done():
+                change.cancel()
+                raise StoreUnavailableError('the store restarted')
+            yield change.result()
 
     async def _pass(self) -> None:
         if self.cut and self.hangs:
--- a/packages/cli/tests/test_config_machine.py
+++ b/packages/cli/tests/test_config_machine.py
@@ -158,7 +158,7 @@
 
     @invariant()
     def current_is_true(self):
-        """A follower that calls itself current holds what was known 10 s ago."""
+        """A current follower holds what the store held 10 s ago."""
         now = self.world.now
         for node in self.world.nodes.values():
             if not node.follower.current(now):
@@ -204,9 +204,7 @@
         for _, stored, before in store.log:
             author = stored.value['changes'][-1]['author']
             committed.append(author)
-            known = {
-                row['author'] for row in (before or {}).get('changes', [])
-            }
+            known = {row['author'] for row in (before or {}).get('changes', [])}
             assert author not in known, 'applied twice'
             # One change replaces or adds one place, never another one.
             assert len(places_changed(before, stored.value)) <= 2
--- a/packages/config/src/oriolegauge/config/storewatch.py
+++ b/packages/config/src/oriolegauge/config/storewatch.py
@@ -44,6 +44,7 @@
         self._timing = timing
         self._wake = wake
         self._polled_at = float('-inf')
+        self._highest = 0
         self.contact_at: float | None = None
         self.watching = False
 
@@ -55,7 +56,8 @@
         self._inbox.accept_list(listed)
         self._polled_at = started
         self._heard(started)
-        return max((found.version for found in listed), default=0)
+        self._highest = max((found.version for found in listed), default=0)
+        return self._highest
 
     async def follow(
         self,
@@ -94,7 +96,7 @@
     async def _check(self, age_s: Callable[[float], float | None]) -> None:
         now = self._clock()
         if now - self._polled_at >= self._timing.poll_s:
-            await self.read_all()
+            await self._poll()
             return
         own_age_s = now - (self.contact_at or 0)
         known_age_s = age_s(now)
@@ -110,6 +112,11 @@
             self._inbox.accept_from_store(found)
         self._heard(now)
 
+    async def _poll(self) -> None:
+        before = self._highest
+        if await self.read_all() < before:
+            raise StoreUnavailableError('the store went back to a backup')
+
     def _heard(self, at: float) -> None:
         self.contact_at = max(at, self.contact_at or at)
         self._wake()
--- a/packages/config/src/oriolegauge/config/subtrees.py
+++ b/packages/config/src/oriolegauge/config/subtrees.py
@@ -1,6 +1,5 @@
 """Typed subtrees of the configuration."""
 
-from dataclasses import field
 from enum import StrEnum
 from typing import Annotated, Literal, Self
 
@@ -20,7 +19,7 @@
 MAX_QUEUE = 100_000
 MAX_SHARE = 0.5
 
-Everything = ('*',)
+EVERYTHING = ('*',)
 PriorityName = Literal['urgent', 'normal', 'batch']
 Method = Literal['GET', 'HEAD', 'OPTIONS', 'POST', 'PUT', 'PATCH', 'DELETE']
 
@@ -34,15 +33,25 @@
     at_unix_s: int = Field(ge=0)
 
 
-Changes = Annotated[tuple[Change, ...], Field(max_length=MAX_CHANGES)]
+Changes = Annotated[
+    tuple[Change, ...],
+    Field(
+        max_length=MAX_CHANGES,
+        description='Last changes, kept by the command-line tool.',
+    ),
+]
 
 
 @dataclass(frozen=True, config=STRICT, kw_only=True, slots=True)
 class CallerKey:
     """Link a hashed caller key to a budget of its team."""
 
-    budget: BudgetName
-    expires_unix_s: int | None = Field(default=None, gt=0)
+    budget: BudgetName = Field(
+        description='Budget of the team, without the team name.'
+    )
+    expires_unix_s: int | None = Field(
+        default=None, gt=0, description='Unix time from which it is refused.'
+    )
 
     def expired(self, unix_s: float) -> bool:
         """Tell whether the key is no longer valid at this Unix time."""
@@ -55,12 +64,27 @@
 class Team:
     """Hold the subtree of one team."""
 
-    priority: PriorityName = 'normal'
-    models: tuple[ModelName, ...] = Everything
-    servers: tuple[NameOrAll, ...] = Everything
-    services: tuple[NameOrAll, ...] = Everything
-    keys: dict[KeyHash, CallerKey] = field(default_factory=dict)
-    deleted: bool = False
+    priority: PriorityName = Field(
+        default='normal', description='Highest priority class of the team.'
+    )
+    models: tuple[ModelName, ...] = Field(
+        default=EVERYTHING, description='Models that the team may use.'
+    )
+    servers: tuple[NameOrAll, ...] = Field(
+        default=EVERYTHING, description='Model engines that it may use.'
+    )
+    services: tuple[NameOrAll, ...] = Field(
+        default=EVERYTHING, description='Plain services that it may use.'
+    )
+    keys: dict[KeyHash, CallerKey] = Field(
+        default_factory=dict,
+        description='Caller keys by SHA-256 hash in hexadecimal.',
+    )
+    deleted: bool = Field(
+        default=False,
+        description='The team is deleted. The object stays, so that its '
+        'version still rises.',
+    )
     changes: Changes = ()
 
     @model_validator(mode='after')
@@ -74,19 +98,29 @@
 class EngineEntry:
     """Describe one model engine."""
 
-    url: HttpUrl
-    zone: Name
-    models: tuple[ModelName, ...]
-    leaving: bool = False
-    obeys_fencing: bool = True
-    can_resume: bool = True
+    url: HttpUrl = Field(description='URL by IP address.')
+    zone: Name = Field(description='Availability zone.')
+    models: tuple[ModelName, ...] = Field(
+        description='Models that it can serve.'
+    )
+    leaving: bool = Field(default=False, description='It receives no new work.')
+    obeys_fencing: bool = Field(
+        default=True,
+        description='It rejects commands with an old fencing number.',
+    )
+    can_resume: bool = Field(
+        default=True,
+        description='It can continue a stream from the text so far.',
+    )
 
 
 @dataclass(frozen=True, config=STRICT, kw_only=True, slots=True)
 class Servers:
     """Hold the subtree of all model engines."""
 
-    engines: dict[Name, EngineEntry] = field(default_factory=dict)
+    engines: dict[Name, EngineEntry] = Field(
+        default_factory=dict, description='Model engines by name.'
+    )
     changes: Changes = ()
 
 
@@ -94,17 +128,27 @@
 class Service:
     """Describe one plain service, its backend servers and its price."""
 
-    urls: dict[Name, HttpUrl] = Field(min_length=1)
-    tokens_per_call: int = Field(default=1, ge=0, le=1_000_000)
-    non_idempotent_methods: tuple[Method, ...] = ('POST',)
-    timeout_s: float = Field(default=30, gt=0, le=3_600)
+    urls: dict[Name, HttpUrl] = Field(
+        min_length=1, description='URLs of its backend servers by name.'
+    )
+    tokens_per_call: int = Field(
+        default=1, ge=0, le=1_000_000, description='Price of a call.'
+    )
+    non_idempotent_methods: tuple[Method, ...] = Field(
+        default=('POST',), description='Methods that must not be repeated.'
+    )
+    timeout_s: float = Field(
+        default=30, gt=0, le=3_600, description='Time limit of a call.'
+    )
 
 
 @dataclass(frozen=True, config=STRICT, kw_only=True, slots=True)
 class Services:
     """Hold the subtree of all plain services."""
 
-    services: dict[Name, Service] = field(default_factory=dict)
+    services: dict[Name, Service] = Field(
+        default_factory=dict, description='Plain services by name.'
+    )
     changes: Changes = ()
 
 
@@ -112,21 +156,55 @@
 class QueueLengths:
     """Bound the queue of each priority class, in requests per daemon."""
 
-    urgent: int = Field(default=200, ge=1, le=MAX_QUEUE)
-    normal: int = Field(default=500, ge=1, le=MAX_QUEUE)
-    batch: int = Field(default=1_000, ge=1, le=MAX_QUEUE)
+    urgent: int = Field(
+        default=200, ge=1, le=MAX_QUEUE, description='Requests of class urgent.'
+    )
+    normal: int = Field(
+        default=500, ge=1, le=MAX_QUEUE, description='Requests of class normal.'
+    )
+    batch: int = Field(
+        default=1_000,
+        ge=1,
+        le=MAX_QUEUE,
+        description='Requests of class batch.',
+    )
 
 
 @dataclass(frozen=True, config=STRICT, kw_only=True, slots=True)
 class Limits:
     """Hold the limits that all daemons share."""
 
-    max_body_bytes: int = Field(default=1_000_000, ge=1_024, le=100_000_000)
-    max_request_s: float = Field(default=600, ge=1, le=86_400)
-    default_max_tokens: int = Field(default=256, ge=1, le=1_000_000)
-    queue_lengths: QueueLengths = field(default_factory=QueueLengths)
-    retry_share: float = Field(default=0.1, ge=0, le=MAX_SHARE)
-    hedge_share: float = Field(default=0.02, ge=0, le=MAX_SHARE)
+    max_body_bytes: int = Field(
+        default=1_000_000,
+        ge=1_024,
+        le=100_000_000,
+        description='Largest request body.',
+    )
+    max_request_s: float = Field(
+        default=600, ge=1, le=86_400, description='Longest time of a request.'
+    )
+    default_max_tokens: int = Field(
+        default=256,
+        ge=1,
+        le=1_000_000,
+        description='Output cap of a request that names none.',
+    )
+    queue_lengths: QueueLengths = Field(
+        default_factory=QueueLengths,
+        description='Longest queue of each priority class, per daemon.',
+    )
+    retry_share: float = Field(
+        default=0.1,
+        ge=0,
+        le=MAX_SHARE,
+        description='Most retries as a share of requests.',
+    )
+    hedge_share: float = Field(
+        default=0.02,
+        ge=0,
+        le=MAX_SHARE,
+        description='Most hedged requests as a share of requests.',
+    )
     changes: Changes = ()
 
 
@@ -147,17 +225,27 @@
 class OperatorEntry:
     """Describe one operator by the hash of the token."""
 
-    token_hash: KeyHash
-    role: Role
-    subtrees: tuple[str, ...] = ()
-    expires_unix_s: int | None = Field(default=None, gt=0)
+    token_hash: KeyHash = Field(
+        description='SHA-256 hash of the token in hexadecimal.'
+    )
+    role: Role = Field(description='What the operator may do.')
+    subtrees: tuple[str, ...] = Field(
+        default=(),
+        description='Keys that the operator may change, with what is below '
+        'them, such as `config/teams` or `budgets`. Role `admin` needs none.',
+    )
+    expires_unix_s: int | None = Field(
+        default=None, gt=0, description='Unix time from which it is refused.'
+    )
 
 
 @dataclass(frozen=True, config=STRICT, kw_only=True, slots=True)
 class Operators:
     """Hold the operators, by name; without any, every operator is admin."""
 
-    operators: dict[Name, OperatorEntry] = field(default_factory=dict)
+    operators: dict[Name, OperatorEntry] = Field(
+        default_factory=dict, description='Operators by name.'
+    )
     changes: Changes = ()
 
     def find(self, token_hash: str, unix_s: float) -> OperatorEntry | None:
