--- a/packages/backends/src/oriolegauge/backends/engineclient.py
+++ b/packages/backends/src/oriolegauge/backends/engineclient.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import orjson
+
 from oriolegauge.backends.backendserver import BackendServer
 from oriolegauge.backends.enginerequest import EngineRequest
 from oriolegauge.backends.enginestream import EngineStream
--- a/packages/backends/src/oriolegauge/backends/enginestream.py
+++ b/packages/backends/src/oriolegauge/backends/enginestream.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import orjson
+
 from oriolegauge.backends.errors import ServerCutError
 
 EVENT_END = b'\n\n'
--- a/packages/backends/src/oriolegauge/backends/serviceclient.py
+++ b/packages/backends/src/oriolegauge/backends/serviceclient.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+
 from oriolegauge.backends.backendserver import BackendServer
 from oriolegauge.backends.errors import ServerConnectError, ServerCutError
 
--- a/packages/cli/src/oriolegauge/cli/adminclient.py
+++ b/packages/cli/src/oriolegauge/cli/adminclient.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import aiohttp
+
 from oriolegauge.cli.errors import DaemonRejectedError, DaemonUnreachableError
 from oriolegauge.core.errors import ForbiddenError, UnauthenticatedError
 
--- a/packages/cli/src/oriolegauge/cli/configfiles.py
+++ b/packages/cli/src/oriolegauge/cli/configfiles.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import json5
+
 from oriolegauge.cli.operator import editable
 from oriolegauge.config import ConfigInvalidError, parse_subtree
 from oriolegauge.config.configtree import PREFIX
--- a/packages/cli/src/oriolegauge/cli/history.py
+++ b/packages/cli/src/oriolegauge/cli/history.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import orjson
+
 from oriolegauge.cli.merge import Patch
 from oriolegauge.platform import StoredObject
 
--- a/packages/cli/src/oriolegauge/cli/main.py
+++ b/packages/cli/src/oriolegauge/cli/main.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import defopt
+
 from oriolegauge.cli.budgetverbs import BudgetVerbs
 from oriolegauge.cli.configverbs import ConfigVerbs
 from oriolegauge.cli.fleetverbs import FleetVerbs
--- a/packages/cli/src/oriolegauge/cli/operator.py
+++ b/packages/cli/src/oriolegauge/cli/operator.py
@@ -8,6 +8,13 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+from tenacity import (
+    AsyncRetrying,
+    retry_if_exception_type,
+    stop_after_attempt,
+    wait_random_exponential,
+)
+
 from oriolegauge.cli.errors import ChangeUnknownError, EditConflictError
 from oriolegauge.cli.history import add_entry, entry_of, history_key
 from oriolegauge.cli.merge import Patch, diff, merge
@@ -29,12 +36,6 @@
     StoreRateLimitError,
     VersionConflictError,
 )
-from tenacity import (
-    AsyncRetrying,
-    retry_if_exception_type,
-    stop_after_attempt,
-    wait_random_exponential,
-)
 
 MAX_ATTEMPTS = 10
 RETRY_ATTEMPTS = 6
--- a/packages/cli/src/oriolegauge/cli/session.py
+++ b/packages/cli/src/oriolegauge/cli/session.py
@@ -6,6 +6,7 @@
 from typing import Any, TypeVar
 
 import aiohttp
+
 from oriolegauge.cli.adminclient import AdminClient
 from oriolegauge.cli.operator import Operator
 from oriolegauge.cli.options import Options
--- a/packages/config/src/oriolegauge/config/configfollower.py
+++ b/packages/config/src/oriolegauge/config/configfollower.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 import structlog
+
 from oriolegauge.config.configinbox import ConfigInbox
 from oriolegauge.config.configpeers import ConfigPeers, PeerConfig
 from oriolegauge.config.configtree import ConfigTree
--- a/packages/config/src/oriolegauge/config/configinbox.py
+++ b/packages/config/src/oriolegauge/config/configinbox.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 import structlog
+
 from oriolegauge.config.configtree import ConfigTree
 from oriolegauge.config.errors import ConfigInvalidError
 from oriolegauge.platform import StoredObject
--- a/packages/config/src/oriolegauge/config/daemonsettings.py
+++ b/packages/config/src/oriolegauge/config/daemonsettings.py
@@ -1,5 +1,8 @@
 """Settings of one daemon."""
 
+from pydantic import Field
+from pydantic.dataclasses import dataclass
+
 from oriolegauge.config.fields import (
     STRICT,
     HttpUrl,
@@ -8,8 +11,6 @@
     PeerAddress,
     Port,
 )
-from pydantic import Field
-from pydantic.dataclasses import dataclass
 
 
 @dataclass(frozen=True, config=STRICT, kw_only=True, slots=True)
@@ -89,6 +90,12 @@
         le=4_096,
         description='Number of budget shard objects, equal in the fleet.',
     )
+    intent_shards: int = Field(
+        default=4,
+        ge=1,
+        le=4_096,
+        description='Number of intent objects, equal in the fleet.',
+    )
     flush_period_s: float = Field(
         default=2,
         gt=0,
--- a/packages/config/src/oriolegauge/config/parse.py
+++ b/packages/config/src/oriolegauge/config/parse.py
@@ -4,6 +4,8 @@
 from typing import Any
 
 import orjson
+from pydantic import TypeAdapter, ValidationError
+
 from oriolegauge.config.errors import ConfigInvalidError
 from oriolegauge.config.subtrees import (
     Limits,
@@ -12,7 +14,6 @@
     Services,
     Team,
 )
-from pydantic import TypeAdapter, ValidationError
 
 PREFIX = 'config/'
 TEAM_PREFIX = 'config/teams/'
--- a/packages/config/src/oriolegauge/config/peerfetch.py
+++ b/packages/config/src/oriolegauge/config/peerfetch.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 
 import structlog
+
 from oriolegauge.config.configinbox import ConfigInbox
 from oriolegauge.config.configpeers import ConfigPeers, PeerConfig
 from oriolegauge.core import OriolegaugeError, rank
--- a/packages/config/src/oriolegauge/config/settingsfile.py
+++ b/packages/config/src/oriolegauge/config/settingsfile.py
@@ -7,6 +7,8 @@
 
 import json5
 import orjson
+from pydantic import TypeAdapter, ValidationError
+
 from oriolegauge.config.daemonsettings import (
     DaemonSettings,
     PeerSettings,
@@ -16,7 +18,6 @@
 from oriolegauge.config.errors import SettingsInvalidError
 from oriolegauge.config.location import Path, line_numbers, nearest_line
 from oriolegauge.config.settingschecks import Problem, unsafe_combinations
-from pydantic import TypeAdapter, ValidationError
 
 UNIT = re.compile('_(s|ms|us|min|h|bytes|kb|mb|gb|tokens)$')
 UNIT_NAMES: Mapping[str, str] = {
--- a/packages/config/src/oriolegauge/config/subtrees.py
+++ b/packages/config/src/oriolegauge/config/subtrees.py
@@ -3,6 +3,9 @@
 from enum import StrEnum
 from typing import Annotated, Literal, Self
 
+from pydantic import Field, model_validator
+from pydantic.dataclasses import dataclass
+
 from oriolegauge.config.fields import (
     STRICT,
     BudgetName,
@@ -12,8 +15,6 @@
     Name,
     NameOrAll,
 )
-from pydantic import Field, model_validator
-from pydantic.dataclasses import dataclass
 
 MAX_CHANGES = 16
 MAX_QUEUE = 100_000
--- a/packages/daemon/src/oriolegauge/daemon/adminapi.py
+++ b/packages/daemon/src/oriolegauge/daemon/adminapi.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from aiohttp import web
+
 from oriolegauge.daemon.lifecycle import Lifecycle
 
 
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -1,12 +1,15 @@
 """Put the parts of one daemon together and run them."""
 
 import asyncio
+import random
 import secrets
+import time
 from typing import Any
 
 import aiohttp
 import structlog
 from aiohttp import web
+
 from oriolegauge.backends import EngineClient, ServiceClient
 from oriolegauge.budget import BudgetManager
 from oriolegauge.config import (
@@ -19,7 +22,12 @@
 from oriolegauge.daemon.adminapi import AdminApi
 from oriolegauge.daemon.callerapi import CallerApi
 from oriolegauge.daemon.completions import Completions
+from oriolegauge.daemon.dispatcher import Dispatcher
 from oriolegauge.daemon.lifecycle import Lifecycle
+from oriolegauge.daemon.requests import Requests
+from oriolegauge.daemon.serverpool import ServerPool
+from oriolegauge.daemon.servicecalls import ServiceCalls
+from oriolegauge.ledger import IntentLog, RequestLedger
 from oriolegauge.platform import StoreError
 from oriolegauge.platform.httpobjectstore import HttpObjectStore
 
@@ -56,12 +64,22 @@
                 shard_count=self._settings.budget_shards,
                 clock=asyncio.get_running_loop().time,
             )
+            # Entries of intents are dropped by age, so they carry Unix time.
+            self._intents = IntentLog(
+                store=store,
+                holder=self._holder,
+                shard_count=self._settings.intent_shards,
+                clock=time.time,
+            )
             async with asyncio.TaskGroup() as group:
                 tasks = [
                     group.create_task(self._watch_config(store)),
                     group.create_task(self._flush_periodically()),
                 ]
                 await self._listen(session)
+                tasks.append(
+                    group.create_task(self._dispatcher.expire_periodically())
+                )
                 await self._drain_asked.wait()
                 await self._finish()
                 for task in tasks:
@@ -80,26 +98,43 @@
             'lifecycle': self._lifecycle.state,
             'config_versions': self._tree.versions,
             'open_requests': self._callers.open_requests,
+            **self._dispatcher.state(),
         }
 
     async def _listen(self, session: aiohttp.ClientSession) -> None:
         settings = self._settings
-        completions = Completions(
-            tree=self._tree,
-            budgets=self._budgets,
-            engines=EngineClient(
-                session=session, idle_timeout_s=ENGINE_IDLE_TIMEOUT_S
-            ),
-            default_max_tokens=settings.default_max_tokens,
+        pool = ServerPool(tree=self._tree, is_leaving=lambda _: False)
+        dispatcher = Dispatcher(
+            pool=pool,
+            zone=settings.zone,
+            rng=random.Random(),
+            clock=asyncio.get_running_loop().time,
         )
+        self._dispatcher = dispatcher
         self._callers = CallerApi(
             settings=settings,
             tree=self._tree,
             lifecycle=self._lifecycle,
-            budgets=self._budgets,
-            completions=completions,
-            services=ServiceClient(
-                session=session, timeout_s=settings.max_request_s
+            requests=Requests(
+                completions=Completions(
+                    budgets=self._budgets,
+                    engines=EngineClient(
+                        session=session, idle_timeout_s=ENGINE_IDLE_TIMEOUT_S
+                    ),
+                    dispatcher=dispatcher,
+                    default_max_tokens=settings.default_max_tokens,
+                ),
+                services=ServiceCalls(
+                    tree=self._tree,
+                    budgets=self._budgets,
+                    services=ServiceClient(
+                        session=session, timeout_s=settings.max_request_s
+                    ),
+                    dispatcher=dispatcher,
+                ),
+                ledger=RequestLedger(),
+                intents=self._intents,
+                clock=asyncio.get_running_loop().time,
             ),
         )
         admin = AdminApi(
--- a/packages/daemon/src/oriolegauge/daemon/main.py
+++ b/packages/daemon/src/oriolegauge/daemon/main.py
@@ -7,6 +7,7 @@
 
 import defopt
 import structlog
+
 from oriolegauge.config import SettingsInvalidError, load_settings
 from oriolegauge.daemon.daemon import Daemon
 from oriolegauge.daemon.logs import configure_logs
--- a/packages/standins/src/oriolegauge/standins/engine.py
+++ b/packages/standins/src/oriolegauge/standins/engine.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from aiohttp import web
+
 from oriolegauge.standins.batch import Batch, Stream
 from oriolegauge.standins.server import arguments, serve
 
