Record top-ups whose answer was lost in the history

Cause: a top-up that was found applied on reading back left no history entry, and a top-up in an empty shard ended with a KeyError.

Change: the entry is written from the attempted change, and an unknown budget is reported as such. The fake store path closes its watch without leaving tasks behind.

--- a/docs/generate.py
+++ b/docs/generate.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 from typing import Any
 
+from pydantic import TypeAdapter
+
 from oriolegauge.config import (
     DaemonSettings,
     Limits,
@@ -24,7 +26,6 @@
     Service,
 )
 from oriolegauge.core.resultcode import HTTP_STATUS, ResultCode
-from pydantic import TypeAdapter
 
 DOCS = Path(__file__).parent
 UNITS = (
--- a/packages/budget/src/oriolegauge/budget/shardlog.py
+++ b/packages/budget/src/oriolegauge/budget/shardlog.py
@@ -6,6 +6,13 @@
 from dataclasses import dataclass
 from typing import Any
 
+from tenacity import (
+    AsyncRetrying,
+    RetryCallState,
+    retry_if_exception_type,
+    stop_after_attempt,
+)
+
 from oriolegauge.budget.budgetaccount import BudgetAccount
 from oriolegauge.budget.errors import BudgetUnknownError
 from oriolegauge.budget.holdername import process_of
@@ -26,12 +33,6 @@
     StoreError,
     VersionConflictError,
 )
-from tenacity import (
-    AsyncRetrying,
-    RetryCallState,
-    retry_if_exception_type,
-    stop_after_attempt,
-)
 
 ATTEMPTS_MAX = 10
 """Attempts of one write; with 6 writers a write rarely needs more than 3."""
--- a/packages/cli/src/oriolegauge/cli/budgetverbs.py
+++ b/packages/cli/src/oriolegauge/cli/budgetverbs.py
@@ -4,7 +4,12 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from oriolegauge.budget import apply_top_up, create_budget, shard_key
+from oriolegauge.budget import (
+    BudgetUnknownError,
+    apply_top_up,
+    create_budget,
+    shard_key,
+)
 from oriolegauge.cli.errors import EditConflictError, UsageError
 from oriolegauge.cli.operator import Operator, Update
 from oriolegauge.cli.session import Session
@@ -53,12 +58,13 @@
         :param top_up_id: id of the payment; a repeated call counts once
         """
         payment = _payment(tokens, top_up_id)
-        return self._pay(
-            budget,
-            payment,
-            tokens,
-            lambda shard: apply_top_up(shard, budget, payment, tokens),
-        )
+
+        def add(shard: Shard) -> dict[str, Any]:
+            if budget not in shard.get('budgets', {}):
+                raise BudgetUnknownError(f'no budget {budget}')
+            return apply_top_up(shard, budget, payment, tokens)
+
+        return self._pay(budget, payment, tokens, add)
 
     def show_all(self, team: str = '') -> list[dict[str, Any]]:
         """List budgets with their tokens.
--- a/packages/cli/src/oriolegauge/cli/operator.py
+++ b/packages/cli/src/oriolegauge/cli/operator.py
@@ -148,13 +148,17 @@
         """Put a change of a budget shard in the store and in the history."""
         await self.check_rights(update.key)
         current = await self.read(update.key)
+        patch: Patch | None = None
         for _ in range(MAX_ATTEMPTS):
             if update.done(current.value):
+                if patch is not None:
+                    await self._record_update(update, patch, current)
                 return current
             target = update.change(current.value)
+            patch = _budget_patch(update.name, current.value, target)
             stored = await self._try_put(current, target)
             if stored is not None:
-                await self._record_update(update, current, stored)
+                await self._record_update(update, patch, stored)
                 return stored
             current = await self._resolve(update.key, update.change_id)
         raise EditConflictError(f'{update.key} keeps changing')
@@ -215,23 +219,18 @@
         return await _retry(StoreRateLimitError, call)
 
     async def _record_update(
-        self, update: Update, before: StoredObject, after: StoredObject
+        self, update: Update, patch: Patch, stored: StoredObject
     ) -> None:
-        # Holders change the shard as well, so only the budget is compared.
-        sides = (
-            shard.value.get('budgets', {}).get(update.name, {})
-            for shard in (before, after)
-        )
         entry = entry_of(
             {
                 'id': update.change_id,
                 'author': self._author,
                 'at_unix_s': int(self._clock()),
             },
-            diff(*sides),
-            after.version,
+            patch,
+            stored.version,
         )
-        await self._record(f'budgets/{update.name}', entry, after)
+        await self._record(f'budgets/{update.name}', entry, stored)
 
     async def _record(
         self, key: str, entry: dict[str, Any], stored: StoredObject
@@ -275,6 +274,13 @@
     return {name: part for name, part in value.items() if name != 'changes'}
 
 
+def _budget_patch(name: str, before: _Value, after: _Value) -> Patch:
+    old, new = (
+        shard.get('budgets', {}).get(name, {}) for shard in (before, after)
+    )
+    return diff(old, new)
+
+
 def _holds_change(value: _Value, change_id: str) -> bool:
     return any(row['id'] == change_id for row in value.get('changes', []))
 
--- a/packages/cli/tests/configworld.py
+++ b/packages/cli/tests/configworld.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import looptime
+
 from oriolegauge.cli.errors import ChangeUnknownError
 from oriolegauge.cli.operator import Operator, editable
 from oriolegauge.config import (
@@ -80,20 +81,24 @@
 
     async def watch(self, prefix, after) -> AsyncIterator[StoredObject]:
         await self._pass()
-        restarted = asyncio.ensure_future(self.store.restarted.wait())
-        changes = self.store.watch(prefix, after)
-        while True:
-            change = asyncio.ensure_future(anext(changes))
-            await asyncio.wait(
-                {restarted, change}, return_when='FIRST_COMPLETED'
-            )
-            if self.cut:
-                # A cut connection stays silent, also after the cut.
-                await asyncio.Event().wait()
-            if restarted.done():
-                change.cancel()
-                raise StoreUnavailableError('the store restarted')
-            yield change.result()
+        changes = asyncio.Queue()
+        feed = asyncio.create_task(self._feed(prefix, after, changes))
+        restarted = asyncio.create_task(self.store.restarted.wait())
+        restarted.add_done_callback(lambda _: changes.put_nowait(None))
+        try:
+            while (stored := await changes.get()) is not None:
+                if self.cut:
+                    # A cut connection stays silent, also after the cut.
+                    await asyncio.Event().wait()
+                yield stored
+            raise StoreUnavailableError('the store restarted')
+        finally:
+            feed.cancel()
+            restarted.cancel()
+
+    async def _feed(self, prefix, after, changes) -> None:
+        async for stored in self.store.watch(prefix, after):
+            changes.put_nowait(stored)
 
     async def _pass(self) -> None:
         if self.cut and self.hangs:
--- a/packages/cli/tests/test_command_line.py
+++ b/packages/cli/tests/test_command_line.py
@@ -8,6 +8,7 @@
 
 import pytest
 from aiohttp import web
+
 from oriolegauge.cli.errors import ChangeUnknownError, EditConflictError
 from oriolegauge.cli.main import run, verbs
 from oriolegauge.cli.merge import diff, merge
--- a/packages/cli/tests/test_config_machine.py
+++ b/packages/cli/tests/test_config_machine.py
@@ -13,6 +13,7 @@
     rule,
     run_state_machine_as_test,
 )
+
 from oriolegauge.cli.operator import Operator
 from oriolegauge.config import ConfigFollower, ConfigTree
 from oriolegauge.config.configtree import TEAM_PREFIX
--- a/packages/config/tests/test_settings.py
+++ b/packages/config/tests/test_settings.py
@@ -11,6 +11,7 @@
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
+
 from oriolegauge.config import (
     ConfigInvalidError,
     ConfigTree,
