--- a/packages/membership/src/oriolegauge/membership/memberrecord.py
+++ b/packages/membership/src/oriolegauge/membership/memberrecord.py
@@ -33,7 +33,7 @@
 class MemberRecord:
     """Hold the living incarnations of a member and the proof against others.
 
-    Every incarnation that existed at `dead_before`, except `survivor`, is
+    Every incarnation that existed before `dead_before`, except `survivor`, is
     dead: processes at one address follow each other and never overlap.
     `silent_floor` is when this daemon began to listen.
     """
@@ -62,13 +62,13 @@
         return found
 
     def bury(self, dead_before: float, survivor: str | None) -> None:
-        """Mark all incarnations dead that existed then, but the survivor."""
+        """Mark all incarnations dead that existed before, but the survivor."""
         if dead_before < self.dead_before:
             return
         self.dead_before = dead_before
         self.survivor = survivor
         for found in list(self.living.values()):
-            if found.first_heard <= dead_before and found.name != survivor:
+            if found.first_heard < dead_before and found.name != survivor:
                 self.living.pop(found.name)
                 self.dead.append(found.name)
 
@@ -92,7 +92,7 @@
     def silent_since(self) -> float:
         """Return since when no member has heard of this one."""
         own = [found.silent_since for found in self.living.values()]
-        return max(self.silent_floor, *own, *self.reports.values())
+        return max((self.silent_floor, *own, *self.reports.values()))
 
     def shift(self, pause_s: float) -> None:
         """Leave a pause of this daemon out of the silence of the member."""
--- a/packages/membership/src/oriolegauge/membership/membertable.py
+++ b/packages/membership/src/oriolegauge/membership/membertable.py
@@ -157,7 +157,7 @@
         record = self._record(member)
         if incarnation in record.dead:
             return True
-        if incarnation not in record.living and seen_at <= record.dead_before:
+        if incarnation not in record.living and seen_at < record.dead_before:
             return incarnation != record.survivor
         return self.state(member, now) is MemberState.GONE
 
