--- a/packages/admission/src/oriolegauge/admission/lengthpredictor.py
+++ b/packages/admission/src/oriolegauge/admission/lengthpredictor.py
@@ -35,7 +35,8 @@
         self, team: str, model: str, tokens: int, max_tokens: int = 0
     ) -> None:
         """Learn the output of a complete answer; a bound of 0 is unknown."""
-        for bound in {max_tokens, 0}:
+        bounds = (max_tokens, 0) if max_tokens else (0,)
+        for bound in bounds:
             for name in (team, _ALL_TEAMS):
                 self._learn((name, model, bound.bit_length()), tokens)
         while len(self._averages) > MAX_KEYS:
--- a/packages/ledger/tests/test_intentlog_machine.py
+++ b/packages/ledger/tests/test_intentlog_machine.py
@@ -6,7 +6,6 @@
 from contextlib import suppress
 
 import looptime
-import oriolegauge.ledger.intentwriter as intentwriter
 import pytest
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import strategies as st
@@ -15,6 +14,8 @@
     rule,
     run_state_machine_as_test,
 )
+
+import oriolegauge.ledger.intentwriter as intentwriter
 from oriolegauge.core import RunState
 from oriolegauge.core.errors import OutcomeUnknownError
 from oriolegauge.ledger import (
@@ -194,9 +195,7 @@
         for offset in range(copies):
             daemon = self.daemons[(number + offset) % 3]
             if daemon.frozen_until <= self.loop.time():
-                self.spawn(
-                    self.serve(daemon, key, effect, pause_s, patience_s)
-                )
+                self.spawn(self.serve(daemon, key, effect, pause_s, patience_s))
         self.advance(0.001)
 
     @rule(seconds=st.sampled_from([0.01, 0.1, 0.6, 1.5, 4, 60]))
--- a/packages/membership/tests/test_membertable.py
+++ b/packages/membership/tests/test_membertable.py
@@ -12,6 +12,7 @@
     rule,
     run_state_machine_as_test,
 )
+
 from oriolegauge.membership import Evidence, MemberState, MemberTable
 from oriolegauge.membership.memberrecord import MemberRecord
 
