--- a/packages/membership/tests/test_membertable.py
+++ b/packages/membership/tests/test_membertable.py
@@ -406,10 +406,15 @@
             table_class = broken
 
         limits = settings(
-            budget(600, 40), max_examples=600, phases=[Phase.generate]
+            max_examples=600,
+            stateful_step_count=40,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            phases=[Phase.generate],
         )
         with pytest.raises(AssertionError):
-            run(Broken, limits)
+            run_state_machine_as_test(Broken, settings=limits)
 
 
 class TestMemberTable:
