--- a/packages/platform/src/oriolegauge/platform/errors.py
+++ b/packages/platform/src/oriolegauge/platform/errors.py
@@ -16,6 +16,10 @@
     code = ResultCode.STORE_UNAVAILABLE
 
 
+class StoreUnreachableError(StoreUnavailableError):
+    """Report that no connection to the store exists; not applied."""
+
+
 class StoreRateLimitError(StoreError):
     """Report a call that the store refused for its rate; not applied."""
 
--- a/packages/platform/src/oriolegauge/platform/httpobjectstore.py
+++ b/packages/platform/src/oriolegauge/platform/httpobjectstore.py
@@ -10,6 +10,7 @@
     StoreAnswerLostError,
     StoreRateLimitError,
     StoreUnavailableError,
+    StoreUnreachableError,
     VersionConflictError,
 )
 from oriolegauge.platform.hoststatus import HostStatus
@@ -17,10 +18,12 @@
 from yarl import URL
 
 CALL_TIMEOUT_S = 2.0
+CONNECT_SHARE = 0.5
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 HTTP_TOO_MANY = 429
 HTTP_ERROR = 400
+_CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 class HttpObjectStore:
@@ -36,7 +39,11 @@
         """Use the session for all calls to the API at the URL."""
         self._url = URL(url)
         self._session = session
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        # The shorter limit for connecting tells a call that was never sent
+        # from one whose answer is lost.
+        self._timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=timeout_s * CONNECT_SHARE
+        )
         self.calls = 0
 
     async def get(self, key: str) -> StoredObject | None:
@@ -88,7 +95,7 @@
                     if line.strip():
                         yield _stored(json.loads(line))
         except (aiohttp.ClientError, TimeoutError) as error:
-            raise StoreUnavailableError(f'watch ended: {error!r}') from error
+            raise StoreUnreachableError(f'watch ended: {error!r}') from error
 
     def _object_url(self, key: str) -> URL:
         return self._url / 'objects' / key
@@ -111,8 +118,8 @@
                 timeout=self._timeout,
             ) as response:
                 payload = await response.read()
-        except aiohttp.ClientConnectorError as error:
-            raise StoreUnavailableError(
+        except _CONNECT_ERRORS as error:
+            raise StoreUnreachableError(
                 f'store unreachable: {error!r}'
             ) from error
         except (TimeoutError, aiohttp.ClientError) as error:
@@ -127,7 +134,7 @@
 ) -> StoreUnavailableError | StoreAnswerLostError:
     message = f'no answer from the store: {error!r}'
     if method == 'GET':
-        return StoreUnavailableError(message)
+        return StoreUnreachableError(message)
     return StoreAnswerLostError(message)
 
 
--- a/packages/wire/tests/test_peerlink.py
+++ b/packages/wire/tests/test_peerlink.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 
 import aiohttp
+import aiohttp.web
 import pytest
 from oriolegauge.core import RunState
 from oriolegauge.core.errors import AnswerIncompleteError, NotFoundError
