Hold the limit near the level of its last cut

Cause: growth at a constant rate overshot the engine's slots again and again, and short work waited in the engine's own queue. Change: growth slows near the last cut; the upper quartile of first-token times decides; stragglers keep an eighth of a server while short work waits, and one share serves for the start and the pause.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -56,7 +56,10 @@
         self._in_flight: dict[str, int] = {}
 
     def choose(
-        self, candidates: Sequence[ServerView], prefix_key: str | None, now: float
+        self,
+        candidates: Sequence[ServerView],
+        prefix_key: str | None,
+        now: float,
     ) -> str:
         match self._rule:
             case 'round_robin':
@@ -65,7 +68,10 @@
                 return self._rng.choice(candidates).name
         return min(
             candidates,
-            key=lambda view: (self._in_flight.get(view.name, 0), self._rng.random()),
+            key=lambda view: (
+                self._in_flight.get(view.name, 0),
+                self._rng.random(),
+            ),
         ).name
 
     def started(self, name: str, tokens: int, now: float) -> None:
--- a/bench/queuescenarios.py
+++ b/bench/queuescenarios.py
@@ -43,7 +43,9 @@
     @property
     def wait_s(self) -> float:
         """Return the time to the start on an engine; infinite if never."""
-        return math.inf if self.begun_at is None else self.begun_at - self.arrival
+        return (
+            math.inf if self.begun_at is None else self.begun_at - self.arrival
+        )
 
     @property
     def on_time(self) -> bool:
@@ -104,7 +106,9 @@
 
     def _arrive(self, name: str, work: Work) -> None:
         now = self.clock.now
-        deadline = None if math.isinf(work.patience_s) else now + work.patience_s
+        deadline = (
+            None if math.isinf(work.patience_s) else now + work.patience_s
+        )
         job = Job(
             request_id=name,
             team=work.team,
@@ -132,7 +136,9 @@
             self.queue.placed(job.request_id, name)
             self._start(job, name)
             slots = self._slots()
-        while self._resume and (job := self.queue.to_pause(slots, self.clock.now)):
+        while self._resume and (
+            job := self.queue.to_pause(slots, self.clock.now)
+        ):
             self._pause(job)
             slots = self._slots()
 
@@ -184,9 +190,7 @@
                 self._limits[name].finished(
                     stream.tokens, now - started_at, now
                 )
-            self._lengths.observe(
-                job.team, MODEL, work.tokens, work.max_tokens
-            )
+            self._lengths.observe(job.team, MODEL, work.tokens, work.max_tokens)
             self.queue.finished(job, stream.tokens, now)
             self._pump()
 
@@ -204,7 +208,10 @@
 
 
 def arrivals(
-    rng: random.Random, rate: Callable[[float], float], peak: float, until: float
+    rng: random.Random,
+    rate: Callable[[float], float],
+    peak: float,
+    until: float,
 ) -> list[float]:
     """Return arrival times of a Poisson process whose rate varies."""
     times, now = [], 0.0
@@ -348,9 +355,7 @@
 
 def fairness_spread(make: Callable[[], QueueRun], seed: int) -> float:
     """Return the largest change of a team's service during the flood."""
-    served = [
-        _served(make(), seed, flood=flood) for flood in (False, True)
-    ]
+    served = [_served(make(), seed, flood=flood) for flood in (False, True)]
     return max(
         abs(1 - served[1].get(team, 0) / tokens)
         for team, tokens in served[0].items()
@@ -365,7 +370,9 @@
         if work.team == 'flood' or not work.on_time:
             continue
         tokens = sum(
-            size for at, size in work.chunks if FLOOD_BEGIN_S <= at < FLOOD_END_S
+            size
+            for at, size in work.chunks
+            if FLOOD_BEGIN_S <= at < FLOOD_END_S
         )
         totals[work.team] = totals.get(work.team, 0) + tokens
     return totals
--- a/packages/admission/src/oriolegauge/admission/admissionqueue.py
+++ b/packages/admission/src/oriolegauge/admission/admissionqueue.py
@@ -39,12 +39,12 @@
     ageing_tokens_per_s: float = 200.0
     # A job this many times longer than the median is a straggler.
     straggler_factor: float = 8.0
-    min_straggler_tokens: int = 1024
+    min_straggler_tokens: int = 512
     # Stragglers hold at most this share of a server while short work waits.
-    straggler_share: float = 0.5
+    straggler_share: float = 0.125
     # A resumed straggler runs at least this long, because a resume costs
     # another prefill.
-    min_run_s: float = 2.0
+    min_run_s: float = 0.5
 
 
 class AdmissionQueue:
--- a/packages/admission/src/oriolegauge/admission/concurrencylimit.py
+++ b/packages/admission/src/oriolegauge/admission/concurrencylimit.py
@@ -13,8 +13,13 @@
 FIRST_TOKEN_TOLERANCE = 2.0
 SMOOTHING = 0.2
 FIRST_TOKENS = 16
+FIRST_TOKEN_QUANTILE = 0.75
+# Growth slows down near the level of the last cut, which is forgotten after a
+# window without cuts.
+NEAR_CUT = 0.85
+SLOW_GROWTH = 0.1
 MIN_FIRST_TOKENS = 8
-SMALL_CUT = 0.92
+SMALL_CUT = 0.9
 LARGE_CUT = 0.7
 
 
@@ -31,6 +36,7 @@
         self._first_tokens = RecentValues(FIRST_TOKENS)
         self._best_first_token = _WindowedBest()
         self._changed_at = -math.inf
+        self._cut_at = math.inf
 
     @property
     def limit(self) -> int:
@@ -59,11 +65,11 @@
     def first_token(self, latency_s: float, now: float) -> None:
         """Adapt to the time from the sending to the first token."""
         self._first_tokens.add(latency_s)
-        median = self._first_tokens.quantile(0.5)
-        if median is None or len(self._first_tokens) < MIN_FIRST_TOKENS:
+        typical = self._first_tokens.quantile(FIRST_TOKEN_QUANTILE)
+        if typical is None or len(self._first_tokens) < MIN_FIRST_TOKENS:
             return
-        best = self._best_first_token.lowest(median, now)
-        ratio = FIRST_TOKEN_TOLERANCE * best / median
+        best = self._best_first_token.lowest(typical, now)
+        ratio = FIRST_TOKEN_TOLERANCE * best / typical
         if ratio < 1:
             self._cut(ratio)
             self._changed_at = now
@@ -90,16 +96,23 @@
                 self._changed_at = now
         elif busy + 1 > self._limit:
             # A limit that isn't used says nothing about a higher one.
-            grown = self._limit + 1 / self._limit
-            self._limit = min(self._maximum, grown)
+            self._grow(now)
 
     def failed(self) -> None:
         """Count a failed job and reduce the limit."""
         self._in_flight = max(0, self._in_flight - 1)
         self._cut(LARGE_CUT)
 
+    def _grow(self, now: float) -> None:
+        if now > self._changed_at + WINDOW_S:
+            self._cut_at = math.inf
+        is_near = self._limit > self._cut_at * NEAR_CUT
+        step = (SLOW_GROWTH if is_near else 1) / self._limit
+        self._limit = min(self._maximum, self._limit + step)
+
     def _cut(self, ratio: float) -> None:
         cut = min(SMALL_CUT, max(LARGE_CUT, ratio))
+        self._cut_at = self._limit
         self._limit = max(1, self._limit * cut)
         # The next cut needs latencies that this one has reached.
         self._first_tokens = RecentValues(FIRST_TOKENS)
