--- a/packages/admission/src/oriolegauge/admission/classqueue.py
+++ b/packages/admission/src/oriolegauge/admission/classqueue.py
@@ -63,8 +63,6 @@
 
     def peek(self, fits: Callable[[LaneKey], bool]) -> Place | None:
         """Return the next job among the lanes that fit, or None."""
-        if self._teams:
-            self._counters.limit_leads(self._teams)
         for team in sorted(self._teams, key=self._counters.__getitem__):
             heads = [
                 (*lane.head(), key)
--- a/packages/admission/src/oriolegauge/admission/teamcounters.py
+++ b/packages/admission/src/oriolegauge/admission/teamcounters.py
@@ -5,9 +5,6 @@
 # Counters of idle teams are dropped past this number, lowest first, because
 # a returning team is lifted to the least served waiting team anyway.
 MAX_TEAMS = 4096
-# A team is never further ahead of the least served waiting team than this;
-# otherwise one straggler would shut out all short work of its team.
-MAX_LEAD_TOKENS = 1000
 
 
 class TeamCounters:
@@ -29,12 +26,6 @@
         if len(self._tokens) > MAX_TEAMS:
             self._prune({*waiting, team})
 
-    def limit_leads(self, waiting: Collection[str]) -> None:
-        """Bound the lead of each waiting team."""
-        highest = min(self[team] for team in waiting) + MAX_LEAD_TOKENS
-        for team in waiting:
-            self._tokens[team] = min(self[team], highest)
-
     def charge(self, team: str, tokens: float) -> None:
         """Add served tokens; a negative number corrects a prediction."""
         if team in self._tokens:
