--- a/packages/admission/src/oriolegauge/admission/lengthpredictor.py
+++ b/packages/admission/src/oriolegauge/admission/lengthpredictor.py
@@ -35,9 +35,10 @@
         self, team: str, model: str, tokens: int, max_tokens: int = 0
     ) -> None:
         """Learn the output of a complete answer; a bound of 0 is unknown."""
-        for bound in {max_tokens, 0}:
-            for name in (team, _ALL_TEAMS):
-                self._learn((name, model, bound.bit_length()), tokens)
+        for name in (team, _ALL_TEAMS):
+            self._learn((name, model, 0), tokens)
+            if max_tokens:
+                self._learn((name, model, max_tokens.bit_length()), tokens)
         while len(self._averages) > MAX_KEYS:
             self._averages.popitem(last=False)
 
