--- a/bench/fakeengines.py
+++ b/bench/fakeengines.py
@@ -53,6 +53,7 @@
     name: str
     clock: Clock
     slots: int = 8
+    chunk_tokens: int = CHUNK_TOKENS
     cached_prefixes: int = 0
     spells: list[tuple[float, float]] = field(default_factory=list)
     slowdown: float = 10.0
@@ -109,7 +110,7 @@
         if stream.cancelled:
             return
         # The first chunk is one token, so that its time is the first token's.
-        size = 1 if stream.first_at is None else CHUNK_TOKENS
+        size = 1 if stream.first_at is None else self.chunk_tokens
         size = min(size, stream.tokens - stream.done)
         batch = 1 + BATCH_SLOPE * len(self.running) / self.slots
         seconds = size * TOKEN_S * batch * self._slow()
