Relay store calls over peers and keep background tasks running

Cause: a daemon cut off from the store only could not flush or claim. A store that ended a watch raised StopAsyncIteration in the relaying client, which ended the task group and with it the whole daemon. Ruled out: ending the daemon on any failed task, because that cuts streams. Change: all store calls go through RelayedStore; its watch treats a clean end as a reason to poll; background tasks are logged and restarted.

--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -30,6 +30,7 @@
 from oriolegauge.daemon.heartbeats import Heartbeats
 from oriolegauge.daemon.lifecycle import Lifecycle
 from oriolegauge.daemon.meshpeers import MeshBudgetPeers, MeshConfigPeers
+from oriolegauge.daemon.meshrelay import MeshRelay
 from oriolegauge.daemon.metrics import Metrics
 from oriolegauge.daemon.peerhandler import PeerHandler
 from oriolegauge.daemon.peermesh import PeerMesh
@@ -37,9 +38,11 @@
 from oriolegauge.daemon.serverpool import ServerPool
 from oriolegauge.daemon.serverwatch import ServerWatch
 from oriolegauge.daemon.servicecalls import ServiceCalls
+from oriolegauge.daemon.supervise import supervise
 from oriolegauge.ledger import IntentLog, RequestLedger
 from oriolegauge.membership import LeavingServers
 from oriolegauge.platform.httpobjectstore import HttpObjectStore
+from oriolegauge.platform.relayedstore import RelayedStore
 
 DRAIN_POLL_S = 0.05
 # Outcomes of intents that the store does not take in this time stay unknown.
@@ -78,11 +81,16 @@
             server_ssl=peer_server_context(peer_tls) if peer_tls else None,
             client_ssl=peer_client_context(peer_tls) if peer_tls else None,
         )
-        self._store = HttpObjectStore(
+        self._direct_store = HttpObjectStore(
             url=settings.store_url,
             session=session,
             timeout_s=settings.store_timeout_s,
         )
+        self._store = RelayedStore(
+            direct=self._direct_store,
+            relay=MeshRelay(mesh=self._mesh, name=settings.name),
+            clock=clock,
+        )
         self._follower = ConfigFollower(
             settings=settings,
             tree=self._tree,
@@ -143,7 +151,7 @@
             budgets=self._budgets,
             tree=self._tree,
             guard=self._guard,
-            store=self._store,
+            store=self._direct_store,
             serve=self._callers.serve_forwarded,
             on_heartbeat=self._follower.notice,
         )
@@ -171,17 +179,15 @@
         await self._listen()
         async with asyncio.TaskGroup() as group:
             tasks = [
-                group.create_task(job)
+                group.create_task(supervise(job))
                 for job in (
-                    self._mesh.run(
-                        self._heartbeats.own, self._heartbeats.take_over
-                    ),
-                    self._follower.run(),
-                    self._become_ready(),
-                    self._flush_periodically(),
-                    self._dead_holders.run(),
-                    self._server_watch.run(),
-                    self._dispatcher.expire_periodically(),
+                    self._run_mesh,
+                    self._follower.run,
+                    self._become_ready,
+                    self._flush_periodically,
+                    self._dead_holders.run,
+                    self._server_watch.run,
+                    self._dispatcher.expire_periodically,
                 )
             ]
             await self._drain_asked.wait()
@@ -211,7 +217,8 @@
             'config_versions': self._tree.versions,
             'config_refused_lower': follower.refused_lower,
             'config_refused_invalid': follower.refused_invalid,
-            'store_calls': self._store.calls,
+            'store_calls': self._direct_store.calls,
+            'store_relayed': self._store.relaying,
             'members': {
                 name: member.state
                 for name, member in self._mesh.view().members.items()
@@ -247,6 +254,9 @@
             clock=self._clock,
         )
 
+    async def _run_mesh(self) -> None:
+        await self._mesh.run(self._heartbeats.own, self._heartbeats.take_over)
+
     async def _answer_peer(self, sender, message):
         return await self._peer_handler.answer(sender, message)
 
@@ -261,7 +271,7 @@
             'config_current': float(self._follower.current(self._clock())),
             'open_requests': self._callers.open_requests,
             'members_alive': len(self._mesh.view().members),
-            'store_calls': self._store.calls,
+            'store_calls': self._direct_store.calls,
             'quarantined_requests': len(self._guard.quarantined),
             **{
                 f'waiting_{name}': count
--- a/packages/daemon/src/oriolegauge/daemon/peerhandler.py
+++ b/packages/daemon/src/oriolegauge/daemon/peerhandler.py
@@ -19,8 +19,8 @@
 from oriolegauge.daemon.callercall import CallerCall
 from oriolegauge.daemon.crashguard import CrashGuard
 from oriolegauge.daemon.forwarder import PartsSink, received_call
-from oriolegauge.daemon.storerelay import answer_store_call
 from oriolegauge.platform import ObjectStore
+from oriolegauge.platform.storerelay import RelayCall, answer_relay_call
 from oriolegauge.routing.crashquarantine import CrashReport
 from oriolegauge.wire import Sender
 from oriolegauge.wire.messages import (
@@ -30,6 +30,7 @@
     Forward,
     Heartbeat,
     Message,
+    StoreAnswer,
     StoreCall,
     SuspectClaim,
     SuspectRelease,
@@ -71,7 +72,7 @@
             case Forward():
                 return self._forwarded(message)
             case StoreCall():
-                return await answer_store_call(self._store, message)
+                return await self._relayed(message)
             case CrashReport():
                 self._guard.merge(message)
                 return None
@@ -99,6 +100,20 @@
             case _:
                 raise NotFoundError(f'no answer to {type(message).__name__}')
 
+    async def _relayed(self, message: StoreCall) -> StoreAnswer:
+        answer = await answer_relay_call(
+            self._store,
+            RelayCall(
+                operation=message.operation,
+                key=message.key,
+                value=message.value,
+                expected_version=message.expected_version,
+            ),
+        )
+        return StoreAnswer(
+            status=answer.status, version=answer.version, value=answer.value
+        )
+
     def _config(self, message: ConfigFetch) -> ConfigObjects:
         found = [self._tree.stored(key) for key in message.keys]
         return ConfigObjects(
--- a/packages/platform/src/oriolegauge/platform/relayedstore.py
+++ b/packages/platform/src/oriolegauge/platform/relayedstore.py
@@ -6,6 +6,7 @@
 from typing import Any, TypeVar
 
 import orjson
+
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.core.runstate import RunState
 from oriolegauge.platform.errors import (
@@ -172,7 +173,8 @@
                     stored = await waiting
                     waiting = None
                     yield stored
-        except StoreUnreachableError:
+        except (StoreUnreachableError, StopAsyncIteration):
+            # A store that ends a watch is asked again by the poll.
             return
         finally:
             await _stop(waiting)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -224,7 +224,7 @@
             self.folder,
         )
         self.ports[name] = settings['caller_port']
-        self.wait_for(f'http://{HOST}:{settings["admin_port"]}/readyz')
+        self.wait_for(f'http://{HOST}:{settings["admin_port"]}/readyz', name)
 
     def url(self, name: str) -> str:
         return f'http://{HOST}:{self.ports[name]}'
@@ -290,9 +290,12 @@
         time.sleep(CONFIG_SETTLE_S)
         return key
 
-    def wait_for(self, url: str) -> None:
+    def wait_for(self, url: str, process: str = '') -> None:
         deadline = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline:
+            started = self.processes.get(process)
+            if started and started.child.poll() is not None:
+                raise RuntimeError(started.log.read_text())
             try:
                 if fetch(url, timeout=2)[0] == 200:
                     return
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.fleet import Fleet, chat, fetch
+from tests.load import Load, settled, wait_until
 
 PREPAID_TOKENS = 200_000
 
@@ -203,6 +204,7 @@
 
     def test_store_outage_refuses_as_not_run(self, fleet):
         """Guards against a dispatch without a durable claim."""
+        chat(fleet.url('d1'), fleet.key, 'Draws a grant [len=3]')
         fleet.faults('platform', outage=True)
         try:
             answer = reserve_part(fleet, 'd1', 'r4', key='outage')
@@ -252,6 +254,9 @@
         assert 'oriolegauge_config_current 1' in body
 
     def test_bill_adds_up(self, fleet):
-        time.sleep(1)
-        row = json.loads(fleet.operate('bill', 'cafes').stdout)[0]
-        assert 0 < row['settled'] <= PREPAID_TOKENS
+        """Guards against a bill that differs from what callers were told."""
+        time.sleep(1.5)
+        before = settled(fleet)['settled']
+        with Load(fleet, ['d1', 'd2', 'd3'], prefix='sum') as load:
+            time.sleep(0.5)
+        wait_until(lambda: settled(fleet)['settled'] - before == load.billed)
