Keep suspects isolated for 10 s after an explained crash

Cause: the new stateful machine lost three servers to one request. Two requests of different daemons were present at one crash; the quarantine of one cleared the other, which crashed the same server again within 5 s from a third daemon. Both reports then counted as one crash.

Ruled out: taking every report of a server as another crash, which would quarantine a prompt that two daemons had in flight at one crash.

Change: suspects of an explained crash stay isolated for 10 s, so a second crash within that time is reported as a repeat. One member places all suspects. The machine has deaths, splits, repeated and late reports.

--- a/packages/ledger/tests/test_intentlog_machine.py
+++ b/packages/ledger/tests/test_intentlog_machine.py
@@ -62,8 +62,9 @@
         )
 
     async def gate(self):
-        while self.machine.loop.time() < self.frozen_until:
-            await asyncio.sleep(self.frozen_until - self.machine.loop.time())
+        while (left_s := self.frozen_until - self.machine.loop.time()) > 0:
+            # The paused clock rounds a tiny sleep down to no time at all.
+            await asyncio.sleep(max(left_s, 0.001))
         if self.is_dead:
             await asyncio.sleep(FOREVER_S)
 
@@ -194,9 +195,7 @@
         for offset in range(copies):
             daemon = self.daemons[(number + offset) % 3]
             if daemon.frozen_until <= self.loop.time():
-                self.spawn(
-                    self.serve(daemon, key, effect, pause_s, patience_s)
-                )
+                self.spawn(self.serve(daemon, key, effect, pause_s, patience_s))
         self.advance(0.001)
 
     @rule(seconds=st.sampled_from([0.01, 0.1, 0.6, 1.5, 4, 60]))
--- a/packages/routing/src/oriolegauge/routing/crashquarantine.py
+++ b/packages/routing/src/oriolegauge/routing/crashquarantine.py
@@ -13,6 +13,12 @@
 CRASH_MEMORY_S = 3600.0
 # Daemons see one crash at different times, by a reset or by a timeout.
 SAME_CRASH_S = 5.0
+# An explained crash keeps its suspects isolated until a second crash of the
+# server can't be taken for the first, with as much again for late reports.
+EXPLAINED_HOLD_S = 2 * SAME_CRASH_S
+# One member places all suspects: with an owner per fingerprint, two owners
+# whose load reports lag could send suspects to one server.
+SUSPECT_OWNER_KEY = 'crash-suspects'
 REPORTS_MAX = 1_000
 FINGERPRINTS_MAX = 50_000
 
@@ -58,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerOnly:
-    """Leave the suspect to the member that owns its fingerprint."""
+    """Leave the suspect to the member that places all suspects."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,8 +190,8 @@
         """Decide whether the request may run on the server now.
 
         `running` maps servers to the fingerprints there, of this daemon and
-        its peers. `is_owner` tells whether this daemon ranks first for the
-        fingerprint among the members that are not known to be dead.
+        its peers. `is_owner` tells whether this daemon ranks first for
+        SUSPECT_OWNER_KEY among the members that are not known to be dead.
         """
         self._refresh(now)
         until = self._quarantined.get(fingerprint)
@@ -193,7 +199,7 @@
             return Quarantined(until - now)
         if fingerprint not in self._suspects:
             return Free()
-        # One owner makes a suspect run once at a time, also in a partition.
+        # In a partition, all sides but the owner's stop at their first crash.
         if not is_owner:
             return OwnerOnly()
         if any(fingerprint in there for there in running.values()):
@@ -236,13 +242,12 @@
         }
         self._quarantined = self._find_quarantined()
         self._suspects = self._find_suspects(now)
-        ends = [crash.at + CRASH_MEMORY_S for crash in self._crashes.values()]
-        ends += [
-            crash.at + SUSPECT_S
+        ends = (
+            crash.at + age_s
             for crash in self._crashes.values()
-            if now - crash.at < SUSPECT_S
-        ]
-        self._valid_until = min(ends, default=now)
+            for age_s in (EXPLAINED_HOLD_S, SUSPECT_S, CRASH_MEMORY_S)
+        )
+        self._valid_until = min((end for end in ends if end > now), default=now)
 
     def _find_quarantined(self) -> dict[str, float]:
         """Return the quarantined fingerprints and when they are released."""
@@ -265,7 +270,10 @@
     def _find_suspects(self, now: float) -> frozenset[str]:
         suspects: set[str] = set()
         for crash in self._crashes.values():
-            if now - crash.at < SUSPECT_S and not self._is_explained(crash):
+            age_s = now - crash.at
+            if age_s < EXPLAINED_HOLD_S or (
+                age_s < SUSPECT_S and not self._is_explained(crash)
+            ):
                 suspects |= crash.blamed
         return frozenset(suspects - self._quarantined.keys())
 
