--- a/packages/admission/tests/test_admission.py
+++ b/packages/admission/tests/test_admission.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+
 from oriolegauge.admission import (
     AdmissionQueue,
     DeadlineUnreachableError,
--- a/packages/daemon/src/oriolegauge/daemon/bill.py
+++ b/packages/daemon/src/oriolegauge/daemon/bill.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import orjson
+
 from oriolegauge.budget import Settled
 
 DONE_EVENT = b'data: [DONE]\n\n'
--- a/packages/daemon/src/oriolegauge/daemon/servicecalls.py
+++ b/packages/daemon/src/oriolegauge/daemon/servicecalls.py
@@ -1,8 +1,10 @@
 """Serve calls to plain services."""
 
+import asyncio
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
+from oriolegauge.admission import DeadlineUnreachableError
 from oriolegauge.backends import (
     BackendServer,
     ServerConnectError,
@@ -16,8 +18,10 @@
 from oriolegauge.core.errors import (
     ForbiddenError,
     NotFoundError,
+    OriolegaugeError,
     OutcomeUnknownError,
 )
+from oriolegauge.core.runstate import RunState
 from oriolegauge.daemon.answersink import AnswerSink
 from oriolegauge.daemon.bill import bill_headers
 from oriolegauge.daemon.callercall import CallerCall
@@ -87,11 +91,15 @@
             deadline=caller.deadline,
         )
         try:
-            answer = await self._attempts(caller, call, target)
-            settled = await self._settle(reservation, answer, caller, price)
+            async with asyncio.timeout_at(caller.deadline):
+                answer = await self._attempts(caller, call, target)
+        except TimeoutError as error:
+            self._budgets.release(reservation)
+            raise _deadline_passed(target) from error
         except BaseException:
             self._budgets.release(reservation)
             raise
+        settled = await self._settle(reservation, answer, caller, price)
         headers = bill_headers(caller.request_id, settled)
         await sink.start(answer.status, {**answer.headers, **headers})
         await sink.write(answer.body)
@@ -120,13 +128,14 @@
             path=target.path,
             headers=call.headers,
             body=call.body,
+            timeout_s=target.service.timeout_s,
         )
         failure: ServerConnectError | ServerCutError = ServerConnectError(
             f'service {target.name} has no server'
         )
         for number in range(MAX_ATTEMPTS):
             if number:
-                await self._dispatcher.before_retry(failure)
+                await self._dispatcher.before_retry(number, failure)
             server = self._dispatcher.service_server(
                 target.name, target.service.urls
             )
@@ -148,12 +157,20 @@
         try:
             answer = await self._services.call(server, outgoing)
         except (ServerConnectError, ServerCutError):
-            self._dispatcher.service_failed(server.name)
+            self._dispatcher.service_ended(server.name, ok=False)
             raise
-        self._dispatcher.service_succeeded(server.name)
+        self._dispatcher.service_ended(server.name, ok=True)
         return answer
 
 
 def is_service_path(path: str) -> bool:
     """Tell whether a caller's path addresses a plain service."""
     return urlsplit(path).path.startswith(ROUTE_PREFIX)
+
+
+def _deadline_passed(target: ServiceTarget) -> OriolegaugeError:
+    if target.non_idempotent:
+        return OutcomeUnknownError('the deadline passed after dispatch')
+    return DeadlineUnreachableError(
+        'the deadline passed', run_state=RunState.UNKNOWN, retry_after_s=1
+    )
--- a/packages/ledger/src/oriolegauge/ledger/intentlog.py
+++ b/packages/ledger/src/oriolegauge/ledger/intentlog.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 import xxhash
+
 from oriolegauge.core.errors import InvalidRequestError
 from oriolegauge.core.rendezvous import shard_of
 from oriolegauge.ledger.errors import ClaimRefusedError
--- a/packages/ledger/src/oriolegauge/ledger/intentwriter.py
+++ b/packages/ledger/src/oriolegauge/ledger/intentwriter.py
@@ -5,6 +5,13 @@
 from dataclasses import dataclass
 from typing import Any
 
+from tenacity import (
+    AsyncRetrying,
+    retry_if_exception_type,
+    stop_after_attempt,
+    wait_random_exponential,
+)
+
 from oriolegauge.core import OriolegaugeError
 from oriolegauge.ledger.errors import ClaimRefusedError
 from oriolegauge.ledger.intents import (
@@ -24,12 +31,6 @@
     StoreUnavailableError,
     VersionConflictError,
 )
-from tenacity import (
-    AsyncRetrying,
-    retry_if_exception_type,
-    stop_after_attempt,
-    wait_random_exponential,
-)
 
 BATCH_MAX = 256
 WRITE_ATTEMPTS = 8
--- a/packages/ledger/tests/test_intentlog_machine.py
+++ b/packages/ledger/tests/test_intentlog_machine.py
@@ -6,7 +6,6 @@
 from contextlib import suppress
 
 import looptime
-import oriolegauge.ledger.intentwriter as intentwriter
 import pytest
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import strategies as st
@@ -15,6 +14,8 @@
     rule,
     run_state_machine_as_test,
 )
+
+import oriolegauge.ledger.intentwriter as intentwriter
 from oriolegauge.core import RunState
 from oriolegauge.core.errors import OutcomeUnknownError
 from oriolegauge.ledger import (
--- a/packages/ledger/tests/test_requestledger.py
+++ b/packages/ledger/tests/test_requestledger.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import pytest
+
 from oriolegauge.core import RunState
 from oriolegauge.core.errors import AnswerIncompleteError, DrainingError
 from oriolegauge.ledger import (
--- a/packages/standins/src/oriolegauge/standins/platform.py
+++ b/packages/standins/src/oriolegauge/standins/platform.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from aiohttp import web
+
 from oriolegauge.standins.server import arguments, serve
 
 MAX_VALUE_BYTES = 1_000_000
--- a/packages/standins/src/oriolegauge/standins/service.py
+++ b/packages/standins/src/oriolegauge/standins/service.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from aiohttp import web
+
 from oriolegauge.standins.server import arguments, serve
 
 
--- /dev/null
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -0,0 +1,168 @@
+@0xd3a1c6f07b52e948;
+# Messages between daemons. Each WebSocket message carries one packed Envelope.
+# Fields and union members are only ever added at the end.
+
+struct Envelope {
+  messageId @0 :UInt64;
+  replyTo @1 :UInt64;        # id of the message this one answers or cancels
+  sender @2 :Text;
+  incarnation @3 :Text;
+  position @4 :UInt32;       # place in a streamed answer, from 0
+  oneWay @5 :Bool;           # no answer is wanted
+  union {
+    heartbeat @6 :Heartbeat;
+    reserve @7 :Reserve;
+    reserveAnswer @8 :ReserveAnswer;
+    settle @9 :Settle;
+    release @10 :Release;
+    recall @11 :Recall;
+    journalAppend @12 :JournalAppend;
+    journalQuery @13 :JournalQuery;
+    journalAnswer @14 :JournalAnswer;
+    configFetch @15 :ConfigFetch;
+    configObjects @16 :ConfigObjects;
+    forward @17 :Forward;
+    head @18 :Head;
+    chunk @19 :Chunk;
+    end @20 :End;
+    cancel @21 :Cancel;
+    crashReport @22 :CrashReport;
+    storeCall @23 :StoreCall;
+    storeAnswer @24 :StoreAnswer;
+    ack @25 :Ack;
+    failure @26 :Failure;
+    settleAnswer @27 :SettleAnswer;
+    recallAnswer @28 :RecallAnswer;
+    suspectClaim @29 :SuspectClaim;
+    suspectRelease @30 :SuspectRelease;
+  }
+}
+
+struct Heartbeat {
+  member @0 :Text;
+  incarnation @1 :Text;
+  zone @2 :Text;
+  state @3 :Text;
+  configVersions @4 :List(ConfigVersion);
+  inFlight @5 :List(ServerInFlight);
+  queueLengths @6 :List(UInt32);
+  suspects @7 :List(ServerSuspects);
+  heard @8 :List(Heard);
+  storeReachedAgeMs @9 :Int64;
+  watchesStore @10 :Bool;
+}
+
+struct ConfigVersion { key @0 :Text; version @1 :Int64; }
+struct ServerInFlight {
+  server @0 :Text;
+  requests @1 :UInt32;
+  tokens @2 :Int64;
+}
+struct ServerSuspects { server @0 :Text; fingerprints @1 :List(Text); }
+struct Heard { member @0 :Text; incarnation @1 :Text; ageMs @2 :UInt32; }
+
+struct Reserve {
+  reservationId @0 :Text;
+  asker @1 :Text;
+  budget @2 :Text;
+  requestId @3 :Text;
+  tokens @4 :Int64;
+  minimum @5 :Int64;
+  mayDraw @6 :Bool;
+}
+struct ReserveAnswer {
+  reservationId @0 :Text;
+  tokens @1 :Int64;
+  holder @2 :Text;
+}
+struct Settle {
+  reservationId @0 :Text;
+  asker @1 :Text;
+  budget @2 :Text;
+  requestId @3 :Text;
+  tokens @4 :Int64;
+}
+struct SettleAnswer {
+  reservationId @0 :Text;
+  accepted @1 :Bool;
+  billed @2 :Int64;
+  left @3 :Int64;
+}
+struct Release { reservationId @0 :Text; asker @1 :Text; }
+struct Recall { budget @0 :Text; asker @1 :Text; tokens @2 :Int64; }
+struct RecallAnswer {
+  budget @0 :Text;
+  returned @1 :Int64;
+  reserved @2 :Int64;
+}
+
+struct Settlement {
+  position @0 :Int64;
+  budget @1 :Text;
+  requestId @2 :Text;
+  tokens @3 :Int64;
+  keyed @4 :Bool;
+  pooled @5 :Bool;
+}
+struct JournalEntry { holder @0 :Text; settlement @1 :Settlement; }
+struct DeferredSettle { settle @0 :Settle; peer @1 :Text; holder @2 :Text; }
+struct JournalFloor { holder @0 :Text; shard @1 :Text; position @2 :Int64; }
+struct JournalAppend {
+  origin @0 :Text;
+  entries @1 :List(JournalEntry);
+  deferred @2 :List(DeferredSettle);
+  floors @3 :List(JournalFloor);
+  resolved @4 :List(Text);
+  closing @5 :Bool;
+}
+struct JournalQuery { origin @0 :Text; }
+struct JournalAnswer {
+  origin @0 :Text;
+  entries @1 :List(JournalEntry);
+  deferred @2 :List(DeferredSettle);
+}
+
+struct ConfigFetch { keys @0 :List(Text); }
+struct ConfigObject { key @0 :Text; version @1 :Int64; value @2 :Data; }
+struct ConfigObjects { objects @0 :List(ConfigObject); }
+
+struct Header { name @0 :Text; value @1 :Text; }
+struct Forward {
+  method @0 :Text;
+  path @1 :Text;
+  headers @2 :List(Header);
+  body @3 :Data;
+}
+struct Head { status @0 :UInt16; headers @1 :List(Header); }
+struct Chunk { data @0 :Data; }
+struct End {}
+struct Cancel {}
+
+struct CrashReport {
+  origin @0 :Text;
+  number @1 :Int64;
+  server @2 :Text;
+  fingerprints @3 :List(Text);
+  repeats @4 :List(Text);
+  cleared @5 :List(Text);
+  ageS @6 :Float64;
+}
+
+struct SuspectClaim { fingerprint @0 :Text; server @1 :Text; }
+struct SuspectRelease { fingerprint @0 :Text; server @1 :Text; }
+
+struct StoreCall {
+  operation @0 :Text;
+  key @1 :Text;
+  value @2 :Data;
+  expectedVersion @3 :Int64;
+}
+struct StoreAnswer { status @0 :Text; version @1 :Int64; value @2 :Data; }
+
+struct Ack { accepted @0 :Bool; }
+struct Failure {
+  code @0 :UInt16;
+  runState @1 :Text;
+  message @2 :Text;
+  retryAfterS @3 :Float64;   # NaN when there is no advice
+}
--- /dev/null
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -0,0 +1,244 @@
+"""Messages between daemons as frozen data classes."""
+
+from dataclasses import dataclass
+
+from oriolegauge.budget.messages import (
+    Ack,
+    JournalAnswer,
+    JournalAppend,
+    JournalQuery,
+    Recall,
+    RecallAnswer,
+    Release,
+    Reserve,
+    ReserveAnswer,
+    Settle,
+    SettleAnswer,
+)
+from oriolegauge.core.runstate import RunState
+from oriolegauge.routing.crashquarantine import CrashReport
+
+NEVER_MS = -1
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigVersion:
+    """State the version of a configuration object that a member holds."""
+
+    key: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerInFlight:
+    """State a member's requests and their tokens on a backend server."""
+
+    server: str
+    requests: int
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerSuspects:
+    """List the suspect fingerprints that run on a backend server."""
+
+    server: str
+    fingerprints: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """State how long ago (ms) the sender heard from another member."""
+
+    member: str
+    incarnation: str
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Heartbeat:
+    """Tell peers that a member lives, and what it holds and runs.
+
+    `queue_lengths` is indexed by priority. `store_reached_age_ms` is the time
+    since the last answer of the store, or NEVER_MS.
+    """
+
+    member: str
+    incarnation: str
+    zone: str
+    state: str
+    config_versions: tuple[ConfigVersion, ...] = ()
+    in_flight: tuple[ServerInFlight, ...] = ()
+    queue_lengths: tuple[int, ...] = ()
+    suspects: tuple[ServerSuspects, ...] = ()
+    heard: tuple[Heard, ...] = ()
+    store_reached_age_ms: int = NEVER_MS
+    watches_store: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigFetch:
+    """Ask a peer for configuration objects."""
+
+    keys: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigObject:
+    """Hold one configuration object; the value is JSON."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigObjects:
+    """Return the configuration objects that a peer holds."""
+
+    objects: tuple[ConfigObject, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Header:
+    """Hold one HTTP header."""
+
+    name: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Forward:
+    """Pass a caller's request to the peer that owns it."""
+
+    method: str
+    path: str
+    headers: tuple[Header, ...] = ()
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Head:
+    """Start a streamed answer."""
+
+    status: int
+    headers: tuple[Header, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Chunk:
+    """Carry a part of the body of a streamed answer."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """Mark a streamed answer as complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Tell the peer that the answer is no longer wanted."""
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectClaim:
+    """Ask the coordinator whether a suspect may run on a server."""
+
+    fingerprint: str
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectRelease:
+    """Tell the coordinator that a suspect no longer runs on a server."""
+
+    fingerprint: str
+    server: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCall:
+    """Ask a peer to make a call to the object store; the value is JSON."""
+
+    operation: str
+    key: str
+    value: bytes = b''
+    expected_version: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreAnswer:
+    """Return the result of a store call made for a peer."""
+
+    status: str
+    version: int = 0
+    value: bytes = b''
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Failure:
+    """Report why a call failed and whether its work ran."""
+
+    code: int
+    run_state: RunState
+    message: str
+    retry_after_s: float | None = None
+
+
+MESSAGE_TYPES: dict[str, type] = {
+    'heartbeat': Heartbeat,
+    'reserve': Reserve,
+    'reserveAnswer': ReserveAnswer,
+    'settle': Settle,
+    'settleAnswer': SettleAnswer,
+    'release': Release,
+    'recall': Recall,
+    'recallAnswer': RecallAnswer,
+    'journalAppend': JournalAppend,
+    'journalQuery': JournalQuery,
+    'journalAnswer': JournalAnswer,
+    'configFetch': ConfigFetch,
+    'configObjects': ConfigObjects,
+    'forward': Forward,
+    'head': Head,
+    'chunk': Chunk,
+    'end': End,
+    'cancel': Cancel,
+    'crashReport': CrashReport,
+    'storeCall': StoreCall,
+    'storeAnswer': StoreAnswer,
+    'ack': Ack,
+    'failure': Failure,
+    'suspectClaim': SuspectClaim,
+    'suspectRelease': SuspectRelease,
+}
+
+Message = (
+    Heartbeat
+    | Reserve
+    | ReserveAnswer
+    | Settle
+    | SettleAnswer
+    | Release
+    | Recall
+    | RecallAnswer
+    | JournalAppend
+    | JournalQuery
+    | JournalAnswer
+    | ConfigFetch
+    | ConfigObjects
+    | Forward
+    | Head
+    | Chunk
+    | End
+    | Cancel
+    | CrashReport
+    | StoreCall
+    | StoreAnswer
+    | Ack
+    | Failure
+    | SuspectClaim
+    | SuspectRelease
+)
