--- a/packages/routing/tests/test_crashquarantine.py
+++ b/packages/routing/tests/test_crashquarantine.py
@@ -13,6 +13,7 @@
     rule,
     run_state_machine_as_test,
 )
+
 from oriolegauge.core import first
 from oriolegauge.routing.crashquarantine import (
     CRASH_MEMORY_S,
