--- a/bench/fakeengines.py
+++ b/bench/fakeengines.py
@@ -61,6 +61,7 @@
     queue: deque[Stream] = field(default_factory=deque)
     cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
     hits: int = 0
+    lookups: int = 0
 
     def capacity(self, tokens: float) -> float:
         """Return the tokens a second of full batches of such answers."""
@@ -100,6 +101,7 @@
             return False
         hit = prefix in self.cache
         self.hits += hit
+        self.lookups += 1
         self.cache[prefix] = None
         self.cache.move_to_end(prefix)
         while len(self.cache) > self.cached_prefixes:
--- a/packages/routing/src/oriolegauge/routing/router.py
+++ b/packages/routing/src/oriolegauge/routing/router.py
@@ -132,9 +132,9 @@
         return min(loads, key=loads.__getitem__)
 
     def _bound(self, loads: Iterable[float]) -> float:
-        # Rounded up to whole requests, so that small fleets are not bound
-        # below one request.
+        # Requests in flight vary by the square root of their number at
+        # constant demand; a bound without it would move prefixes at random.
         values = list(loads)
-        mean = (sum(values) + self._job_tokens) / len(values)
-        requests = AFFINITY_BOUND * mean / self._job_tokens
-        return math.ceil(requests) * self._job_tokens
+        mean = sum(values) / len(values) / self._job_tokens
+        requests = AFFINITY_BOUND * mean + math.sqrt(mean) + 1
+        return requests * self._job_tokens
