--- a/packages/admission/src/oriolegauge/admission/admissionqueue.py
+++ b/packages/admission/src/oriolegauge/admission/admissionqueue.py
@@ -98,7 +98,7 @@
         if job.request_id in self._places or job.request_id in self._running:
             raise ValueError(f'job {job.request_id} is already known')
         self._collect_due(now)
-        self._check_room(job, now)
+        self._check_room(job)
         self._check_deadline(job, now)
         place = self._place_of(job)
         self._classes[job.priority].push(place)
@@ -117,12 +117,14 @@
         usable = [server for server in servers if server.free > 0]
         place = self._next_place(usable)
         if place is None:
+            if self._places:
+                self._rate.saturated(len(self._running))
             return None
         self._forget(place)
         job = place.job
         self._classes[job.priority].charge(job.team, job.predicted_tokens)
         self._running.start(job, is_long=place.lane.is_long, now=now)
-        self._rate.observe_slots(len(self._running), now)
+        self._rate.running(len(self._running))
         if len(usable) == 1:
             self._running.place(job.request_id, usable[0].name)
         return job
@@ -155,7 +157,6 @@
         self._classes[job.priority].charge(
             job.team, tokens - job.predicted_tokens
         )
-        self._rate.observe_slots(len(self._running) + 1, now)
         if tokens:
             self._lengths.add(tokens)
             self._rate.ended(tokens, seconds)
@@ -169,6 +170,7 @@
         while short work waits. The caller cancels its stream and calls
         `paused`; it may leave it, for example if the stream can't resume.
         """
+        self._collect_due(now)
         for server in servers:
             if server.free > 0:
                 continue
@@ -190,7 +192,6 @@
         seconds = self._running.end(job.request_id, now)
         if seconds is None:
             return
-        self._rate.observe_slots(len(self._running) + 1, now)
         self._rate.ended(tokens, seconds)
         self._classes[job.priority].charge(
             job.team, tokens - job.predicted_tokens
@@ -215,9 +216,9 @@
         self._expired.clear()
         return expired
 
-    def predicted_wait(self, job: Job, now: float) -> float | None:
+    def predicted_wait(self, job: Job) -> float | None:
         """Return the expected wait in seconds, or None if unknown."""
-        rate = self._rate.tokens_per_s(len(self._running), now)
+        rate = self._rate.tokens_per_s
         if not rate:
             return None
         own = self._classes[job.priority]
@@ -229,20 +230,20 @@
         )
         return before / (rate * (1 - self._limits.floor_share))
 
-    def _check_room(self, job: Job, now: float) -> None:
+    def _check_room(self, job: Job) -> None:
         queue = self._classes[job.priority]
         free = self._limits.max_waiting_per_class - len(queue)
         team_limit = free * self._limits.team_share_of_free
         if free > 0 and queue.waiting(job.team) < team_limit:
             return
-        wait = self._drain_time(job.priority, now)
+        wait = self._drain_time(job.priority)
         raise QueueFullError(
             f'the {job.priority.name.lower()} queue has no place for the team',
             retry_after_s=self._retry_after(wait),
         )
 
-    def _drain_time(self, priority: Priority, now: float) -> float | None:
-        rate = self._rate.tokens_per_s(len(self._running), now)
+    def _drain_time(self, priority: Priority) -> float | None:
+        rate = self._rate.tokens_per_s
         if not rate:
             return None
         tokens = sum(
@@ -255,7 +256,7 @@
     def _check_deadline(self, job: Job, now: float) -> None:
         if job.deadline is None:
             return
-        wait = self.predicted_wait(job, now) or 0
+        wait = self.predicted_wait(job) or 0
         earliest = now + wait + self._run_time(job)
         if earliest > job.deadline:
             raise DeadlineUnreachableError(
