Announce changes to watchers whose watch died silently

A probe of any single key cannot show this, and listing all keys each second is too much for the store.

Change: the tool names each change in one small object after it; the probe reads this object and starts again from a list if a change is missing. Daemons less needed as watchers retry less often and fall back one after another.

--- a/packages/cli/src/oriolegauge/cli/operator.py
+++ b/packages/cli/src/oriolegauge/cli/operator.py
@@ -1,6 +1,7 @@
 """Conditional updates of the store on behalf of an operator."""
 
 import asyncio
+import contextlib
 import sys
 import time
 import uuid
@@ -25,6 +26,7 @@
     hash_key,
     parse_subtree,
 )
+from oriolegauge.config.announcement import ANNOUNCEMENT_KEY, announce
 from oriolegauge.config.configtree import OPERATORS_KEY
 from oriolegauge.config.subtrees import MAX_CHANGES
 from oriolegauge.core.errors import ForbiddenError, NotFoundError
@@ -139,6 +141,7 @@
             'at_unix_s': int(self._clock()),
         }
         stored = await self._put_edit(edit, change, seen)
+        await self._announce(stored)
         await self._record(
             edit.key, entry_of(change, edit.patch, stored.version), stored
         )
@@ -218,6 +221,19 @@
     async def _call(self, call: Callable[[], Awaitable[_Answer]]) -> _Answer:
         return await _retry(StoreRateLimitError, call)
 
+    async def _announce(self, stored: StoredObject) -> None:
+        """Name the change for watchers whose watch died silently.
+
+        Without it they find the change by their next poll, so a failure of
+        the store here does not matter.
+        """
+        with contextlib.suppress(StoreError):
+            for _ in range(MAX_ATTEMPTS):
+                current = await self.read(ANNOUNCEMENT_KEY)
+                target = announce(current.value, stored.key, stored.version)
+                if await self._try_put(current, target) is not None:
+                    return
+
     async def _record_update(
         self, update: Update, patch: Patch, stored: StoredObject
     ) -> None:
--- a/packages/cli/tests/configworld.py
+++ b/packages/cli/tests/configworld.py
@@ -31,6 +31,7 @@
         super().__init__()
         self.clock = clock
         self.log: list[tuple[float, StoredObject, Any]] = []
+        self.valid: list[tuple[float, StoredObject]] = []
         self.backup: tuple[dict, int] = ({}, 0)
         self.restarted = asyncio.Event()
         self.highest: dict[str, int] = {}
@@ -42,6 +43,7 @@
         stored = await super()._apply(key, value, expected_version)
         if key.startswith('config/'):
             self.log.append((self.clock(), stored, before and before.value))
+            self.valid.append((self.clock(), stored))
             if stored.version <= self.highest.get(key, 0):
                 self.reused.add(key)
             else:
@@ -54,6 +56,13 @@
 
     def restore(self) -> None:
         self.objects, self._revision = copy.deepcopy(self.backup)
+        # Changes that the backup lacks are lost, also to the oracle.
+        self.valid = [
+            (at, row)
+            for at, row in self.valid
+            if row.key in self.objects
+            and row.version <= self.objects[row.key].version
+        ]
         self.restarted.set()
         self.restarted = asyncio.Event()
         self.reused.update(
--- a/packages/cli/tests/test_config_machine.py
+++ b/packages/cli/tests/test_config_machine.py
@@ -164,11 +164,9 @@
         for node in self.world.nodes.values():
             if not node.follower.current(now):
                 continue
-            for at, stored, _ in self.world.store.log:
+            for at, stored in self.world.store.valid:
+                held = node.tree.versions.get(stored.key, 0)
                 if at < now - CURRENT_S - 0.5:
-                    if stored.key in self.world.store.reused:
-                        continue
-                    held = node.tree.versions.get(stored.key, 0)
                     assert held >= stored.version, (node.name, stored.key)
 
     @invariant()
--- a/packages/config/src/oriolegauge/config/configfollower.py
+++ b/packages/config/src/oriolegauge/config/configfollower.py
@@ -17,6 +17,12 @@
 from oriolegauge.core import first, rank
 from oriolegauge.platform import ObjectStore, StoreError
 
+MAX_RETRY_FACTOR = 16
+# Daemons of a zone fall back one after another, so that the first one is heard
+# watching by most of the others before their turn comes.
+SPREAD_S = 0.1
+MAX_SPREAD = 10
+
 log = structlog.get_logger()
 
 
@@ -158,9 +164,7 @@
             if self._reads_store(self._clock()):
                 await self._read_store()
             # The spread keeps daemons from calling a returning store together.
-            await asyncio.sleep(
-                self._timing.retry_s * self._rng.uniform(0.5, 1)
-            )
+            await asyncio.sleep(self._retry_s() * self._rng.uniform(0.5, 1))
 
     async def _read_store(self) -> None:
         try:
@@ -176,6 +180,11 @@
         else:
             self._store_failing = False
 
+    def _retry_s(self) -> float:
+        """Return a longer time the less this daemon is needed as a watcher."""
+        place = self._place(self._live(self._clock()))
+        return self._timing.retry_s * min(2**place, MAX_RETRY_FACTOR)
+
     def _reads_store(self, now: float) -> bool:
         return not self.ready or self._watches(now)
 
@@ -191,7 +200,14 @@
         if self.watching:
             return not any(self._yields_to(peer, live) for peer in live)
         age_s = self.store_age_s(now)
-        return age_s is None or age_s > self._timing.fallback_s
+        spread_s = SPREAD_S * min(self._place(live), MAX_SPREAD)
+        return age_s is None or age_s > self._timing.fallback_s + spread_s
+
+    def _place(self, live: list[PeerConfig]) -> int:
+        """Return the place in the order of the zone, 0 for the elected one."""
+        names = [peer.name for peer in live if peer.zone == self._zone]
+        order = rank(f'config/{self._zone}', [*names, self._name])
+        return order.index(self._name)
 
     def _is_elected(self, name: str, zone: str, live: list[PeerConfig]) -> bool:
         names = [peer.name for peer in live if peer.zone == zone]
--- a/packages/config/src/oriolegauge/config/storewatch.py
+++ b/packages/config/src/oriolegauge/config/storewatch.py
@@ -4,8 +4,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from oriolegauge.config.announcement import (
+    ANNOUNCEMENT_KEY,
+    announced_versions,
+)
 from oriolegauge.config.configinbox import ConfigInbox
-from oriolegauge.config.parse import LIMITS_KEY, PREFIX
+from oriolegauge.config.parse import PREFIX
 from oriolegauge.platform import ObjectStore, StoreUnavailableError
 
 
@@ -13,9 +17,9 @@
 class WatchTiming:
     """Set the periods of a store watch, in seconds.
 
-    A probe shows that the store still answers while nothing changes. It is
-    skipped while peers' probes do the same, but at least one in
-    `probe_at_least_s` shows that this daemon's own path works.
+    A probe shows that the store still answers while nothing changes, and that
+    the watch has not silently died. It is skipped while peers' probes show the
+    same, but at least one in `probe_at_least_s` tries this daemon's own path.
     """
 
     probe_after_s: float = 1.0
@@ -45,6 +49,7 @@
         self._wake = wake
         self._polled_at = float('-inf')
         self._highest = 0
+        self._announced = 0
         self.contact_at: float | None = None
         self.watching = False
 
@@ -64,7 +69,9 @@
         wanted: Callable[[float], bool],
         age_s: Callable[[float], float | None],
     ) -> None:
-        """Watch while `wanted`; raise StoreError when the store fails.
+        """Watch while `wanted` and while the watch delivers all changes.
+
+        Raise StoreError when the store fails.
 
         The watch starts after the highest version in the list rather than the
         highest in force: a peer may have given one key of a higher version
@@ -79,7 +86,8 @@
                 if pump.done():
                     pump.result()
                     raise StoreUnavailableError('the watch ended')
-                await self._check(age_s)
+                if not await self._is_up_to_date(age_s):
+                    return
         finally:
             await self._stop(pump)
 
@@ -93,11 +101,13 @@
             self._inbox.accept_from_store(stored)
             self._heard(self._clock())
 
-    async def _check(self, age_s: Callable[[float], float | None]) -> None:
+    async def _is_up_to_date(
+        self, age_s: Callable[[float], float | None]
+    ) -> bool:
         now = self._clock()
         if now - self._polled_at >= self._timing.poll_s:
-            await self._poll()
-            return
+            before = self._highest
+            return await self.read_all() >= before
         own_age_s = now - (self.contact_at or 0)
         known_age_s = age_s(now)
         if (
@@ -105,17 +115,24 @@
             and known_age_s < self._timing.probe_after_s
             and own_age_s < self._timing.probe_at_least_s
         ):
-            return
+            return True
+        return await self._probe(now)
+
+    async def _probe(self, now: float) -> bool:
+        """Return whether the watch delivered all announced changes.
+
+        An announcement is judged once: the list that follows a failed probe
+        holds all there is, even if a backup mixed old and new objects.
+        """
         async with asyncio.timeout(self._timing.call_timeout_s):
-            found = await self._store.get(LIMITS_KEY)
-        if found is not None:
-            self._inbox.accept_from_store(found)
+            found = await self._store.get(ANNOUNCEMENT_KEY)
+        version = found.version if found else 0
+        if found is not None and version != self._announced:
+            self._announced = version
+            if not self._inbox.covers(announced_versions(found.value)):
+                return False
         self._heard(now)
-
-    async def _poll(self) -> None:
-        before = self._highest
-        if await self.read_all() < before:
-            raise StoreUnavailableError('the store went back to a backup')
+        return True
 
     def _heard(self, at: float) -> None:
         self.contact_at = max(at, self.contact_at or at)
