Cut groups of daemons off in the configuration machine

Cause: with an oracle that forgets changes lost by a restored backup, the variant that takes a peer's word was no longer caught; it had been caught by that fault of the oracle.

Change: a rule partitions a group from the store and from the others.

--- a/packages/cli/tests/test_config_machine.py
+++ b/packages/cli/tests/test_config_machine.py
@@ -96,6 +96,18 @@
     def cut_link(self, left, right):
         self.world.cut_links ^= {frozenset((left, right))}
 
+    @rule(group=st.sets(NAMES, min_size=1, max_size=3))
+    def cut_off(self, group):
+        """Cut a group of daemons off from the store and the others."""
+        for name in group:
+            self.world.nodes[name].path.cut = True
+        self.world.cut_links |= {
+            frozenset((name, other))
+            for name in group
+            for other in ZONES
+            if other not in group
+        }
+
     @rule()
     def heal(self):
         self.world.cut_links.clear()
