Write the frames of a link from one task

Cause: tasks of the WebSocket library that wait for a full transport share one future. When one call timed out while waiting, all other callers of the link were cancelled with it, and a cancelled stream took other answers along. Ruled out: a lock around sending, because the cancelled future stays in place until the transport empties; shielding each send, which costs a task per message and still has no bound on bytes. Change: callers queue frames within a bound and one writer sends them; parts of streams wait behind 256 KiB at most, answers of calls behind 8 MiB. A link that can't be emptied is shut down at the socket.

--- a/packages/wire/src/oriolegauge/wire/linklimits.py
+++ b/packages/wire/src/oriolegauge/wire/linklimits.py
@@ -14,6 +14,9 @@
 
     max_message_bytes: int = 2 * _MIB
     max_unsent_bytes: int = 8 * _MIB
+    # Parts of streams wait behind fewer bytes than answers of calls may, so
+    # that a fast stream does not hold up calls on the same link.
+    max_unsent_stream_bytes: int = _MIB // 4
     max_pending_calls: int = 1024
     max_running_calls: int = 256
     max_running_streams: int = 1024
--- a/packages/wire/src/oriolegauge/wire/peerconnection.py
+++ b/packages/wire/src/oriolegauge/wire/peerconnection.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import structlog
-from aiohttp import ClientError, WSCloseCode, WSMsgType, web
+from aiohttp import WSCloseCode, WSMsgType, web
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.core.resultcode import ResultCode
 from oriolegauge.core.runstate import RunState
@@ -16,6 +16,7 @@
     MessageTooLargeError,
     as_failure,
 )
+from oriolegauge.wire.framesender import FrameSender
 from oriolegauge.wire.linklimits import LinkLimits
 from oriolegauge.wire.messages import (
     Ack,
@@ -61,6 +62,7 @@
         """Serve the member on the open socket."""
         self._member = member
         self._socket = socket
+        self._frames = FrameSender(socket, max_bytes=limits.max_unsent_bytes)
         self._sender = sender
         self._handler = handler
         self._limits = limits
@@ -74,6 +76,7 @@
         finally:
             for task in list(self._streams.values()):
                 task.cancel()
+            await self.close(WSCloseCode.OK)
 
     async def stop(self) -> None:
         """Cancel all calls and close the link."""
@@ -85,7 +88,9 @@
 
     async def close(self, code: WSCloseCode) -> None:
         """Close the link without waiting for its calls."""
-        await self._socket.close(code=code)
+        await self._frames.close(
+            code=code, timeout_s=self._limits.close_timeout_s
+        )
 
     async def _read(self) -> None:
         async for frame in self._socket:
@@ -170,8 +175,8 @@
         return _Reply(
             envelope=envelope,
             sender=self._sender,
-            socket=self._socket,
-            max_bytes=self._limits.max_message_bytes,
+            frames=self._frames,
+            limits=self._limits,
         )
 
 
@@ -183,13 +188,13 @@
         *,
         envelope: Envelope,
         sender: Callable[[], Sender],
-        socket: web.WebSocketResponse,
-        max_bytes: int,
+        frames: FrameSender,
+        limits: LinkLimits,
     ) -> None:
         self._envelope = envelope
         self._sender = sender
-        self._socket = socket
-        self._max_bytes = max_bytes
+        self._frames = frames
+        self._limits = limits
         self._position = 0
 
     async def send(self, message: Message) -> None:
@@ -205,14 +210,17 @@
                 position=self._position,
             )
         )
-        if len(payload) > self._max_bytes:
+        if len(payload) > self._limits.max_message_bytes:
             raise MessageTooLargeError(
                 f'answer of {len(payload)} bytes', run_state=RunState.RAN
             )
+        limit = self._limits.max_unsent_bytes
+        if isinstance(self._envelope.message, Forward):
+            limit = self._limits.max_unsent_stream_bytes
         self._position += 1
         try:
-            await self._socket.send_bytes(payload)
-        except (ConnectionError, ClientError, RuntimeError) as error:
+            await self._frames.put(payload, max_bytes=limit)
+        except ConnectionError as error:
             raise _LinkClosedError from error
 
 
--- a/packages/wire/src/oriolegauge/wire/peerlink.py
+++ b/packages/wire/src/oriolegauge/wire/peerlink.py
@@ -23,6 +23,7 @@
     PeerTimeoutError,
     PeerUnreachableError,
 )
+from oriolegauge.wire.framesender import FrameSender
 from oriolegauge.wire.linklimits import LinkLimits
 from oriolegauge.wire.messages import Cancel, End, Failure, Message
 from tenacity import (
@@ -83,11 +84,10 @@
         self._ssl_context = ssl_context
         self._on_refused = on_refused
         self._on_answered = on_answered
-        self._socket: aiohttp.ClientWebSocketResponse | None = None
+        self._frames: FrameSender | None = None
         self._open = asyncio.Event()
         self._pending: dict[int, _Pending] = {}
         self._last_id = secrets.randbits(_FIRST_ID_BITS)
-        self._unsent_bytes = 0
 
     @property
     def connected(self) -> bool:
@@ -100,11 +100,19 @@
         while True:
             socket = await self._connect()
             opened_at = loop.time()
+            frames = FrameSender(
+                socket, max_bytes=self._limits.max_unsent_bytes
+            )
+            self._frames = frames
+            self._open.set()
             try:
-                await self._use(socket)
+                await self._read(socket)
             finally:
                 self._break()
-                await socket.close()
+                await frames.close(
+                    code=aiohttp.WSCloseCode.GOING_AWAY,
+                    timeout_s=self._limits.close_timeout_s,
+                )
             # A peer that closes each link at once is not dialled in a loop.
             if loop.time() - opened_at < self._limits.retry_max_s:
                 pause = self._limits.retry_initial_s
@@ -121,7 +129,7 @@
     async def send(self, message: Message) -> None:
         """Send a message that gets no answer and may be lost."""
         self._last_id += 1
-        await self._post(message, self._last_id, one_way=True)
+        self._post(message, self._last_id, one_way=True)
 
     async def call(self, message: Message, timeout_s: float) -> Message:
         """Return the answer; raise a WireError if there is none in time.
@@ -131,8 +139,8 @@
         answer = asyncio.get_running_loop().create_future()
         message_id = self._register(answer)
         try:
+            self._post(message, message_id)
             async with asyncio.timeout(timeout_s):
-                await self._post(message, message_id)
                 return _checked(await answer)
         except TimeoutError:
             raise self._timed_out(timeout_s) from None
@@ -154,7 +162,7 @@
         message_id = self._register(parts)
         unfinished = True
         try:
-            await self._first(message, message_id, timeout_s)
+            self._post(message, message_id)
             while True:
                 part = await self._next(parts, timeout_s)
                 if isinstance(part, End | Failure):
@@ -165,7 +173,7 @@
         finally:
             self._pending.pop(message_id, None)
             if unfinished:
-                await self._cancel(message_id)
+                self._cancel(message_id)
 
     async def _connect(self) -> aiohttp.ClientWebSocketResponse:
         retrying = AsyncRetrying(
@@ -207,9 +215,7 @@
         if self._on_refused:
             self._on_refused(self.peer, started_at)
 
-    async def _use(self, socket: aiohttp.ClientWebSocketResponse) -> None:
-        self._socket = socket
-        self._open.set()
+    async def _read(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         log.info('peer link open', peer=self.peer)
         frames = 0
         async for frame in socket:
@@ -249,7 +255,7 @@
             self._on_answered(envelope.sender, pending.asked_at)
 
     def _break(self) -> None:
-        self._socket = None
+        self._frames = None
         self._open.clear()
         error = self._unreachable(RunState.UNKNOWN)
         pending = list(self._pending.values())
@@ -262,7 +268,7 @@
                     future.set_result(error)
 
     def _register(self, answer: asyncio.Future | AnswerStream) -> int:
-        if self._socket is None:
+        if self._frames is None:
             raise self._unreachable(RunState.NOT_RUN)
         if len(self._pending) >= self._limits.max_pending_calls:
             raise PeerBusyError(f'too many calls pending at {self.peer}')
@@ -271,7 +277,7 @@
         self._pending[self._last_id] = _Pending(answer, now)
         return self._last_id
 
-    async def _post(
+    def _post(
         self,
         message: Message,
         message_id: int,
@@ -279,8 +285,7 @@
         reply_to: int = 0,
         one_way: bool = False,
     ) -> None:
-        socket = self._socket
-        if socket is None:
+        if self._frames is None:
             raise self._unreachable(RunState.NOT_RUN)
         payload = encode(
             Envelope(
@@ -291,27 +296,10 @@
                 one_way=one_way,
             )
         )
-        size = len(payload)
-        if size > self._limits.max_message_bytes:
-            raise MessageTooLargeError(f'message of {size} bytes')
-        if self._unsent_bytes + size > self._limits.max_unsent_bytes:
+        if len(payload) > self._limits.max_message_bytes:
+            raise MessageTooLargeError(f'message of {len(payload)} bytes')
+        if not self._frames.offer(payload):
             raise PeerBusyError(f'too many bytes unsent to {self.peer}')
-        self._unsent_bytes += size
-        try:
-            await socket.send_bytes(payload)
-        except (aiohttp.ClientError, ConnectionError) as error:
-            raise self._unreachable(RunState.UNKNOWN) from error
-        finally:
-            self._unsent_bytes -= size
-
-    async def _first(
-        self, message: Message, message_id: int, timeout_s: float
-    ) -> None:
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._post(message, message_id)
-        except TimeoutError:
-            raise self._timed_out(timeout_s) from None
 
     async def _next(self, parts: AnswerStream, timeout_s: float) -> Message:
         try:
@@ -320,13 +308,12 @@
         except TimeoutError:
             raise self._timed_out(timeout_s) from None
 
-    async def _cancel(self, message_id: int) -> None:
+    def _cancel(self, message_id: int) -> None:
         self._last_id += 1
-        with contextlib.suppress(OriolegaugeError, TimeoutError):
-            async with asyncio.timeout(self._limits.close_timeout_s):
-                await self._post(
-                    Cancel(), self._last_id, reply_to=message_id, one_way=True
-                )
+        with contextlib.suppress(OriolegaugeError):
+            self._post(
+                Cancel(), self._last_id, reply_to=message_id, one_way=True
+            )
 
     def _unreachable(self, run_state: RunState) -> PeerUnreachableError:
         return PeerUnreachableError(
