Count the 900 s of a new member from its first mention

Cause: a table that had run for 900 s took a member that it had never heard of for gone, so the grants of a daemon that had just joined could be closed. Old members also stayed in heartbeats for ever. Ruled out: refusing to close members that were never heard, because after a restart of the fleet their grants would stay locked. Change: silence counts from the first mention and from the last sign in the store; gone members leave heartbeats after 900 s and the table after 1,800 s. Conclusion: a joining member has 900 s like any other.

--- a/packages/membership/src/oriolegauge/membership/memberrecord.py
+++ b/packages/membership/src/oriolegauge/membership/memberrecord.py
@@ -35,7 +35,7 @@
 
     Every incarnation that existed before `dead_before`, except `survivor`, is
     dead: processes at one address follow each other and never overlap.
-    `silent_floor` is when this daemon began to listen.
+    `silent_floor` is when the record was made.
     """
 
     name: str
--- a/packages/membership/src/oriolegauge/membership/membertable.py
+++ b/packages/membership/src/oriolegauge/membership/membertable.py
@@ -15,6 +15,9 @@
 
 SUSPECT_AFTER_S = 1.5
 GONE_AFTER_S = 900.0
+# Leaves time to close the grants of a member that is gone. A forgotten member
+# counts as new, so its 900 s begin again.
+FORGET_AFTER_S = 2 * GONE_AFTER_S
 REFUSALS_APART_S = 0.2
 # The host list may lag by this much: a host that it calls gone was gone at
 # some time within these seconds before the list was read.
@@ -82,7 +85,6 @@
         """Start with this daemon as the only member."""
         self._own = AliveMember(name, incarnation, zone, 'starting')
         self._records: dict[str, MemberRecord] = {}
-        self._silent_floor = now
         self._last_call = now
         self._view = View(0, {})
 
@@ -92,7 +94,10 @@
         self._own = AliveMember(own.name, incarnation, own.zone, state)
 
     def observe(self, heartbeat: HeartbeatLike, now: float) -> bool:
-        """Note a heartbeat; return False if its incarnation is dead."""
+        """Note a heartbeat; return False if its incarnation is dead.
+
+        A process that is refused here has to take a new incarnation.
+        """
         self._wake(now)
         if heartbeat.member == self._own.name:
             return False
@@ -132,6 +137,7 @@
 
     def state(self, member: str, now: float) -> MemberState:
         """Return what is known of the member."""
+        self._wake(now)
         if member == self._own.name:
             return MemberState.ALIVE
         record = self._record(member)
@@ -148,22 +154,26 @@
     ) -> bool:
         """State whether a holder's grants may be closed.
 
-        `seen_at` is when the holder was read from the store. It is closable
-        if its process is dead, or if no member has heard of it for 900 s; the
-        caller looks for signs in the store.
+        `seen_at` is when this daemon last saw a change by the holder in the
+        store. The holder is closable if its process is dead, or if there has
+        been no sign of it for 900 s, neither there nor at any member.
         """
         if member == self._own.name:
             return False
+        self._wake(now)
         record = self._record(member)
         if incarnation in record.dead:
             return True
         if incarnation not in record.living and seen_at < record.dead_before:
             return incarnation != record.survivor
-        return self.state(member, now) is MemberState.GONE
+        return now - seen_at >= GONE_AFTER_S and (
+            self.state(member, now) is MemberState.GONE
+        )
 
     def view(self, now: float) -> View:
         """Return the members alive, this daemon included."""
         self._wake(now)
+        self._forget(now)
         members = {self._own.name: self._own}
         for name, record in sorted(self._records.items()):
             current = record.current()
@@ -180,8 +190,8 @@
         rows = []
         for name, record in self._records.items():
             current = record.current()
-            if current:
-                age_s = max(0, now - record.last_heard())
+            age_s = max(0, now - record.last_heard())
+            if current and age_s < GONE_AFTER_S:
                 rows.append(
                     HeardMember(name, current.name, int(age_s * MS_PER_S))
                 )
@@ -198,15 +208,24 @@
     def _record(self, member: str) -> MemberRecord:
         found = self._records.get(member)
         if found is None:
-            found = MemberRecord(member, self._silent_floor)
+            # Silence counts from when this table first asks for a member.
+            found = MemberRecord(member, self._last_call)
             self._records[member] = found
         return found
 
+    def _forget(self, now: float) -> None:
+        forgotten = [
+            name
+            for name, record in self._records.items()
+            if now - record.silent_since() >= FORGET_AFTER_S
+        ]
+        for name in forgotten:
+            self._records.pop(name)
+
     def _wake(self, now: float) -> None:
         pause_s = now - self._last_call
         self._last_call = now
         if pause_s > PAUSED_AFTER_S:
-            self._silent_floor += pause_s
             for record in self._records.values():
                 record.shift(pause_s)
 
--- a/packages/membership/tests/test_membertable.py
+++ b/packages/membership/tests/test_membertable.py
@@ -133,6 +133,28 @@
         late = table.evidence('m1', Evidence.HOST_GONE, started_at=7, now=10)
         assert (early, late) == (MemberState.SUSPECT, MemberState.DEAD)
 
+    def test_holder_that_is_new_to_an_old_table(self):
+        """Guards against closing a member that has only just joined."""
+        table = self.table()
+        verdicts = {}
+        for half_seconds in range(1, 6000):
+            now = half_seconds / 2
+            table.view(now)
+            if now >= 1000:
+                closable = table.is_closable('m1', 'x', seen_at=1000, now=now)
+                verdicts.setdefault(closable, now)
+        assert verdicts == {False: 1000, True: 1900}
+
+    def test_old_members_are_forgotten(self):
+        """Guards against heartbeats that grow with each replaced host."""
+        table = self.table()
+        for number in range(100):
+            table.observe(Beat(f'h{number}', 'x'), 1)
+        for second in range(2, 2000):
+            table.view(second)
+        assert table.heard(2000) == ()
+        assert not table._records
+
     def test_two_incarnations_ask_for_a_call(self):
         """Guards against a restart that is never settled."""
         table = self.table()
