--- a/packages/admission/tests/test_admissionqueue_machine.py
+++ b/packages/admission/tests/test_admissionqueue_machine.py
@@ -15,6 +15,7 @@
     rule,
     run_state_machine_as_test,
 )
+
 from oriolegauge.admission import (
     AdmissionQueue,
     DeadlineUnreachableError,
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -1,6 +1,8 @@
 @0xd3a1c6f07b52e948;
-# Messages between daemons. Each WebSocket message carries one packed Envelope.
+# Messages between daemons. Each WebSocket message carries one Envelope.
 # Fields and union members are only ever added at the end.
+# Rows of scalars are stored as columns: each access to a field of a row costs
+# the Python library more than reading a whole list.
 
 struct Envelope {
   messageId @0 :UInt64;
@@ -43,23 +45,27 @@
   incarnation @1 :Text;
   zone @2 :Text;
   state @3 :Text;
-  configVersions @4 :List(ConfigVersion);
-  inFlight @5 :List(ServerInFlight);
+  configVersions @4 :ConfigVersions;
+  inFlight @5 :ServersInFlight;
   queueLengths @6 :List(UInt32);
   suspects @7 :List(ServerSuspects);
-  heard @8 :List(Heard);
+  heard @8 :Heard;
   storeReachedAgeMs @9 :Int64;
   watchesStore @10 :Bool;
 }
 
-struct ConfigVersion { key @0 :Text; version @1 :Int64; }
-struct ServerInFlight {
-  server @0 :Text;
-  requests @1 :UInt32;
-  tokens @2 :Int64;
+struct ConfigVersions { key @0 :List(Text); version @1 :List(Int64); }
+struct ServersInFlight {
+  server @0 :List(Text);
+  requests @1 :List(UInt32);
+  tokens @2 :List(Int64);
 }
 struct ServerSuspects { server @0 :Text; fingerprints @1 :List(Text); }
-struct Heard { member @0 :Text; incarnation @1 :Text; ageMs @2 :UInt32; }
+struct Heard {
+  member @0 :List(Text);
+  incarnation @1 :List(Text);
+  ageMs @2 :List(UInt32);
+}
 
 struct Reserve {
   reservationId @0 :Text;
@@ -106,12 +112,16 @@
 }
 struct JournalEntry { holder @0 :Text; settlement @1 :Settlement; }
 struct DeferredSettle { settle @0 :Settle; peer @1 :Text; holder @2 :Text; }
-struct JournalFloor { holder @0 :Text; shard @1 :Text; position @2 :Int64; }
+struct JournalFloors {
+  holder @0 :List(Text);
+  shard @1 :List(Text);
+  position @2 :List(Int64);
+}
 struct JournalAppend {
   origin @0 :Text;
   entries @1 :List(JournalEntry);
   deferred @2 :List(DeferredSettle);
-  floors @3 :List(JournalFloor);
+  floors @3 :JournalFloors;
   resolved @4 :List(Text);
   closing @5 :Bool;
 }
@@ -123,17 +133,21 @@
 }
 
 struct ConfigFetch { keys @0 :List(Text); }
-struct ConfigObject { key @0 :Text; version @1 :Int64; value @2 :Data; }
-struct ConfigObjects { objects @0 :List(ConfigObject); }
+struct ConfigObjectRows {
+  key @0 :List(Text);
+  version @1 :List(Int64);
+  value @2 :List(Data);
+}
+struct ConfigObjects { objects @0 :ConfigObjectRows; }
 
-struct Header { name @0 :Text; value @1 :Text; }
+struct Headers { name @0 :List(Text); value @1 :List(Text); }
 struct Forward {
   method @0 :Text;
   path @1 :Text;
-  headers @2 :List(Header);
+  headers @2 :Headers;
   body @3 :Data;
 }
-struct Head { status @0 :UInt16; headers @1 :List(Header); }
+struct Head { status @0 :UInt16; headers @1 :Headers; }
 struct Chunk { data @0 :Data; }
 struct End {}
 struct Cancel {}
