Let outcomes of intents share the write of later claims

Cause: each outcome was written at once.

Ruled out: delaying not_run as well, since a retry elsewhere is told unknown until it is stored.

Change: outcomes that ran wait up to 0.5 s for a claim; flush does not wait.

--- a/packages/ledger/src/oriolegauge/ledger/intentwriter.py
+++ b/packages/ledger/src/oriolegauge/ledger/intentwriter.py
@@ -41,6 +41,10 @@
 # without another call.
 DOWN_HOLD_S = 0.2
 RETRY_MAX_S = 5.0
+# Most outcomes share the write of a later claim; writing each at once raises
+# the share of conflicts among daemons. Until then a retry elsewhere is told
+# that the outcome is unknown, so `not_run` is written at once.
+RECORD_LINGER_S = 0.5
 
 
 @dataclass(eq=False, slots=True)
@@ -71,6 +75,7 @@
         self._down_until: float = 0
         self._failures = 0
         self._is_closed = False
+        self._is_flushing = False
 
     @property
     def is_idle(self) -> bool:
@@ -82,11 +87,14 @@
         if asyncio.get_running_loop().time() < self._down_until:
             raise _refusal(None)
         self._claims.append(pending)
+        self._wake.set()
         self._start()
 
     def add_resolution(self, resolution: Resolution) -> None:
         """Queue an outcome; it is retried until it is stored."""
         self._resolutions[resolution.request_id, resolution.number] = resolution
+        if resolution.state is IntentState.NOT_RUN:
+            self._wake.set()
         self._start()
 
     def find_resolution(self, request_id: str) -> Resolution | None:
@@ -109,8 +117,14 @@
 
     async def idle(self) -> None:
         """Wait until all claims and outcomes are written."""
-        if self._task is not None:
+        if self.is_idle:
+            return
+        self._is_flushing = True
+        self._wake.set()
+        try:
             await asyncio.shield(self._task)
+        finally:
+            self._is_flushing = False
 
     async def close(self) -> None:
         """Stop writing; outcomes not yet stored stay unknown."""
@@ -120,12 +134,12 @@
             await asyncio.wait({self._task})
 
     def _start(self) -> None:
-        self._wake.set()
         if self.is_idle and not self._is_closed:
             self._task = asyncio.create_task(self._run())
 
     async def _run(self) -> None:
         while self._claims or self._resolutions:
+            await self._linger()
             self._wake.clear()
             resolutions, claims = self._take()
             try:
@@ -137,6 +151,22 @@
                 self._failures = 0
                 self._deliver(resolutions, claims, applied)
 
+    async def _linger(self) -> None:
+        is_urgent = self._is_flushing or any(
+            resolution.state is IntentState.NOT_RUN
+            for resolution in self._resolutions.values()
+        )
+        if not self._claims and not is_urgent:
+            self._wake.clear()
+            await self._wait_for_work(RECORD_LINGER_S)
+
+    async def _wait_for_work(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
     def _take(self) -> tuple[list[Resolution], list[PendingClaim]]:
         queued = list(self._resolutions.values())
         resolutions = queued[:BATCH_MAX]
@@ -280,11 +310,7 @@
     async def _pause(self) -> None:
         pause_s = min(RETRY_MAX_S, DOWN_HOLD_S * 2 ** min(self._failures, 8))
         await asyncio.sleep(DOWN_HOLD_S)
-        try:
-            async with asyncio.timeout(pause_s - DOWN_HOLD_S):
-                await self._wake.wait()
-        except TimeoutError:
-            return
+        await self._wait_for_work(pause_s - DOWN_HOLD_S)
 
 
 def _refusal(error: OriolegaugeError | None) -> ClaimRefusedError:
