Measure intents objects with orjson

Cause: the size check of a large intents object took 21 ms on the event loop with 7,168 entries.

Change: the size is that of the encoding which the store client sends.

--- a/packages/ledger/src/oriolegauge/ledger/intents.py
+++ b/packages/ledger/src/oriolegauge/ledger/intents.py
@@ -1,11 +1,12 @@
 """Pure updates of an intents object."""
 
-import json
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Any
 
+import orjson
+
 from oriolegauge.core import OriolegaugeError, RunState
 from oriolegauge.ledger.errors import IntentLogFullError, KeyReusedError
 
@@ -212,8 +213,10 @@
             return True
         if self._room_bytes is None:
             self._drop_not_run()
-            self._room_bytes = OBJECT_MAX_BYTES - len(json.dumps(self.entries))
-        size_bytes = len(json.dumps({request_id: intent.encode()}))
+            self._room_bytes = OBJECT_MAX_BYTES - len(
+                orjson.dumps(self.entries)
+            )
+        size_bytes = len(orjson.dumps({request_id: intent.encode()}))
         if size_bytes > self._room_bytes:
             return False
         self._room_bytes -= size_bytes
--- a/packages/ledger/tests/test_intentlog.py
+++ b/packages/ledger/tests/test_intentlog.py
@@ -1,6 +1,6 @@
 import asyncio
-import json
 
+import orjson
 import pytest
 
 import oriolegauge.ledger.intentwriter as intentwriter
@@ -142,4 +142,4 @@
         )
         print(accepted, 'entries,', accepted / KEEP_S, 'a second')
         assert len(entries) == accepted
-        assert 0.9 * OBJECT_MAX_BYTES < len(json.dumps(entries)) < 1_000_000
+        assert 0.9 * OBJECT_MAX_BYTES < len(orjson.dumps(entries)) < 1_000_000
