--- a/packages/config/src/oriolegauge/config/configfollower.py
+++ b/packages/config/src/oriolegauge/config/configfollower.py
@@ -17,6 +17,14 @@
 from oriolegauge.core import first, rank
 from oriolegauge.platform import ObjectStore, StoreError
 
+MAX_RETRY_FACTOR = 16
+# An answer that is cut short or malformed counts as a failure of the store.
+STORE_FAILURES = (StoreError, TimeoutError, ValueError, KeyError)
+# Daemons of a zone fall back one after another, so that the first one is heard
+# watching by most of the others before their turn comes.
+SPREAD_S = 0.1
+MAX_SPREAD = 10
+
 log = structlog.get_logger()
 
 
@@ -24,14 +32,18 @@
 class FollowerTiming:
     """Set the periods of a follower, in seconds.
 
-    A peer is live for `live_s` after a heartbeat. `fallback_s` leaves time for
+    A peer is live for `live_s` after a heartbeat. One watcher probes the store
+    when nothing was heard for `probe_s`, the others after `probe_late_s`, by
+    when its heartbeat has told them. `fallback_s` leaves time for
     a probe, a heartbeat and a fetch, so that it passes only when the elected
     watchers fail; with a list call and a heartbeat after it, a change is in
     force within 5 s of being accepted.
     """
 
     live_s: float = 1.5
-    fallback_s: float = 2.5
+    probe_s: float = 1.0
+    probe_late_s: float = 1.9
+    fallback_s: float = 2.75
     current_s: float = 10.0
     start_grace_s: float = 2.0
     step_s: float = 0.25
@@ -119,7 +131,7 @@
             watching=self.watching,
             store_age_s=self.store_age_s(now),
             versions=self._tree.versions,
-            store_behind=dict(self._inbox.store_behind),
+            store_behind=self._store_behind(),
             rejected=dict(self._inbox.rejected),
             refused_lower=self._inbox.refused_lower,
             refused_invalid=self._inbox.refused_invalid,
@@ -158,17 +170,15 @@
             if self._reads_store(self._clock()):
                 await self._read_store()
             # The spread keeps daemons from calling a returning store together.
-            await asyncio.sleep(
-                self._timing.retry_s * self._rng.uniform(0.5, 1)
-            )
+            await asyncio.sleep(self._retry_s() * self._rng.uniform(0.5, 1))
 
     async def _read_store(self) -> None:
         try:
             if self._watches(self._clock()):
-                await self._watch.follow(self._watches, self.store_age_s)
+                await self._watch.follow(self._watches, self._probe_due)
             else:
                 await self._watch.read_all()
-        except (StoreError, TimeoutError) as error:
+        except STORE_FAILURES as error:
             self._store_failures += 1
             if not self._store_failing:
                 log.warning('configuration store lost', error=repr(error))
@@ -176,6 +186,22 @@
         else:
             self._store_failing = False
 
+    def _retry_s(self) -> float:
+        """Return a longer time the less this daemon is needed as a watcher."""
+        place = self._place(self._live(self._clock()))
+        return self._timing.retry_s * min(2**place, MAX_RETRY_FACTOR)
+
+    def _store_behind(self) -> dict[str, int]:
+        # Without a watch, a list that was late would be reported for good.
+        return dict(self._inbox.store_behind) if self.watching else {}
+
+    def _probe_due(self, now: float) -> bool:
+        watchers = [peer.name for peer in self._live(now) if peer.watching]
+        leads = first('config', [*watchers, self._name]) == self._name
+        limit_s = self._timing.probe_s if leads else self._timing.probe_late_s
+        age_s = self.store_age_s(now)
+        return age_s is None or age_s >= limit_s
+
     def _reads_store(self, now: float) -> bool:
         return not self.ready or self._watches(now)
 
@@ -191,7 +217,14 @@
         if self.watching:
             return not any(self._yields_to(peer, live) for peer in live)
         age_s = self.store_age_s(now)
-        return age_s is None or age_s > self._timing.fallback_s
+        spread_s = SPREAD_S * min(self._place(live), MAX_SPREAD)
+        return age_s is None or age_s > self._timing.fallback_s + spread_s
+
+    def _place(self, live: list[PeerConfig]) -> int:
+        """Return the place in the order of the zone, 0 for the elected one."""
+        names = [peer.name for peer in live if peer.zone == self._zone]
+        order = rank(f'config/{self._zone}', [*names, self._name])
+        return order.index(self._name)
 
     def _is_elected(self, name: str, zone: str, live: list[PeerConfig]) -> bool:
         names = [peer.name for peer in live if peer.zone == zone]
