--- a/packages/daemon/src/oriolegauge/daemon/crashguard.py
+++ b/packages/daemon/src/oriolegauge/daemon/crashguard.py
@@ -12,12 +12,12 @@
 from oriolegauge.core.resultcode import ResultCode
 from oriolegauge.daemon.peermesh import PeerMesh
 from oriolegauge.routing.crashquarantine import (
+    SUSPECT_OWNER_KEY,
     CrashQuarantine,
     CrashReport,
     Free,
     Isolated,
     QuarantinedError,
-    SUSPECT_OWNER_KEY,
 )
 from oriolegauge.wire.messages import Ack, SuspectClaim, SuspectRelease
 
