--- a/docs/generate.py
+++ b/docs/generate.py
@@ -22,6 +22,7 @@
     CallerKey,
     EngineEntry,
     OperatorEntry,
+    PlacementGoal,
     QueueLengths,
     Service,
 )
@@ -47,6 +48,7 @@
     ('Members of `keys` in `config/teams/<team>`', CallerKey),
     ('`config/servers`', Servers),
     ('Members of `engines` in `config/servers`', EngineEntry),
+    ('Members of `goals` in `config/servers`', PlacementGoal),
     ('`config/services`', Services),
     ('Members of `services` in `config/services`', Service),
     ('`config/limits`', Limits),
--- a/packages/backends/src/oriolegauge/backends/__init__.py
+++ b/packages/backends/src/oriolegauge/backends/__init__.py
@@ -9,6 +9,7 @@
     ServerCutError,
     ServerRejectedError,
 )
+from oriolegauge.backends.ordersender import OrderSender
 from oriolegauge.backends.serviceclient import (
     ServiceAnswer,
     ServiceCall,
@@ -20,6 +21,7 @@
     'EngineClient',
     'EngineRequest',
     'EngineStream',
+    'OrderSender',
     'ServerConnectError',
     'ServerCutError',
     'ServerRejectedError',
--- a/packages/config/src/oriolegauge/config/subtrees.py
+++ b/packages/config/src/oriolegauge/config/subtrees.py
@@ -113,6 +113,32 @@
         default=True,
         description='It can continue a stream from the text so far.',
     )
+    may_load: tuple[ModelName, ...] = Field(
+        default=(), description='Models that it may be ordered to load.'
+    )
+    room: int = Field(
+        default=1,
+        ge=1,
+        le=100,
+        description='Number of models that fit into its memory.',
+    )
+
+
+@dataclass(frozen=True, config=STRICT, kw_only=True, slots=True)
+class PlacementGoal:
+    """State on how many engines a model should be loaded."""
+
+    min_servers: int = Field(
+        default=1, ge=0, le=10_000, description='Fewest engines.'
+    )
+    max_servers: int = Field(
+        default=1_000, ge=1, le=10_000, description='Most engines.'
+    )
+    tokens_per_server: int = Field(
+        default=20_000,
+        ge=1,
+        description='Waiting tokens for which one more engine is loaded.',
+    )
 
 
 @dataclass(frozen=True, config=STRICT, kw_only=True, slots=True)
@@ -122,6 +148,9 @@
     engines: dict[Name, EngineEntry] = Field(
         default_factory=dict, description='Model engines by name.'
     )
+    goals: dict[ModelName, PlacementGoal] = Field(
+        default_factory=dict, description='Placement goals by model.'
+    )
     changes: Changes = ()
 
 
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -11,7 +11,7 @@
 import structlog
 from aiohttp import web
 
-from oriolegauge.backends import EngineClient, ServiceClient
+from oriolegauge.backends import EngineClient, OrderSender, ServiceClient
 from oriolegauge.budget import BudgetManager
 from oriolegauge.config import ConfigFollower, ConfigTree, DaemonSettings
 from oriolegauge.config.tlscontexts import (
@@ -34,6 +34,7 @@
 from oriolegauge.daemon.metrics import Metrics
 from oriolegauge.daemon.peerhandler import PeerHandler
 from oriolegauge.daemon.peermesh import PeerMesh
+from oriolegauge.daemon.placementloop import EngineOrders, PlacementLoop
 from oriolegauge.daemon.requests import Requests
 from oriolegauge.daemon.serverpool import ServerPool
 from oriolegauge.daemon.serverwatch import ServerWatch
@@ -42,6 +43,7 @@
 from oriolegauge.daemon.supervise import supervise
 from oriolegauge.ledger import IntentLog, RequestLedger
 from oriolegauge.membership import LeavingServers
+from oriolegauge.placement import PlacementSettings, Placer
 from oriolegauge.platform.httpobjectstore import HttpObjectStore
 from oriolegauge.platform.relayedstore import RelayedStore
 from oriolegauge.routing import Router
@@ -136,6 +138,27 @@
         self._dispatcher = Dispatcher(
             pool=pool, queue=self._queue, router=router, rng=rng, clock=clock
         )
+        self._placement = PlacementLoop(
+            name=settings.name,
+            placer=Placer(
+                store=self._store,
+                servers=EngineOrders(
+                    pool=pool,
+                    engines=engines,
+                    sender=OrderSender(
+                        clock=clock,
+                        order_max_s=PlacementSettings().command_max_s,
+                    ),
+                ),
+                leader=self._holder,
+                clock=clock,
+            ),
+            tree=self._tree,
+            pool=pool,
+            queue=self._queue,
+            mesh=self._mesh,
+            clock=clock,
+        )
         self._guard = CrashGuard(
             origin=self._holder,
             name=settings.name,
@@ -191,6 +214,7 @@
                     self._flush_periodically,
                     self._dead_holders.run,
                     self._server_watch.run,
+                    self._placement.run,
                     self._queue.expire_periodically,
                 )
             ]
@@ -352,6 +376,7 @@
                 await self._intents.flush()
         except TimeoutError:
             log.warning('outcomes of intents not stored')
+        await self._placement.release()
         await self._budgets.drain()
         await self._intents.close()
 
--- a/packages/daemon/src/oriolegauge/daemon/serverpool.py
+++ b/packages/daemon/src/oriolegauge/daemon/serverpool.py
@@ -19,6 +19,7 @@
         self._tree = tree
         self._is_leaving = is_leaving
         self._reports: dict[str, tuple[float, float]] = {}
+        self._loaded: dict[str, frozenset[str]] = {}
 
     def engines(self) -> list[BackendServer]:
         """Return all configured engines."""
@@ -27,7 +28,7 @@
                 name=name,
                 url=entry.url,
                 zone=entry.zone,
-                models=frozenset(entry.models),
+                models=self._loaded.get(name, frozenset(entry.models)),
                 leaving=entry.leaving or self._is_leaving(name),
                 obeys_fencing=entry.obeys_fencing,
                 can_resume=entry.can_resume,
@@ -48,9 +49,18 @@
             and (WILDCARD in names or server.name in names)
         }
 
-    def report(self, name: str, load_tokens: float, now: float) -> None:
-        """Record a load report of an engine."""
+    def report(
+        self,
+        name: str,
+        load_tokens: float,
+        now: float,
+        *,
+        models: frozenset[str] | None = None,
+    ) -> None:
+        """Record a load report of an engine and what it has loaded."""
         self._reports[name] = (load_tokens, now)
+        if models is not None:
+            self._loaded[name] = models
 
     def view(self, server: BackendServer) -> ServerView:
         """Return what the router needs to know of a server."""
--- a/packages/daemon/src/oriolegauge/daemon/serverwatch.py
+++ b/packages/daemon/src/oriolegauge/daemon/serverwatch.py
@@ -74,7 +74,13 @@
             return
         now = self._clock()
         jobs = float(report.get('active', 0)) + float(report.get('waiting', 0))
-        self._pool.report(server.name, jobs * TOKENS_PER_REQUEST, now)
+        models = report.get('models')
+        self._pool.report(
+            server.name,
+            jobs * TOKENS_PER_REQUEST,
+            now,
+            models=None if models is None else frozenset(models),
+        )
         self._leaving.sign(
             server.name,
             LeavingSource.LOAD_REPORT,
