--- a/packages/budget/src/oriolegauge/budget/budgetaccount.py
+++ b/packages/budget/src/oriolegauge/budget/budgetaccount.py
@@ -17,6 +17,16 @@
 SCARCE_REQUESTS = 8
 """Requests per live daemon below which only needed tokens are granted."""
 
+SCARCE_S = 10.0
+"""Seconds of the fleet's spending below which only the hub holds tokens; a
+reservation lasts a few seconds, so few are left elsewhere at the end."""
+
+BURN_PERIOD_S = 1.0
+"""Shortest time over which spending is measured."""
+
+PLENTY_REQUESTS = 4
+"""Requests that the pool must cover before daemons draw for themselves."""
+
 COLD_REQUESTS = 3
 """Requests per minute below which the budget's hub daemon holds the grant."""
 
@@ -37,6 +47,7 @@
     """Wait for tokens; `granted` is set when they have been reserved."""
 
     tokens: int
+    least: int
     granted: int = 0
     served: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -59,8 +70,13 @@
     returning: int = 0
     pool: int = 0
     left: int = 0
+    burn: float = 0
+    burn_from: int = 0
+    burn_at: float = 0
     others: Mapping[str, int] = field(default_factory=dict)
     exists: bool | None = None
+    is_exhausted: bool = False
+    last_looks: int = 0
     recalled: int = 0
     returned: int = 0
     recalled_at: float = float('-inf')
@@ -92,7 +108,9 @@
         self.reserved -= waiter.granted
         waiter.granted = 0
 
-    def adopt(self, record: Mapping[str, Any] | None, holder: str) -> None:
+    def adopt(
+        self, record: Mapping[str, Any] | None, holder: str, now: float
+    ) -> None:
         """Take over the grant and the views from a stored record."""
         self.exists = record is not None
         if record is None:
@@ -103,7 +121,9 @@
             return
         self.granted = record['grants'].get(holder, 0)
         self.pool = pool(record)
-        self.left = record['prepaid'] - record['settled']
+        self._note_left(record['prepaid'] - record['settled'], now)
+        if self.pool >= PLENTY_REQUESTS * self.demand.largest:
+            self.is_exhausted = False
         self.others = {
             other: tokens
             for other, tokens in record['grants'].items()
@@ -122,16 +142,19 @@
     def serve_waiters(self) -> None:
         """Reserve tokens for waiting requests, first come first served."""
         for waiter in self.waiters:
-            if not waiter.granted and self.take(waiter.tokens):
-                waiter.granted = waiter.tokens
+            tokens = min(waiter.tokens, self.free)
+            if not waiter.granted and tokens >= waiter.least:
+                self.reserved += tokens
+                waiter.granted = tokens
                 waiter.served.set()
 
-    def want(self, now: float, sharers: int) -> Want | None:
+    def want(self, now: float, sharers: int, *, is_hub: bool) -> Want | None:
         """Return the tokens to draw from the store, or None."""
         needs = self._needs()
         target = self._target(now)
-        if self._is_scarce(sharers):
-            target = 0
+        if self.is_scarce(sharers):
+            target = self.free + self.pool if is_hub else 0
+            sharers = 0
         elif self.free >= target / 2 and not needs:
             return None
         extra = max(0, round(target - self.free))
@@ -139,7 +162,7 @@
             return Want(tuple(needs), extra, sharers)
         return None
 
-    def surplus(self, now: float, sharers: int) -> int:
+    def surplus(self, now: float, sharers: int, *, is_hub: bool) -> int:
         """Return the free tokens that should go back to the store."""
         if self.free <= 0:
             return 0
@@ -147,13 +170,19 @@
             return min(self.recalled, self.free)
         if self.waiters:
             return 0
-        if self._is_scarce(sharers):
-            return self.free
+        if self.is_scarce(sharers):
+            return 0 if is_hub else self.free
         target = round(self._target(now))
         if self.free > 2 * target:
             return self.free - target
         return 0
 
+    def is_scarce(self, sharers: int) -> bool:
+        """Return whether the hub should hold what is left."""
+        threshold = SCARCE_REQUESTS * sharers * self.demand.largest
+        is_low = self.left < max(threshold, SCARCE_S * self.burn)
+        return self.is_exhausted or is_low
+
     def is_cold(self, now: float) -> bool:
         """Return whether few requests used the budget in the last minute."""
         return self.demand.requests(now) < COLD_REQUESTS and not self.granted
@@ -161,7 +190,7 @@
     def recallable(self, tokens: int, sharers: int) -> int:
         """Return the free tokens that a peer in need of `tokens` may get."""
         free = max(0, self.free)
-        if self._is_scarce(sharers):
+        if self.is_scarce(sharers):
             return free
         return max(free // 2, min(free, tokens))
 
@@ -171,17 +200,27 @@
             FIRST_TARGET_REQUESTS * self.demand.largest,
         )
 
-    def _is_scarce(self, sharers: int) -> bool:
-        return self.left < SCARCE_REQUESTS * sharers * self.demand.largest
+    def _note_left(self, left: int, now: float) -> None:
+        """Follow how fast all daemons together spend the budget."""
+        self.left = left
+        age = now - self.burn_at
+        if age < BURN_PERIOD_S:
+            return
+        if self.burn_from:
+            spent = max(0, self.burn_from - left)
+            self.burn = (self.burn + spent / age) / 2
+        self.burn_from = left
+        self.burn_at = now
 
-    def _needs(self) -> list[int]:
+    def _needs(self) -> list[tuple[int, int]]:
         available = max(0, self.free)
         needs = []
         for waiter in self.waiters:
             if waiter.granted:
                 continue
             need = waiter.tokens - available
+            least = waiter.least - available
             available = max(0, -need)
             if need > 0:
-                needs.append(need)
+                needs.append((need, max(1, least)))
         return needs
--- a/packages/budget/src/oriolegauge/budget/budgetmanager.py
+++ b/packages/budget/src/oriolegauge/budget/budgetmanager.py
@@ -82,6 +82,7 @@
             clock=clock,
             rng=rng or random.Random(holder),
             sharers=self._sharers,
+            is_hub=self._is_hub,
             on_read=self._on_read,
         )
         self._writer = JournalWriter(
@@ -112,7 +113,7 @@
         self._remote = RemoteSide(
             logs=self._logs,
             settler=self._settler,
-            source=self._source,
+            acquirer=self._acquirer,
             writer=self._writer,
             journal=self._journal,
             sharers=self._sharers,
@@ -316,6 +317,9 @@
     def _abandon(self, peer: str, reservation_id: str) -> None:
         self._settler.abandon(peer, reservation_id)
 
+    def _is_hub(self, budget: str) -> bool:
+        return self._source.hub_of(budget) == daemon_of(self._holder)
+
     def _sharers(self) -> int:
         return len(self._peers.members()) + 1
 
--- a/packages/budget/src/oriolegauge/budget/remoteside.py
+++ b/packages/budget/src/oriolegauge/budget/remoteside.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from oriolegauge.budget.acquirer import Acquirer, TokenRequest
+from oriolegauge.budget.budgetaccount import BudgetAccount
 from oriolegauge.budget.errors import BudgetUnknownError
 from oriolegauge.budget.journal import Journal
 from oriolegauge.budget.journalwriter import JournalWriter
@@ -22,10 +24,11 @@
     SettleAnswer,
 )
 from oriolegauge.budget.remotereservations import Outcome, RemoteReservations
+from oriolegauge.budget.reservation import Reservation
 from oriolegauge.budget.settler import Settler
 from oriolegauge.budget.shardlog import ShardLog
 from oriolegauge.budget.shardlogs import ShardLogs
-from oriolegauge.budget.tokensource import PEER_TIMEOUT_S, TokenSource
+from oriolegauge.budget.tokensource import HUB_TIMEOUT_S, PEER_TIMEOUT_S
 from oriolegauge.core.errors import OriolegaugeError
 
 
@@ -37,7 +40,7 @@
         *,
         logs: ShardLogs,
         settler: Settler,
-        source: TokenSource,
+        acquirer: Acquirer,
         writer: JournalWriter,
         journal: Journal,
         sharers: Callable[[], int],
@@ -46,7 +49,7 @@
         """Reserve and bill through the own logs."""
         self._logs = logs
         self._settler = settler
-        self._source = source
+        self._acquirer = acquirer
         self._writer = writer
         self._journal = journal
         self._sharers = sharers
@@ -61,23 +64,21 @@
             return known
         log = self._logs.of_budget(message.budget)
         account = log.account(message.budget)
-        tokens = min(message.tokens, max(message.minimum, account.free))
-        taken = log.may_spend and account.take(tokens)
-        if not taken and message.may_draw:
-            account.demand.note(message.tokens, self._clock())
-            taken = await self._draw(log, message)
-            tokens = message.tokens
+        if message.may_draw:
+            reservation = await self._acquire(log, account, message)
+        else:
+            reservation = self._take(log, account, message)
         known = self._known(message)
-        if known is not None or not taken:
-            if taken:
-                account.reserved -= tokens
-                account.serve_waiters()
-            return known or ReserveAnswer(message.reservation_id, 0, log.holder)
-        reservation = self._settler.open(
-            log, message.budget, message.request_id, tokens
-        )
+        if known is not None:
+            if reservation is not None:
+                self._settler.release(reservation)
+            return known
+        if reservation is None:
+            return ReserveAnswer(message.reservation_id, 0, log.holder)
         self.reservations.hold(message, reservation, self._clock())
-        return ReserveAnswer(message.reservation_id, tokens, log.holder)
+        return ReserveAnswer(
+            message.reservation_id, reservation.tokens, reservation.holder
+        )
 
     async def settle(self, message: Settle) -> SettleAnswer:
         """Bill a remote reservation once; answer when the bill has copies."""
@@ -137,16 +138,33 @@
             return ReserveAnswer(message.reservation_id, 0, '')
         return None
 
-    async def _draw(self, log: ShardLog, message: Reserve) -> bool:
+    def _take(
+        self, log: ShardLog, account: BudgetAccount, message: Reserve
+    ) -> Reservation | None:
+        tokens = min(message.tokens, account.free)
+        if tokens < message.minimum or not log.may_spend:
+            return None
+        account.take(tokens)
+        return self._settler.open(
+            log, message.budget, message.request_id, tokens
+        )
+
+    async def _acquire(
+        self, log: ShardLog, account: BudgetAccount, message: Reserve
+    ) -> Reservation | None:
+        """Reserve as the hub of the budget."""
+        account.demand.note(message.tokens, self._clock())
+        request = TokenRequest(
+            message.budget,
+            message.request_id,
+            message.tokens,
+            message.minimum,
+            self._clock() + HUB_TIMEOUT_S,
+        )
         try:
-            return await self._source.draw(
-                log,
-                log.account(message.budget),
-                message.tokens,
-                deadline=self._clock() + PEER_TIMEOUT_S,
-            )
+            return await self._acquirer.acquire_here(log, account, request)
         except BudgetUnknownError:
-            return False
+            return None
 
     def _bill(self, message: Settle) -> Outcome:
         """Bill a held reservation, or an unknown one from what is free.
--- a/packages/budget/src/oriolegauge/budget/settler.py
+++ b/packages/budget/src/oriolegauge/budget/settler.py
@@ -245,7 +245,7 @@
         except BudgetUnknownError:
             return True
         if is_paid:
-            account.reserved -= settle.tokens
+            account.reserved -= is_paid
         elif not (final or self._is_overdue(log, pending)):
             return False
         entry = self.bill(
--- a/packages/budget/src/oriolegauge/budget/shard.py
+++ b/packages/budget/src/oriolegauge/budget/shard.py
@@ -46,11 +46,13 @@
 class Want:
     """Ask for tokens: `needs` of waiting requests, then `target` to hold.
 
-    Each need is granted whole or not at all. The target is limited to half of
-    the remaining pool divided by `sharers`, the number of live daemons.
+    A need is a pair of the tokens wanted and the least that helps; otherwise
+    nothing is granted for it. The target is limited to half of the remaining
+    pool divided by `sharers`, the number of live daemons; 0 sharers stand for
+    the hub of a scarce budget, which may take the whole pool.
     """
 
-    needs: Sequence[int] = ()
+    needs: Sequence[tuple[int, int]] = ()
     target: int = 0
     sharers: int = 1
 
@@ -159,10 +161,12 @@
 def granted_tokens(want: Want, free: int) -> int:
     """Return how many of `free` pool tokens the want receives."""
     granted = 0
-    for need in want.needs:
-        if granted + need <= free:
-            granted += need
-    share = (free - granted) // (2 * max(1, want.sharers))
+    for need, least in want.needs:
+        if granted + least <= free:
+            granted += min(need, free - granted)
+    share = free - granted
+    if want.sharers:
+        share //= 2 * want.sharers
     return granted + max(0, min(want.target, share))
 
 
@@ -188,11 +192,10 @@
             'number': _next_number(updated['closed']),
             'position': updated['positions'].pop(holder),
             'merged': [],
-            'unbilled': 0,
         }
     keys = SettledKeys(updated)
     for settlement in late:
-        closure['unbilled'] += _settle(updated, holder, settlement, keys)
+        _settle(updated, holder, settlement, keys)
     closure['merged'] = sorted(
         {*closure['merged'], *(one.position for one in late)}
     )
@@ -233,13 +236,13 @@
     holder: str,
     settlement: Settlement,
     keys: SettledKeys,
-) -> int:
-    """Bill the settlement and return the tokens that stay unbilled."""
+) -> None:
+    """Bill the settlement; what nothing can pay is counted as unbilled."""
     if settlement.budget not in shard['budgets']:
-        return settlement.tokens
+        return
     record = _own_record(shard, settlement.budget)
     if settlement.keyed and not keys.add(record['team'], settlement.request_id):
-        return 0
+        return
     granted = record['grants'].get(holder, 0)
     from_grant = 0 if settlement.pooled else min(granted, settlement.tokens)
     billed = from_grant + min(
@@ -248,7 +251,9 @@
     record['settled'] += billed
     if from_grant:
         _add_grant(shard, holder, settlement.budget, -from_grant)
-    return settlement.tokens - billed
+    if billed < settlement.tokens:
+        unbilled = record.get('unbilled', 0) + settlement.tokens - billed
+        shard['budgets'][settlement.budget]['unbilled'] = unbilled
 
 
 def _add_grant(
--- a/packages/budget/src/oriolegauge/budget/shardlog.py
+++ b/packages/budget/src/oriolegauge/budget/shardlog.py
@@ -87,6 +87,7 @@
         rng: random.Random,
         new_holder: Callable[[], str],
         sharers: Callable[[], int],
+        is_hub: Callable[[str], bool],
         on_read: Callable[[str, Mapping[str, Any]], None],
     ) -> None:
         """Write to the object `key` as `holder`, after a closure as another.
@@ -110,6 +111,7 @@
         self._rng = rng
         self._new_holder = new_holder
         self._sharers = sharers
+        self._is_hub = is_hub
         self._on_read = on_read
         self._position = 0
         self._sealed: _SealedFlush | None = None
@@ -253,7 +255,7 @@
         stored = await self._store.get(self.key)
         if stored is None:
             for account in self.accounts.values():
-                account.adopt(None, self.holder)
+                account.adopt(None, self.holder, self._clock())
             raise BudgetUnknownError(f'no shard {self.key}')
         known = self.stored.version if self.stored else 0
         self._stable = stored.version == known
@@ -305,7 +307,7 @@
         }
         returned = self._surplus()
         is_satisfying = all(
-            granted.get(budget, 0) >= sum(want.needs)
+            granted.get(budget, 0) >= sum(need for need, _ in want.needs)
             for budget, want in wanted.items()
         )
         if not (
@@ -353,7 +355,7 @@
         now = self._clock()
         sharers = self._sharers()
         wants = {
-            name: account.want(now, sharers)
+            name: account.want(now, sharers, is_hub=self._is_hub(name))
             for name, account in self.accounts.items()
         }
         return {name: want for name, want in wants.items() if want}
@@ -362,7 +364,7 @@
         now = self._clock()
         sharers = self._sharers()
         surplus = {
-            name: account.surplus(now, sharers)
+            name: account.surplus(now, sharers, is_hub=self._is_hub(name))
             for name, account in self.accounts.items()
         }
         return {name: tokens for name, tokens in surplus.items() if tokens}
@@ -434,7 +436,9 @@
         self.stored = stored
         self.read_at = self._clock()
         for name, account in self.accounts.items():
-            account.adopt(stored.value['budgets'].get(name), self.holder)
+            account.adopt(
+                stored.value['budgets'].get(name), self.holder, self.read_at
+            )
 
     def _note_closed(
         self, shard: Mapping[str, Any], holder: str, positions: frozenset[int]
--- a/packages/budget/src/oriolegauge/budget/shardlogs.py
+++ b/packages/budget/src/oriolegauge/budget/shardlogs.py
@@ -32,6 +32,7 @@
         clock: Callable[[], float],
         rng: random.Random,
         sharers: Callable[[], int],
+        is_hub: Callable[[str], bool],
         on_read: Callable[[str, Mapping[str, Any]], None],
     ) -> None:
         """Write to `shard_count` shards as holders of `process`."""
@@ -41,6 +42,7 @@
         self._clock = clock
         self._rng = rng
         self._sharers = sharers
+        self._is_hub = is_hub
         self._on_read = on_read
         self._logs: dict[str, ShardLog] = {}
         self._closures = 0
@@ -77,6 +79,7 @@
                 rng=self._rng,
                 new_holder=self._new_holder,
                 sharers=self._sharers,
+                is_hub=self._is_hub,
                 on_read=self._on_read,
             )
             self._logs[key] = log
--- a/packages/budget/src/oriolegauge/budget/tokensource.py
+++ b/packages/budget/src/oriolegauge/budget/tokensource.py
@@ -27,6 +27,9 @@
 PEER_TIMEOUT_S = 0.1
 """Wait for one peer; a round trip between zones takes 3 ms."""
 
+HUB_TIMEOUT_S = 0.4
+"""Wait for the hub of a budget, which may wait for returned tokens."""
+
 PEERS_ASKED_MAX = 3
 """Peers asked one after the other for one request."""
 
@@ -45,7 +48,7 @@
 RETURN_WAIT_S = 0.25
 """Longest wait for reservations to be returned."""
 
-RETURN_POLL_S = 0.05
+RETURN_POLL_S = 0.02
 """Period of recalls while waiting for reservations to be returned."""
 
 
@@ -77,15 +80,21 @@
         account: BudgetAccount,
         tokens: int,
         *,
+        least: int | None = None,
         deadline: float,
-    ) -> bool:
-        """Reserve tokens of the own grant after drawing from the store."""
+    ) -> int:
+        """Reserve tokens of the own grant after drawing from the store.
+
+        Return the reserved tokens, at least `least`, or 0.
+        """
         now = self._clock()
-        if now - log.failed_at < OUTAGE_RETRY_S:
-            return log.may_spend and account.take(tokens)
+        waiter = Waiter(tokens, tokens if least is None else least)
+        if self.is_store_down(log):
+            taken = min(tokens, account.free)
+            is_enough = log.may_spend and taken >= waiter.least
+            return taken if is_enough and account.take(taken) else 0
         if len(account.waiters) >= WAITERS_MAX:
-            return False
-        waiter = Waiter(tokens)
+            return 0
         account.waiters.append(waiter)
         try:
             await asyncio.wait_for(
@@ -101,18 +110,29 @@
         if account.exists is False:
             account.give_back(waiter)
             raise BudgetUnknownError(f'no budget {account.name}')
-        return waiter.granted > 0
+        if not waiter.granted and self.is_pool_known(log):
+            account.is_exhausted = True
+        return waiter.granted
+
+    def is_store_down(self, log: ShardLog) -> bool:
+        """Return whether the last call to the store failed just now."""
+        return self._clock() - log.failed_at < OUTAGE_RETRY_S
 
     def is_pool_known(self, log: ShardLog) -> bool:
         """Return whether the views of the shard's budgets are fresh."""
         return self._clock() - log.read_at < POOL_VIEW_MAX_S
 
+    def hub_of(self, budget: str) -> str:
+        """Return the daemon that holds the grant of a cold or scarce budget."""
+        names = [one.name for one in self._peers.members()]
+        return first(budget, [*names, self._daemon]) or self._daemon
+
     def hub(self, account: BudgetAccount) -> str | None:
-        """Return the daemon that holds the grant of a cold budget."""
-        if not account.is_cold(self._clock()):
+        """Return the other daemon that has to be asked for tokens."""
+        sharers = len(self._peers.members()) + 1
+        if not (account.is_scarce(sharers) or account.is_cold(self._clock())):
             return None
-        names = [one.name for one in self._peers.members()]
-        hub = first(account.name, [*names, self._daemon])
+        hub = self.hub_of(account.name)
         return None if hub == self._daemon else hub
 
     def holders(self, log: ShardLog, account: BudgetAccount) -> list[str]:
@@ -141,7 +161,7 @@
         minimum: int,
         may_draw: bool = False,
     ) -> ReserveAnswer | None:
-        """Reserve at a peer; return None when it refuses or is silent."""
+        """Reserve at a peer; return None when it is silent or not serving."""
         self._asked += 1
         message = Reserve(
             reservation_id=f'{self._process}#r{self._asked}',
@@ -155,14 +175,15 @@
         answer = None
         try:
             answer = await asyncio.wait_for(
-                self._peers.reserve(peer, message), PEER_TIMEOUT_S
+                self._peers.reserve(peer, message),
+                HUB_TIMEOUT_S if may_draw else PEER_TIMEOUT_S,
             )
         except PEER_ERRORS:
             return None
         finally:
             if answer is None:
                 self._abandon(peer, message.reservation_id)
-        return answer if answer.tokens else None
+        return answer if answer.holder else None
 
     async def recall(
         self, log: ShardLog, account: BudgetAccount, tokens: int
@@ -178,34 +199,34 @@
         account: BudgetAccount,
         tokens: int,
         *,
+        least: int,
         deadline: float,
-    ) -> bool:
+    ) -> int:
         """Wait for reservations to be returned here or at peers."""
-        waiter = Waiter(tokens)
+        waiter = Waiter(tokens, least)
         until = min(deadline, self._clock() + RETURN_WAIT_S)
         if len(account.waiters) >= WAITERS_MAX:
-            return False
+            return 0
         account.waiters.append(waiter)
         try:
             while not waiter.granted and self._clock() < until:
-                await self._wait_once(log, account, waiter, until)
+                await self._wait_once(log, account, waiter)
         except BaseException:
             account.give_back(waiter)
             raise
         finally:
             account.waiters.remove(waiter)
-        return waiter.granted > 0
+        return waiter.granted
 
     async def _wait_once(
         self,
         log: ShardLog,
         account: BudgetAccount,
         waiter: Waiter,
-        until: float,
     ) -> None:
-        remaining = min(RETURN_POLL_S, until - self._clock())
+        """Wait a moment; a recall comes last, so that no refusal skips it."""
         try:
-            await asyncio.wait_for(waiter.served.wait(), remaining)
+            await asyncio.wait_for(waiter.served.wait(), RETURN_POLL_S)
         except TimeoutError:
             recalled = await self.recall(log, account, waiter.tokens)
             if recalled.returned and not waiter.granted:
@@ -218,7 +239,8 @@
             pause = account.recalled_at + RECALL_PERIOD_S - self._clock()
             if pause > 0:
                 await asyncio.sleep(pause)
-            message = Recall(account.name, self._process, tokens)
+            wanted = sum(waiter.tokens for waiter in account.waiters)
+            message = Recall(account.name, self._process, max(tokens, wanted))
             answers = await asyncio.gather(
                 *(
                     self._recall_from(peer, message)
--- a/packages/testkit/src/oriolegauge/testkit/storeclient.py
+++ b/packages/testkit/src/oriolegauge/testkit/storeclient.py
@@ -10,8 +10,8 @@
     ObjectStore,
     StoreAnswerLostError,
     StoredObject,
+    StoreError,
     StoreUnavailableError,
-    VersionConflictError,
 )
 
 
@@ -100,5 +100,5 @@
         await asyncio.sleep(self._late_s * self._rng.random())
         try:
             await self._store.put(key, value, expected_version)
-        except (VersionConflictError, StoreUnavailableError):
+        except StoreError:
             return
