--- a/packages/budget/src/oriolegauge/budget/budgetaccount.py
+++ b/packages/budget/src/oriolegauge/budget/budgetaccount.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from oriolegauge.budget.demandrate import DemandRate
+from oriolegauge.budget.fleetview import FleetView
 from oriolegauge.budget.shard import Want, pool
 
 TARGET_S = 600
@@ -148,11 +149,13 @@
                 waiter.granted = tokens
                 waiter.served.set()
 
-    def want(self, now: float, sharers: int, *, is_hub: bool) -> Want | None:
+    def want(self, now: float, fleet: FleetView) -> Want | None:
         """Return the tokens to draw from the store, or None."""
         needs = self._needs()
         target = self._target(now)
+        sharers = fleet.sharers()
         if self.is_scarce(sharers):
+            is_hub = fleet.is_hub(self.name)
             target = self.free + self.pool if is_hub else 0
             sharers = 0
         elif self.free >= target / 2 and not needs:
@@ -162,7 +165,7 @@
             return Want(tuple(needs), extra, sharers)
         return None
 
-    def surplus(self, now: float, sharers: int, *, is_hub: bool) -> int:
+    def surplus(self, now: float, fleet: FleetView) -> int:
         """Return the free tokens that should go back to the store."""
         if self.free <= 0:
             return 0
@@ -170,8 +173,8 @@
             return min(self.recalled, self.free)
         if self.waiters:
             return 0
-        if self.is_scarce(sharers):
-            return 0 if is_hub else self.free
+        if self.is_scarce(fleet.sharers()):
+            return 0 if fleet.is_hub(self.name) else self.free
         target = round(self._target(now))
         if self.free > 2 * target:
             return self.free - target
--- a/packages/budget/src/oriolegauge/budget/budgetmanager.py
+++ b/packages/budget/src/oriolegauge/budget/budgetmanager.py
@@ -75,14 +75,21 @@
         self._floors: dict[str, int] = {}
         self._journal = Journal(shard_count=shard_count)
         self._outbox = Outbox()
+        self._source = TokenSource(
+            daemon=daemon_of(holder),
+            process=holder,
+            peers=self._peers,
+            clock=clock,
+            spawn=self._spawn,
+            abandon=self._abandon,
+        )
         self._logs = ShardLogs(
             store=store,
             process=holder,
             shard_count=shard_count,
             clock=clock,
             rng=rng or random.Random(holder),
-            sharers=self._sharers,
-            is_hub=self._is_hub,
+            fleet=self._source,
             on_read=self._on_read,
         )
         self._writer = JournalWriter(
@@ -91,14 +98,6 @@
             peers=self._peers,
             floors=self._logs.floors,
         )
-        self._source = TokenSource(
-            daemon=daemon_of(holder),
-            process=holder,
-            peers=self._peers,
-            clock=clock,
-            spawn=self._spawn,
-            abandon=self._abandon,
-        )
         self._settler = Settler(
             process=holder,
             logs=self._logs,
@@ -116,7 +115,7 @@
             acquirer=self._acquirer,
             writer=self._writer,
             journal=self._journal,
-            sharers=self._sharers,
+            fleet=self._source,
             clock=clock,
         )
         self._closer = HolderCloser(
@@ -317,12 +316,6 @@
     def _abandon(self, peer: str, reservation_id: str) -> None:
         self._settler.abandon(peer, reservation_id)
 
-    def _is_hub(self, budget: str) -> bool:
-        return self._source.hub_of(budget) == daemon_of(self._holder)
-
-    def _sharers(self) -> int:
-        return len(self._peers.members()) + 1
-
     def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run in the background; each caller limits how often it does so."""
         task = asyncio.create_task(coroutine)
--- a/packages/budget/src/oriolegauge/budget/journalwriter.py
+++ b/packages/budget/src/oriolegauge/budget/journalwriter.py
@@ -26,6 +26,12 @@
 BATCH_MAX = 500
 """Entries in one message, about 50 kB."""
 
+SILENCE_S = 1.0
+"""Time after a call without an answer during which others are preferred."""
+
+SILENT_MAX = 1_000
+"""Peers remembered as silent."""
+
 PEER_ERRORS = (OriolegaugeError, OSError, TimeoutError)
 
 
@@ -60,6 +66,7 @@
         self._floors = floors
         self._queues: dict[str, list[_Batch]] = {}
         self._senders: dict[str, asyncio.Task[None]] = {}
+        self._silent: dict[str, float] = {}
         self.short_of_copies = 0
 
     async def copy(
@@ -103,7 +110,14 @@
         other_zones = [one.name for one in members if one.zone != self._zone]
         same_zone = [one.name for one in members if one.zone == self._zone]
         ranked = rank(self._origin, other_zones) + rank(self._origin, same_zone)
-        return ranked[:CANDIDATES_MAX]
+        now = asyncio.get_running_loop().time()
+        silent = [
+            name
+            for name in ranked
+            if now - self._silent.get(name, -SILENCE_S) < SILENCE_S
+        ]
+        answering = [name for name in ranked if name not in silent]
+        return (answering + silent)[:CANDIDATES_MAX]
 
     async def _enqueue(
         self, peer: str, item: JournalEntry | DeferredSettle
@@ -146,5 +160,8 @@
                 self._peers.append_journal(peer, message), APPEND_TIMEOUT_S
             )
         except PEER_ERRORS:
+            if len(self._silent) >= SILENT_MAX:
+                self._silent.clear()
+            self._silent[peer] = asyncio.get_running_loop().time()
             return False
         return answer.accepted
--- a/packages/budget/src/oriolegauge/budget/remoteside.py
+++ b/packages/budget/src/oriolegauge/budget/remoteside.py
@@ -7,6 +7,7 @@
 from oriolegauge.budget.acquirer import Acquirer, TokenRequest
 from oriolegauge.budget.budgetaccount import BudgetAccount
 from oriolegauge.budget.errors import BudgetUnknownError
+from oriolegauge.budget.fleetview import FleetView
 from oriolegauge.budget.journal import Journal
 from oriolegauge.budget.journalwriter import JournalWriter
 from oriolegauge.budget.messages import (
@@ -43,7 +44,7 @@
         acquirer: Acquirer,
         writer: JournalWriter,
         journal: Journal,
-        sharers: Callable[[], int],
+        fleet: FleetView,
         clock: Callable[[], float],
     ) -> None:
         """Reserve and bill through the own logs."""
@@ -52,7 +53,7 @@
         self._acquirer = acquirer
         self._writer = writer
         self._journal = journal
-        self._sharers = sharers
+        self._fleet = fleet
         self._clock = clock
         self.reservations = RemoteReservations(release=settler.release)
         self.is_closing = False
@@ -103,7 +104,9 @@
         if account is None:
             return RecallAnswer(message.budget, 0, 0)
         before = account.returned
-        account.recalled = account.recallable(message.tokens, self._sharers())
+        account.recalled = account.recallable(
+            message.tokens, self._fleet.sharers()
+        )
         if account.recalled:
             with suppress(OriolegaugeError, TimeoutError):
                 await asyncio.wait_for(log.write(), PEER_TIMEOUT_S)
--- a/packages/budget/src/oriolegauge/budget/shardlog.py
+++ b/packages/budget/src/oriolegauge/budget/shardlog.py
@@ -8,17 +8,9 @@
 
 from oriolegauge.budget.budgetaccount import BudgetAccount
 from oriolegauge.budget.errors import BudgetUnknownError
-from oriolegauge.budget.holdername import process_of
-from oriolegauge.budget.shard import (
-    Flush,
-    Settlement,
-    Want,
-    apply_flush,
-    close_holder,
-    granted_tokens,
-    is_closed,
-    pool,
-)
+from oriolegauge.budget.fleetview import FleetView
+from oriolegauge.budget.shard import Flush, Settlement, apply_flush, is_closed
+from oriolegauge.budget.writeplanner import WritePlan, WritePlanner
 from oriolegauge.platform import (
     ObjectStore,
     StoreAnswerLostError,
@@ -59,17 +51,6 @@
     sent_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class _Plan:
-    """The shard value to write and what it contains."""
-
-    value: Mapping[str, Any]
-    flush: Flush | None
-    closed: Mapping[str, frozenset[int]]
-    processes: frozenset[str] = frozenset()
-    is_satisfying: bool = True
-
-
 class ShardLog:
     """Write entries, grant adjustments and closures of one shard.
 
@@ -86,8 +67,7 @@
         clock: Callable[[], float],
         rng: random.Random,
         new_holder: Callable[[], str],
-        sharers: Callable[[], int],
-        is_hub: Callable[[str], bool],
+        fleet: FleetView,
         on_read: Callable[[str, Mapping[str, Any]], None],
     ) -> None:
         """Write to the object `key` as `holder`, after a closure as another.
@@ -110,8 +90,13 @@
         self._clock = clock
         self._rng = rng
         self._new_holder = new_holder
-        self._sharers = sharers
-        self._is_hub = is_hub
+        self._planner = WritePlanner(
+            accounts=self.accounts,
+            closures=self.closures,
+            closing=self.closing,
+            fleet=fleet,
+            clock=clock,
+        )
         self._on_read = on_read
         self._position = 0
         self._sealed: _SealedFlush | None = None
@@ -128,7 +113,7 @@
     @property
     def is_dirty(self) -> bool:
         """Return whether a write is due."""
-        has_work = self.entries or self._sealed or self._surplus()
+        has_work = self.entries or self._sealed or self._planner.surplus()
         return bool(
             has_work or self.closures or self.closing or self._is_sign_due()
         )
@@ -240,6 +225,7 @@
         stored = await self._read()
         if self._sealed is not None:
             stored = await self._resolve(stored, self._sealed)
+        self._view(stored)
         plan = self._plan(stored.value)
         if plan.value is stored.value:
             self._adopt(stored, plan)
@@ -286,95 +272,37 @@
         if stored.version != sealed.version:
             self._unseal()
             return stored
-        again = _Plan(apply_flush(stored.value, sealed.flush), sealed.flush, {})
+        again = WritePlan(
+            apply_flush(stored.value, sealed.flush), sealed.flush, {}
+        )
         written = await self._store.put(self.key, again.value, sealed.version)
         self._unseal()
         stored = StoredObject(self.key, written.version, again.value)
         self._confirm(stored, sealed.flush, sealed.sent_at)
         return stored
 
-    def _plan(self, stored: Mapping[str, Any]) -> _Plan:
-        processes = frozenset(self.closing)
-        shard, closed = self._close_holders(stored)
-        if self._is_finishing:
-            shard = close_holder(shard, self.holder, self.entries)
-            return _Plan(shard, None, closed, processes)
-        wanted = self._wanted()
-        granted = {
-            budget: granted_tokens(want, pool(shard['budgets'][budget]))
-            for budget, want in wanted.items()
-            if budget in shard['budgets']
-        }
-        returned = self._surplus()
-        is_satisfying = all(
-            granted.get(budget, 0) >= sum(need for need, _ in want.needs)
-            for budget, want in wanted.items()
-        )
-        if not (
-            self.entries
-            or returned
-            or any(granted.values())
-            or self._is_sign_due()
-        ):
-            return _Plan(shard, None, closed, processes, is_satisfying)
-        self._position += 1
-        flush = Flush(
-            holder=self.holder,
-            last_position=self._position,
-            settlements=tuple(self.entries),
-            wanted=wanted,
-            returned=returned,
-            confirmed=self.confirmed,
-        )
-        return _Plan(
-            apply_flush(shard, flush), flush, closed, processes, is_satisfying
-        )
-
-    def _close_holders(
-        self, shard: Mapping[str, Any]
-    ) -> tuple[Mapping[str, Any], dict[str, frozenset[int]]]:
-        closed = {}
-        for holder in self._holders_to_close(shard):
-            entries = self.closures.get(holder, {})
-            shard = close_holder(shard, holder, entries.values())
-            closed[holder] = frozenset(entries)
-        return shard, closed
-
-    def _holders_to_close(self, shard: Mapping[str, Any]) -> list[str]:
-        return [
-            *self.closures,
-            *(
-                holder
-                for holder in shard['positions']
-                if holder not in self.closures
-                and process_of(holder) in self.closing
+    def _plan(self, stored: Mapping[str, Any]) -> WritePlan:
+        plan = self._planner.plan(
+            stored,
+            Flush(
+                holder=self.holder,
+                last_position=self._position + 1,
+                settlements=tuple(self.entries),
+                confirmed=self.confirmed,
             ),
-        ]
-
-    def _wanted(self) -> dict[str, Want]:
-        now = self._clock()
-        sharers = self._sharers()
-        wants = {
-            name: account.want(now, sharers, is_hub=self._is_hub(name))
-            for name, account in self.accounts.items()
-        }
-        return {name: want for name, want in wants.items() if want}
-
-    def _surplus(self) -> dict[str, int]:
-        now = self._clock()
-        sharers = self._sharers()
-        surplus = {
-            name: account.surplus(now, sharers, is_hub=self._is_hub(name))
-            for name, account in self.accounts.items()
-        }
-        return {name: tokens for name, tokens in surplus.items() if tokens}
+            is_finishing=self._is_finishing,
+            is_sign_due=self._is_sign_due(),
+        )
+        if plan.flush is not None:
+            self._position += 1
+        return plan
 
     def _is_sign_due(self) -> bool:
         return self._clock() - self.sign_at >= SIGN_PERIOD_S and any(
             account.granted for account in self.accounts.values()
         )
 
-    async def _put(self, stored: StoredObject, plan: _Plan) -> None:
+    async def _put(self, stored: StoredObject, plan: WritePlan) -> None:
         sent_at = self._clock()
         if plan.flush is not None:
             self._seal(_SealedFlush(plan.flush, stored.version, sent_at))
@@ -414,20 +342,20 @@
         self.confirmed = position
         self.sign_at = max(self.sign_at, sent_at)
         for budget, tokens in flush.returned.items():
-            self.accounts[budget].returned += tokens
+            self.account(budget).returned += tokens
         for entry in self.entries:
             if entry.position <= position and not entry.pooled:
-                self.accounts[entry.budget].unflushed -= entry.tokens
+                self.account(entry.budget).unflushed -= entry.tokens
         self.entries = [one for one in self.entries if one.position > position]
         self._view(stored)
 
-    def _adopt(self, stored: StoredObject, plan: _Plan) -> None:
+    def _adopt(self, stored: StoredObject, plan: WritePlan) -> None:
         self._view(stored)
         if is_closed(stored.value, self.holder, self.confirmed):
             self._retire()
         for holder, positions in plan.closed.items():
             self._note_closed(stored.value, holder, positions)
-        self.closing -= plan.processes
+        self.closing.difference_update(plan.processes)
         for account in self.accounts.values():
             account.serve_waiters()
         self._on_read(self.key, stored.value)
--- a/packages/budget/src/oriolegauge/budget/shardlogs.py
+++ b/packages/budget/src/oriolegauge/budget/shardlogs.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from oriolegauge.budget.budgetaccount import BudgetAccount
+from oriolegauge.budget.fleetview import FleetView
 from oriolegauge.budget.messages import JournalFloor
 from oriolegauge.budget.shard import shard_key
 from oriolegauge.budget.shardlog import ShardLog
@@ -13,6 +14,9 @@
 ACCOUNTS_MAX = 50_000
 """Budgets with local state; a new budget is refused beyond it, 30 MB."""
 
+UNUSED = 0.05
+"""Decayed requests a minute at which an account is dropped, after 3 minutes."""
+
 ENTRIES_MAX = 200_000
 """Unflushed log entries, about 40 MB; reservations are refused beyond it.
 
@@ -31,8 +35,7 @@
         shard_count: int,
         clock: Callable[[], float],
         rng: random.Random,
-        sharers: Callable[[], int],
-        is_hub: Callable[[str], bool],
+        fleet: FleetView,
         on_read: Callable[[str, Mapping[str, Any]], None],
     ) -> None:
         """Write to `shard_count` shards as holders of `process`."""
@@ -41,8 +44,7 @@
         self._shard_count = shard_count
         self._clock = clock
         self._rng = rng
-        self._sharers = sharers
-        self._is_hub = is_hub
+        self._fleet = fleet
         self._on_read = on_read
         self._logs: dict[str, ShardLog] = {}
         self._closures = 0
@@ -78,8 +80,7 @@
                 clock=self._clock,
                 rng=self._rng,
                 new_holder=self._new_holder,
-                sharers=self._sharers,
-                is_hub=self._is_hub,
+                fleet=self._fleet,
                 on_read=self._on_read,
             )
             self._logs[key] = log
@@ -105,7 +106,7 @@
             idle = [
                 name
                 for name, account in log.accounts.items()
-                if account.is_idle and account.is_cold(now)
+                if account.is_idle and account.demand.requests(now) < UNUSED
             ]
             for name in idle:
                 log.accounts.pop(name)
--- a/packages/budget/src/oriolegauge/budget/tokensource.py
+++ b/packages/budget/src/oriolegauge/budget/tokensource.py
@@ -42,6 +42,12 @@
 POOL_VIEW_MAX_S = 0.05
 """Age of a view of an exhausted pool that is used instead of a new read."""
 
+SILENCE_S = 1.0
+"""Time after a call without an answer during which a hub is not asked."""
+
+HUBS_MAX = 50_000
+"""Budgets whose hub is remembered until the members change."""
+
 RECALL_PERIOD_S = 0.02
 """Shortest time between two recalls of one budget."""
 
@@ -73,6 +79,9 @@
         self._spawn = spawn
         self._abandon = abandon
         self._asked = 0
+        self._silent: dict[str, float] = {}
+        self._hubs: dict[str, str] = {}
+        self._hub_members: tuple[str, ...] = ()
 
     async def draw(
         self,
@@ -122,18 +131,22 @@
         """Return whether the views of the shard's budgets are fresh."""
         return self._clock() - log.read_at < POOL_VIEW_MAX_S
 
-    def hub_of(self, budget: str) -> str:
-        """Return the daemon that holds the grant of a cold or scarce budget."""
-        names = [one.name for one in self._peers.members()]
-        return first(budget, [*names, self._daemon]) or self._daemon
+    def sharers(self) -> int:
+        """Return the number of live daemons with the own one."""
+        return len(self._peers.members()) + 1
+
+    def is_hub(self, budget: str) -> bool:
+        """Return whether the own daemon holds what is left when scarce."""
+        return self._hub_of(budget) == self._daemon
 
     def hub(self, account: BudgetAccount) -> str | None:
         """Return the other daemon that has to be asked for tokens."""
-        sharers = len(self._peers.members()) + 1
-        if not (account.is_scarce(sharers) or account.is_cold(self._clock())):
+        now = self._clock()
+        if not (account.is_scarce(self.sharers()) or account.is_cold(now)):
             return None
-        hub = self.hub_of(account.name)
-        return None if hub == self._daemon else hub
+        hub = self._hub_of(account.name)
+        is_silent = now - self._silent.get(hub, -SILENCE_S) < SILENCE_S
+        return None if is_silent or hub == self._daemon else hub
 
     def holders(self, log: ShardLog, account: BudgetAccount) -> list[str]:
         """Return live peers, those with the largest known grants first.
@@ -179,6 +192,7 @@
                 HUB_TIMEOUT_S if may_draw else PEER_TIMEOUT_S,
             )
         except PEER_ERRORS:
+            self._silent[peer] = self._clock()
             return None
         finally:
             if answer is None:
@@ -218,6 +232,17 @@
             account.waiters.remove(waiter)
         return waiter.granted
 
+    def _hub_of(self, budget: str) -> str:
+        members = tuple(one.name for one in self._peers.members())
+        if members != self._hub_members or len(self._hubs) > HUBS_MAX:
+            self._hub_members = members
+            self._hubs = {}
+            self._silent = {}
+        if budget not in self._hubs:
+            hub = first(budget, [*members, self._daemon])
+            self._hubs[budget] = hub or self._daemon
+        return self._hubs[budget]
+
     async def _wait_once(
         self,
         log: ShardLog,
@@ -239,17 +264,20 @@
             pause = account.recalled_at + RECALL_PERIOD_S - self._clock()
             if pause > 0:
                 await asyncio.sleep(pause)
-            wanted = sum(waiter.tokens for waiter in account.waiters)
-            message = Recall(account.name, self._process, max(tokens, wanted))
-            answers = await asyncio.gather(
-                *(
-                    self._recall_from(peer, message)
-                    for peer in self.holders(log, account)
-                )
-            )
+            return await self._recall_now(log, account, tokens)
         finally:
             account.recall = None
             account.recalled_at = self._clock()
+
+    async def _recall_now(
+        self, log: ShardLog, account: BudgetAccount, tokens: int
+    ) -> Recalled:
+        wanted = sum(waiter.tokens for waiter in account.waiters)
+        message = Recall(account.name, self._process, max(tokens, wanted))
+        peers = self.holders(log, account)
+        answers = await asyncio.gather(
+            *(self._recall_from(peer, message) for peer in peers)
+        )
         return Recalled(
             sum(answer.returned for answer in answers),
             sum(answer.reserved for answer in answers),
--- a/packages/budget/tests/conftest.py
+++ b/packages/budget/tests/conftest.py
@@ -90,6 +90,7 @@
         self.started = 0
         self.requests = 0
         self.lost = {}
+        self.was_closed_alive = False
         self.errors = []
         self.loop.set_exception_handler(
             lambda _, context: self.errors.append(context)
@@ -300,6 +301,7 @@
     def resume(self, is_closed):
         name, daemon = self.frozen.popitem()
         if is_closed:
+            self.was_closed_alive = True
             for other in self.daemons.values():
                 self.spawn(
                     self.quietly(other.manager.close_dead(daemon.holder))
@@ -342,6 +344,10 @@
             assert record['prepaid'] == self.prepaid[budget]
             assert record['settled'] + granted <= record['prepaid']
             assert record['settled'] <= sum(self.spent[budget].values())
+            if not (self.dead or self.was_closed_alive):
+                assert not record.get('unbilled', 0)
+                delivered = sum(self.delivered[budget].values())
+                assert delivered <= record['prepaid']
         assert not self.errors, self.errors
 
     def converge(self):
