--- a/bench/routingscenarios.py
+++ b/bench/routingscenarios.py
@@ -5,11 +5,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from oriolegauge.routing import HedgePolicy, RetryBudget, Router, ServerView
-
 from bench.baselines import SimpleRouter
 from bench.fakeengines import Clock, Engine, Stream
 from bench.queuescenarios import arrivals, p99
+from oriolegauge.routing import HedgePolicy, RetryBudget, Router, ServerView
 
 ENGINES = 6
 DAEMONS = 3
--- a/bench/wire.py
+++ b/bench/wire.py
@@ -7,6 +7,8 @@
 import aiohttp
 import aiohttp.web
 import orjson
+
+from bench.figure import Figure
 from oriolegauge.wire import (
     Envelope,
     PeerLink,
@@ -24,8 +26,6 @@
     ServerTokens,
 )
 
-from bench.figure import Figure
-
 ROUNDS = 2_000
 CALLS = 1_000
 MEMBERS = 8
--- a/packages/budget/tests/conftest.py
+++ b/packages/budget/tests/conftest.py
@@ -17,6 +17,7 @@
     rule,
     run_state_machine_as_test,
 )
+
 from oriolegauge.budget import (
     BudgetManager,
     apply_top_up,
--- a/packages/budget/tests/test_budgetmachine.py
+++ b/packages/budget/tests/test_budgetmachine.py
@@ -2,6 +2,7 @@
 
 import pytest
 from hypothesis import Phase
+
 from oriolegauge.budget import holdercloser, remotereservations, shard, shardlog
 from oriolegauge.budget.settledkeys import SettledKeys
 from oriolegauge.budget.settler import Settler
--- a/packages/placement/tests/test_placer.py
+++ b/packages/placement/tests/test_placer.py
@@ -14,6 +14,7 @@
     rule,
     run_state_machine_as_test,
 )
+
 from oriolegauge.core import RunState
 from oriolegauge.core.errors import ServerFailedError
 from oriolegauge.placement import (
--- a/packages/platform/src/oriolegauge/platform/relayedstore.py
+++ b/packages/platform/src/oriolegauge/platform/relayedstore.py
@@ -6,6 +6,7 @@
 from typing import Any, TypeVar
 
 import orjson
+
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.core.runstate import RunState
 from oriolegauge.platform.errors import (
--- a/packages/platform/src/oriolegauge/platform/storerelay.py
+++ b/packages/platform/src/oriolegauge/platform/storerelay.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 import orjson
+
 from oriolegauge.platform.errors import (
     StoreAnswerLostError,
     StoreError,
--- a/packages/platform/tests/test_relayedstore.py
+++ b/packages/platform/tests/test_relayedstore.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
+
 from oriolegauge.core import RunState
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.platform import (
