--- a/packages/backends/src/oriolegauge/backends/enginestream.py
+++ b/packages/backends/src/oriolegauge/backends/enginestream.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import orjson
+
 from oriolegauge.backends.errors import ServerCutError
 
 EVENT_END = b'\n\n'
@@ -46,7 +47,10 @@
                     self.events += ready.count(EVENT_END)
                     yield ready
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise ServerCutError(f'stream cut: {error!r}') from error
+            raise ServerCutError(
+                f'stream cut: {error!r}',
+                timed_out=isinstance(error, TimeoutError),
+            ) from error
         if DONE not in self._tail:
             raise ServerCutError('stream ended without its end marker')
 
--- a/packages/daemon/src/oriolegauge/daemon/callerapi.py
+++ b/packages/daemon/src/oriolegauge/daemon/callerapi.py
@@ -2,27 +2,37 @@
 
 import asyncio
 
-import orjson
 import structlog
 from aiohttp import web
-from oriolegauge.backends import (
-    BackendServer,
-    ServiceCall,
-    ServiceClient,
-)
-from oriolegauge.budget import BudgetManager
-from oriolegauge.config import ConfigTree, DaemonSettings
+
+from oriolegauge.config import ConfigTree, DaemonSettings, Limits
 from oriolegauge.core.errors import (
     DrainingError,
-    InvalidRequestError,
-    NotFoundError,
     OriolegaugeError,
     StartingError,
 )
-from oriolegauge.core.resultcode import HTTP_STATUS, ResultCode
+from oriolegauge.core.resultcode import ResultCode
+from oriolegauge.daemon.answersink import AnswerSink, ResponseSink
+from oriolegauge.daemon.bill import error_event
+from oriolegauge.daemon.callercall import CallerCall
 from oriolegauge.daemon.callerrequest import CallerRequest, identify
-from oriolegauge.daemon.completions import Completions, bill_headers
+from oriolegauge.daemon.errors import (
+    BodyTooLargeError,
+    TooManyConnectionsError,
+)
+from oriolegauge.daemon.forwarder import Forwarder
 from oriolegauge.daemon.lifecycle import Lifecycle
+from oriolegauge.daemon.metrics import Metrics
+from oriolegauge.daemon.refusal import error_fields, refusal
+from oriolegauge.daemon.requests import (
+    Requests,
+    is_status_path,
+    status_request_id,
+)
+
+# aiohttp checks the size against its own limit first; this one is larger than
+# any configured limit, so that ours decides and answers with a result code.
+HARD_BODY_BYTES = 100_000_000
 
 log = structlog.get_logger()
 
@@ -36,78 +46,136 @@
         settings: DaemonSettings,
         tree: ConfigTree,
         lifecycle: Lifecycle,
-        budgets: BudgetManager,
-        completions: Completions,
-        services: ServiceClient,
+        requests: Requests,
+        forwarder: Forwarder,
+        metrics: Metrics,
     ) -> None:
         """Use the given parts of the daemon."""
         self._settings = settings
         self._tree = tree
         self._lifecycle = lifecycle
-        self._budgets = budgets
-        self._completions = completions
-        self._services = services
+        self._requests = requests
+        self._forwarder = forwarder
+        self._metrics = metrics
         self.open_requests = 0
 
     def application(self) -> web.Application:
         """Return the application for the caller port."""
-        app = web.Application(
-            client_max_size=self._settings.max_body_bytes,
-            middlewares=[self._refuse],
-        )
+        app = web.Application(client_max_size=HARD_BODY_BYTES)
         app.add_routes(
             [
-                web.post('/v1/chat/completions', self._complete),
-                web.post('/v1/completions', self._complete),
                 web.get('/v1/models', self._models),
-                web.route('*', '/services/{name}/{path:.*}', self._service),
+                web.route('*', '/{path:.*}', self._call),
             ]
         )
         return app
 
-    def _identify(self, http: web.Request) -> CallerRequest:
+    async def serve_forwarded(self, sink: AnswerSink, call: CallerCall) -> None:
+        """Serve a call that another daemon received."""
+        self.open_requests += 1
+        try:
+            caller = self._identify(call)
+            await self._requests.serve(sink, caller, call)
+        finally:
+            self.open_requests -= 1
+
+    @property
+    def _limits(self) -> Limits:
+        return self._tree.limits_for(self._settings)
+
+    def _identify(self, call: CallerCall) -> CallerRequest:
         match self._lifecycle.state:
             case 'starting':
                 raise StartingError('not yet serving', retry_after_s=1)
             case 'drained' | 'stopped':
                 raise DrainingError('daemon is draining', retry_after_s=1)
         return identify(
-            http.headers,
+            call.headers,
             tree=self._tree,
             now=asyncio.get_running_loop().time(),
-            max_request_s=self._settings.max_request_s,
+            max_request_s=self._limits.max_request_s,
         )
 
-    @web.middleware
-    async def _refuse(self, http: web.Request, handler) -> web.StreamResponse:
+    async def _call(self, http: web.Request) -> web.StreamResponse:
+        started_at = asyncio.get_running_loop().time()
+        sink = ResponseSink(http)
+        code = ResultCode.OK
         self.open_requests += 1
         try:
-            return await handler(http)
+            await self._serve(http, sink)
         except OriolegaugeError as error:
-            log.info('request refused', code=error.code.name)
-            return refusal(error)
+            code = error.code
+            return await self._failed(sink, error)
         finally:
             self.open_requests -= 1
+            seconds = asyncio.get_running_loop().time() - started_at
+            self._metrics.count(code=code.name.lower(), seconds=seconds)
+        return sink.response
 
-    async def _complete(self, http: web.Request) -> web.StreamResponse:
-        caller = self._identify(http)
-        try:
-            body = orjson.loads(await http.read())
-        except ValueError as error:
-            raise InvalidRequestError('body is not JSON') from error
-        if not isinstance(body, dict):
-            raise InvalidRequestError('body must be an object')
-        return await self._completions.serve(http, caller, body)
+    async def _serve(self, http: web.Request, sink: ResponseSink) -> None:
+        if self.open_requests > self._settings.max_connections:
+            raise TooManyConnectionsError(
+                'too many requests are open', retry_after_s=1
+            )
+        call = await self._read(http)
+        caller = self._identify(call)
+        sink.request_id = caller.request_id
+        shared_id = _shared_id(caller, call)
+        if shared_id is None:
+            await self._requests.serve(sink, caller, call)
+            return
+        await self._forwarder.serve(
+            sink,
+            shared_id,
+            call,
+            timeout_s=self._limits.max_request_s,
+            locally=lambda own: self._requests.serve(own, caller, call),
+        )
+
+    async def _read(self, http: web.Request) -> CallerCall:
+        limit = self._limits.max_body_bytes
+        if (http.content_length or 0) > limit:
+            raise BodyTooLargeError(f'the body exceeds {limit} bytes')
+        body = await http.read()
+        if len(body) > limit:
+            raise BodyTooLargeError(f'the body exceeds {limit} bytes')
+        return CallerCall(
+            method=http.method,
+            path=http.path_qs,
+            headers=http.headers,
+            body=body,
+        )
+
+    async def _failed(
+        self, sink: ResponseSink, error: OriolegaugeError
+    ) -> web.StreamResponse:
+        log.info(
+            'request failed',
+            code=error.code.name,
+            run_state=error.run_state.value,
+            request_id=sink.request_id,
+            error=error.message,
+        )
+        if not sink.started:
+            return refusal(error, sink.request_id)
+        # The caller has part of the answer: an error event and a cut
+        # connection show that it is not whole.
+        await sink.write(error_event(error_fields(error, sink.request_id)))
+        sink.abort()
+        return sink.response
 
     async def _models(self, http: web.Request) -> web.Response:
-        caller = self._identify(http)
+        try:
+            caller = self._identify(await self._read(http))
+        except OriolegaugeError as error:
+            return refusal(error)
+        allowed = caller.settings.models
         names = sorted(
             {
                 model
                 for engine in self._tree.servers.engines.values()
                 for model in engine.models
-                if '*' in caller.settings.models
-                or model in caller.settings.models
+                if '*' in allowed or model in allowed
             }
         )
         return web.json_response(
@@ -120,61 +188,9 @@
             }
         )
 
-    async def _service(self, http: web.Request) -> web.Response:
-        caller = self._identify(http)
-        name = http.match_info['name']
-        service = self._tree.services.services.get(name)
-        if service is None:
-            raise NotFoundError(f'no service {name}')
-        reservation = await self._budgets.reserve(
-            budget=caller.budget,
-            request_id=caller.request_id,
-            tokens=service.tokens_per_call,
-            minimum=service.tokens_per_call,
-            deadline=caller.deadline,
-        )
-        server_name, url = next(iter(service.urls.items()))
-        server = BackendServer(name=server_name, url=url, zone='')
-        try:
-            answer = await self._services.call(
-                server,
-                ServiceCall(
-                    request_id=caller.request_id,
-                    method=http.method,
-                    path=f'/{http.match_info["path"]}',
-                    headers=http.headers,
-                    body=await http.read(),
-                ),
-            )
-        except BaseException:
-            self._budgets.release(reservation)
-            raise
-        settled = await self._budgets.settle(
-            reservation, service.tokens_per_call, keyed=caller.keyed
-        )
-        return web.Response(
-            status=answer.status,
-            body=answer.body,
-            headers={**answer.headers, **bill_headers(caller, settled)},
-        )
-
 
-def refusal(error: OriolegaugeError, request_id: str = '') -> web.Response:
-    """Return the JSON error of a refused or failed request."""
-    headers = {}
-    if error.retry_after_s is not None:
-        headers['Retry-After'] = str(max(1, round(error.retry_after_s)))
-    return web.json_response(
-        {
-            'error': {
-                'code': int(error.code),
-                'name': error.code.name.lower(),
-                'message': error.message,
-                'run_state': error.run_state.value,
-                'retry_after_s': error.retry_after_s,
-                'request_id': request_id,
-            }
-        },
-        status=HTTP_STATUS.get(error.code, HTTP_STATUS[ResultCode.INTERNAL]),
-        headers=headers,
-    )
+def _shared_id(caller: CallerRequest, call: CallerCall) -> str | None:
+    """Return the id whose owner serves the call, None for any daemon."""
+    if is_status_path(call.path):
+        return status_request_id(caller, call)
+    return caller.request_id if caller.keyed else None
--- a/packages/membership/tests/fleet.py
+++ b/packages/membership/tests/fleet.py
@@ -10,6 +10,7 @@
     precondition,
     rule,
 )
+
 from oriolegauge.membership import Evidence, MemberState, MemberTable
 
 NAMES = ('m0', 'm1', 'm2')
--- a/packages/membership/tests/test_leavingservers.py
+++ b/packages/membership/tests/test_leavingservers.py
@@ -1,6 +1,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+
 from oriolegauge.membership import LeavingServers, LeavingSource
 from oriolegauge.testkit.fuzzing import Budget
 
--- a/packages/membership/tests/test_membertable.py
+++ b/packages/membership/tests/test_membertable.py
@@ -1,4 +1,5 @@
 import pytest
+
 from oriolegauge.membership import Evidence, MemberState, MemberTable
 from oriolegauge.testkit.fuzzing import Budget
 
--- a/packages/placement/tests/test_placer.py
+++ b/packages/placement/tests/test_placer.py
@@ -1,4 +1,5 @@
 import pytest
+
 from oriolegauge.placement import (
     CommandKind,
     ModelGoal,
--- a/packages/placement/tests/world.py
+++ b/packages/placement/tests/world.py
@@ -12,6 +12,7 @@
     precondition,
     rule,
 )
+
 from oriolegauge.core import RunState
 from oriolegauge.core.errors import ServerFailedError
 from oriolegauge.placement import (
--- a/packages/platform/src/oriolegauge/platform/httpobjectstore.py
+++ b/packages/platform/src/oriolegauge/platform/httpobjectstore.py
@@ -6,6 +6,8 @@
 
 import aiohttp
 import orjson
+from yarl import URL
+
 from oriolegauge.platform.errors import (
     StoreAnswerLostError,
     StoreRateLimitError,
@@ -15,7 +17,6 @@
 )
 from oriolegauge.platform.hoststatus import HostStatus
 from oriolegauge.platform.storedobject import StoredObject
-from yarl import URL
 
 CALL_TIMEOUT_S = 2.0
 CONNECT_SHARE = 0.5
--- a/packages/platform/tests/test_relayedstore.py
+++ b/packages/platform/tests/test_relayedstore.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+
 from oriolegauge.core import RunState
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.platform import (
--- a/packages/wire/src/oriolegauge/wire/codec.py
+++ b/packages/wire/src/oriolegauge/wire/codec.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import capnp
+
 from oriolegauge.wire.envelope import Envelope, Sender
 from oriolegauge.wire.errors import MalformedMessageError
 from oriolegauge.wire.messages import MESSAGE_TYPES, Chunk, Forward, Message
@@ -204,7 +205,26 @@
     return set_columns, get_columns
 
 
+def _struct_codec(kind: type) -> tuple[_Encoder, _Decoder]:
+    def set_struct(builder: Any, name: str, value: Any) -> None:
+        _fill(builder.init(name), value, _SHAPES[kind])
+
+    def get_struct(reader: Any) -> Any:
+        return _read(reader, kind)
+
+    return set_struct, get_struct
+
+
+def _set_sorted(builder: Any, name: str, value: frozenset[Any]) -> None:
+    _set_list(builder, name, tuple(sorted(value)))
+
+
 def _field_codec(hint: Any) -> tuple[_Encoder, _Decoder]:
+    if dataclasses.is_dataclass(hint):
+        _describe(hint)
+        return _struct_codec(hint)
+    if typing.get_origin(hint) is frozenset:
+        return _set_sorted, frozenset
     if typing.get_origin(hint) is tuple:
         return _tuple_codec(typing.get_args(hint)[0])
     if isinstance(hint, types.UnionType):
--- a/packages/wire/src/oriolegauge/wire/peerserver.py
+++ b/packages/wire/src/oriolegauge/wire/peerserver.py
@@ -6,6 +6,7 @@
 
 import structlog
 from aiohttp import WSCloseCode, web
+
 from oriolegauge.wire.envelope import Sender
 from oriolegauge.wire.linklimits import LinkLimits
 from oriolegauge.wire.peerconnection import Handler, PeerConnection
--- a/packages/wire/tests/peers.py
+++ b/packages/wire/tests/peers.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import aiohttp.web
+
 from oriolegauge.core.errors import NotFoundError
 from oriolegauge.wire import (
     LinkLimits,
@@ -33,11 +34,12 @@
 
 def reserve(tokens: int = 5, request_id: str = 'r1') -> Reserve:
     return Reserve(
+        reservation_id='x',
+        asker='d1',
         budget='b',
         request_id=request_id,
         tokens=tokens,
         minimum=1,
-        holder='d1/inc1',
     )
 
 
@@ -55,7 +57,7 @@
         self.seen.append((sender, message))
         match message:
             case Reserve(tokens=tokens):
-                return ReserveAnswer(granted=tokens, free=10)
+                return ReserveAnswer('x', tokens, 'd1/1')
             case Recall():
                 await self.gate.wait()
                 self.finished.append('recall')
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+
 from oriolegauge.core import RunState
 from oriolegauge.testkit.fuzzing import Budget
 from oriolegauge.wire import (
@@ -20,6 +21,7 @@
     bytes: st.binary(max_size=40),
     bool: st.booleans(),
     RunState: st.sampled_from(RunState),
+    float: st.floats(0, 1e6),
     float | None: st.none() | st.floats(0, 1e6),
 }
 
@@ -27,6 +29,8 @@
 def values_of(hint: object) -> st.SearchStrategy:
     if hint in PLAIN:
         return PLAIN[hint]
+    if typing.get_origin(hint) is frozenset:
+        return st.frozensets(values_of(typing.get_args(hint)[0]), max_size=4)
     if typing.get_origin(hint) is tuple:
         item = values_of(typing.get_args(hint)[0])
         return st.lists(item, max_size=4).map(tuple)
--- a/packages/wire/tests/test_peerbounds.py
+++ b/packages/wire/tests/test_peerbounds.py
@@ -4,6 +4,7 @@
 import aiohttp
 import aiohttp.web
 import pytest
+
 from oriolegauge.core import ResultCode, RunState
 from oriolegauge.core.errors import NotFoundError
 from oriolegauge.wire import (
@@ -54,7 +55,7 @@
             linked(port) as link,
         ):
             waiting = [
-                asyncio.create_task(link.call(Recall(budget='b', tokens=1), 5))
+                asyncio.create_task(link.call(Recall('b', 'd1', 1), 5))
                 for _ in range(3)
             ]
             await until(lambda: len(peer.seen) == 3)
@@ -221,9 +222,7 @@
         async with serving(peer.handle) as port:
             opening = linked(port)
             link = await opening.__aenter__()
-            call = asyncio.create_task(
-                link.call(Recall(budget='b', tokens=1), 60)
-            )
+            call = asyncio.create_task(link.call(Recall('b', 'd1', 1), 60))
             await until(lambda: bool(peer.seen))
             began = asyncio.get_running_loop().time()
         assert asyncio.get_running_loop().time() - began < 2
--- a/packages/wire/tests/test_tls.py
+++ b/packages/wire/tests/test_tls.py
@@ -8,6 +8,7 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
+
 from oriolegauge.wire import PeerUnreachableError
 from oriolegauge.wire.messages import ReserveAnswer
 
@@ -97,7 +98,7 @@
             ) as link,
         ):
             answer = await link.call(reserve(3), 5)
-        assert answer == ReserveAnswer(granted=3, free=10)
+        assert answer == ReserveAnswer('x', 3, 'd1/1')
 
     async def turned_away(self, authority, context, *, server='d2'):
         peer = Peer()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,5 +1,6 @@
 """Start and stop real processes for the demo and the process tests."""
 
+import itertools
 import json
 import os
 import signal
@@ -10,17 +11,40 @@
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 START_TIMEOUT_S = 20
+# A change of the configuration reaches all daemons well within this time.
+CONFIG_SETTLE_S = 1.0
 HOST = '127.0.0.1'
+FIRST_PORT = 12_000
+PORTS_PER_WORKER = 1_500
+
+
+def _ports() -> Iterator[int]:
+    # Below the ephemeral range, so that no outgoing connection takes a port
+    # before its server binds it; each test worker has a range of its own.
+    worker = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
+    first = FIRST_PORT + worker * PORTS_PER_WORKER
+    yield from itertools.cycle(range(first, first + PORTS_PER_WORKER))
+
+
+_PORTS = _ports()
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return the next port of this worker that nobody listens on."""
+    for port in _PORTS:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError('no free port')
 
 
 def fetch(
@@ -89,6 +113,8 @@
         self.ports: dict[str, int] = {}
         self.store_port = 0
         self.output = output
+        self.python = [sys.executable, '-m']
+        self.key = ''
         self.daemon_settings: dict[str, dict[str, Any]] = {}
 
     def __enter__(self) -> 'Fleet':
@@ -119,6 +145,47 @@
         port = self.ports.setdefault(name, free_port())
         self._standin('service', port, ['--name', name], name)
 
+    def start_link(self, name: str, target: str) -> str:
+        """Start a relay that can be cut; return its address."""
+        port, admin_port = free_port(), free_port()
+        self.ports[name] = admin_port
+        self.processes[name] = Process(
+            name,
+            [
+                'oriolegauge.standins.link',
+                '--port',
+                str(port),
+                '--admin-port',
+                str(admin_port),
+                '--target',
+                target,
+            ],
+            self.folder,
+        )
+        self.wait_for(f'{self.url(name)}/admin/runs')
+        return f'{HOST}:{port}'
+
+    def link_to_store(self, daemon: str) -> None:
+        """Let a planned daemon reach the store over a relay of its own."""
+        address = self.start_link(
+            f'{daemon}-store', f'{HOST}:{self.store_port}'
+        )
+        self.daemon_settings[daemon]['store_url'] = f'http://{address}'
+
+    def link_between(self, *daemons: str) -> None:
+        """Let planned daemons reach each other over relays."""
+        for name in daemons:
+            for peer in self.daemon_settings[name]['peers']:
+                if peer['name'] in daemons:
+                    peer['address'] = self.start_link(
+                        f'{name}-{peer["name"]}', peer['address']
+                    )
+
+    def set_links(self, mode: str, *names: str) -> None:
+        """Set relays to `pass`, `cut` or `freeze`."""
+        for name in names:
+            self.faults(name, mode=mode)
+
     def plan_daemons(self, zones: dict[str, str], **settings: Any) -> None:
         """Choose ports so that each daemon knows its peers."""
         for name, zone in zones.items():
@@ -157,7 +224,7 @@
             self.folder,
         )
         self.ports[name] = settings['caller_port']
-        self.wait_for(f'http://{HOST}:{settings["admin_port"]}/readyz')
+        self.wait_for(f'http://{HOST}:{settings["admin_port"]}/readyz', name)
 
     def url(self, name: str) -> str:
         return f'http://{HOST}:{self.ports[name]}'
@@ -197,11 +264,38 @@
 
     def new_key(self, budget: str) -> str:
         """Return a new caller key of the budget."""
-        return json.loads(self.operate('key-create', budget).stdout)['key']
+        return json.loads(self.operate('key', 'create', budget).stdout)['key']
+
+    def add_engine(self, name: str, models: str = 'toaster-7b') -> None:
+        """Enter a started engine into the configuration."""
+        self.operate(
+            'server', 'add', name, '--url', self.url(name), '--models', models
+        )
+
+    def add_service(self, name: str) -> None:
+        """Enter a started service into the configuration."""
+        self.operate(
+            'service', 'add', name, '--urls', f'{name}={self.url(name)}'
+        )
+
+    def create_team(
+        self, team: str, *, tokens: int, priority: str = 'normal'
+    ) -> str:
+        """Create a team with a budget `main`; return a caller key."""
+        self.operate('team', 'create', team, '--priority', priority)
+        self.operate(
+            'budget', 'create', f'{team}/main', '--tokens', str(tokens)
+        )
+        key = self.new_key(f'{team}/main')
+        time.sleep(CONFIG_SETTLE_S)
+        return key
 
-    def wait_for(self, url: str) -> None:
+    def wait_for(self, url: str, process: str = '') -> None:
         deadline = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline:
+            started = self.processes.get(process)
+            if started and started.child.poll() is not None:
+                raise RuntimeError(started.log.read_text())
             try:
                 if fetch(url, timeout=2)[0] == 200:
                     return
