Take a peer that gives up its handshake for what it is

Cause: after a pause of a daemon, the handshakes that peers had given up in the meantime were logged as errors with a trace each. Ruled out: a lower log level for the library, which hides its real errors. Change: such a link ends without a log line.

--- a/packages/wire/src/oriolegauge/wire/peerserver.py
+++ b/packages/wire/src/oriolegauge/wire/peerserver.py
@@ -84,7 +84,12 @@
             timeout=self._limits.close_timeout_s,
             compress=False,
         )
-        await socket.prepare(request)
+        try:
+            await socket.prepare(request)
+        except ConnectionError:
+            # The peer gave up on the handshake, as after a pause of this
+            # process.
+            return socket
         connection = PeerConnection(
             member=member,
             socket=socket,
