--- a/bench/wire.py
+++ b/bench/wire.py
@@ -98,7 +98,7 @@
 async def _calls() -> tuple[float, float]:
     """Time a call over a link, and a bare echo over the same library."""
     message = Reserve(
-        reservation_id='daemon-1-17',
+        reservation_id='5f3a9c01-1',
         asker='daemon-1',
         budget='budget',
         request_id='request-1',
@@ -107,9 +107,7 @@
     )
 
     async def handle(sender: Sender, asked):
-        return ReserveAnswer(
-            asked.reservation_id, asked.tokens, 'daemon-2/77b1e0aa'
-        )
+        return ReserveAnswer('x', asked.tokens, 'd1/1')
 
     server = PeerServer(
         sender=lambda: Sender('daemon-2', '77b1e0aa'),
@@ -186,7 +184,7 @@
             for number in range(TEAMS)
         ),
         in_flight=tuple(
-            ServerInFlight(f'engine-{number}', 7, 4_000 + number)
+            ServerInFlight(f'engine-{number}', 8, 4_000 + number)
             for number in range(servers)
         ),
         queue_lengths=(3, 20, 100),
--- a/packages/wire/src/oriolegauge/wire/codec.py
+++ b/packages/wire/src/oriolegauge/wire/codec.py
@@ -186,6 +186,20 @@
     return set_rows, get_rows
 
 
+def _struct_codec(kind: type) -> tuple[_Encoder, _Decoder]:
+    def set_struct(builder: Any, name: str, value: Any) -> None:
+        _fill(builder.init(name), value, _SHAPES[kind])
+
+    def get_struct(reader: Any) -> Any:
+        return _read(reader, kind)
+
+    return set_struct, get_struct
+
+
+def _set_sorted(builder: Any, name: str, value: frozenset[Any]) -> None:
+    _set_list(builder, name, tuple(sorted(value)))
+
+
 def _column_codec(row: type) -> tuple[_Encoder, _Decoder]:
     names = [field.name for field in dataclasses.fields(row)]
     wire_names = [_camel(name) for name in names]
@@ -205,20 +219,6 @@
     return set_columns, get_columns
 
 
-def _struct_codec(kind: type) -> tuple[_Encoder, _Decoder]:
-    def set_struct(builder: Any, name: str, value: Any) -> None:
-        _fill(builder.init(name), value, _SHAPES[kind])
-
-    def get_struct(reader: Any) -> Any:
-        return _read(reader, kind)
-
-    return set_struct, get_struct
-
-
-def _set_sorted(builder: Any, name: str, value: frozenset[Any]) -> None:
-    _set_list(builder, name, tuple(sorted(value)))
-
-
 def _field_codec(hint: Any) -> tuple[_Encoder, _Decoder]:
     if dataclasses.is_dataclass(hint):
         _describe(hint)
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -46,7 +46,7 @@
   zone @2 :Text;
   state @3 :Text;
   configVersions @4 :ConfigVersions;
-  inFlight @5 :ServerInFlight;
+  inFlight @5 :ServersInFlight;
   queueLengths @6 :List(UInt32);
   suspects @7 :List(ServerSuspects);
   heard @8 :Heard;
@@ -55,7 +55,7 @@
 }
 
 struct ConfigVersions { key @0 :List(Text); version @1 :List(Int64); }
-struct ServerInFlight {
+struct ServersInFlight {
   server @0 :List(Text);
   requests @1 :List(UInt32);
   tokens @2 :List(Int64);
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -34,6 +34,9 @@
     if typing.get_origin(hint) is tuple:
         item = values_of(typing.get_args(hint)[0])
         return st.lists(item, max_size=4).map(tuple)
+    if typing.get_origin(hint) is frozenset:
+        item = values_of(typing.get_args(hint)[0])
+        return st.frozensets(item, max_size=4)
     fields = typing.get_type_hints(hint)
     return st.builds(
         hint, **{name: values_of(kind) for name, kind in fields.items()}
