--- a/bench/budgetpolicies.py
+++ b/bench/budgetpolicies.py
@@ -6,14 +6,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from oriolegauge.budget import (
-    BudgetExhaustedError,
-    BudgetManager,
-    Reservation,
-)
-from oriolegauge.platform import StoreError, VersionConflictError
-from oriolegauge.testkit import MemoryNetwork, MemoryPeers, StoreClient
-
 from bench.budgetworkload import (
     DAEMONS,
     DEADLINE_S,
@@ -22,6 +14,13 @@
     ZONES,
     World,
 )
+from oriolegauge.budget import (
+    BudgetExhaustedError,
+    BudgetManager,
+    Reservation,
+)
+from oriolegauge.platform import StoreError, VersionConflictError
+from oriolegauge.testkit import MemoryNetwork, MemoryPeers, StoreClient
 
 STORE_LATENCY_S = 0.004
 LINK_LATENCY_S = 0.0013
--- a/bench/budgetworkload.py
+++ b/bench/budgetworkload.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 import looptime
+
 from oriolegauge.budget import create_budget
 from oriolegauge.testkit import MemoryObjectStore, StoreFault
 
--- a/packages/budget/tests/test_budgetmachine.py
+++ b/packages/budget/tests/test_budgetmachine.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import pytest
+
 from oriolegauge.budget import holdercloser, shard, shardlog, writeplanner
 from oriolegauge.budget.journal import Journal
 from oriolegauge.budget.remotereservations import RemoteReservations
