--- a/packages/routing/src/oriolegauge/routing/router.py
+++ b/packages/routing/src/oriolegauge/routing/router.py
@@ -117,7 +117,7 @@
 
     def _score(self, view: ServerView, now: float) -> float:
         health = self._ejection.health(view.name)
-        per_token = health.time_per_token or self._ejection.median() or 1.0
+        per_token = health.estimate(self._ejection.median(), now) or 1.0
         load = self._load(view.name).estimate(
             view.reported_load, view.reported_at, now
         )
--- a/packages/routing/src/oriolegauge/routing/serverhealth.py
+++ b/packages/routing/src/oriolegauge/routing/serverhealth.py
@@ -5,6 +5,9 @@
 
 # Samples older than this hardly count.
 LATENCY_TIME_CONSTANT_S = 1.0
+# A server that gets no work has no new samples. Its estimate falls back to the
+# median of its peers by this time constant, or it would never get work again.
+STALE_TIME_CONSTANT_S = 10.0
 FAILURES_TO_EJECT = 3
 FIRST_EJECTION_S = 1.0
 LONGEST_EJECTION_S = 30.0
@@ -44,6 +47,15 @@
         """Return the end of the last ejection."""
         return self._ejected_until
 
+    def estimate(self, median: float | None, now: float) -> float | None:
+        """Return the time per token, the nearer to the median the older."""
+        known = self._time_per_token
+        if known is None or median is None:
+            return median
+        age = max(0, now - self._measured_at)
+        fade = math.exp(-age / STALE_TIME_CONSTANT_S)
+        return median + fade * (known - median)
+
     def observe(self, tokens: int, seconds: float, now: float) -> None:
         """Add a measurement of tokens that took that many seconds."""
         if tokens <= 0:
@@ -63,7 +75,8 @@
 
     def eject(self, now: float) -> None:
         """Take the server out; each ejection in a row doubles its time."""
-        if now - self._returned_at > FORGIVEN_AFTER_S:
+        good_since = max(self._returned_at, self._ejected_until)
+        if now - good_since > FORGIVEN_AFTER_S:
             self._ejection_s = FIRST_EJECTION_S
         self.state = HealthState.EJECTED
         self._ejected_until = now + self._ejection_s
