Apply shared limits; take positions in the store as signs of life

Cause: config/limits had no effect on queue lengths, retry and hedge shares; a holder seen only in the store was judged by when it was first seen; a gone holder was closed as if there were evidence. Change: limits reach the queue and the budgets of retries and hedges; the time of the last changed position counts; closing without evidence says so.

--- a/packages/admission/src/oriolegauge/admission/admissionqueue.py
+++ b/packages/admission/src/oriolegauge/admission/admissionqueue.py
@@ -4,7 +4,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from oriolegauge.admission.classqueue import ClassQueue, Place
 from oriolegauge.admission.errors import (
@@ -57,6 +57,9 @@
         self._rng = rng
         self._limits = limits or QueueLimits()
         self._classes = {priority: ClassQueue() for priority in Priority}
+        self._lengths_max: Mapping[Priority, int] = dict.fromkeys(
+            Priority, self._limits.max_waiting_per_class
+        )
         self._places: dict[str, Place] = {}
         self._due: list[tuple[float, int, str]] = []
         self._expired: list[Job] = []
@@ -87,6 +90,10 @@
         """Return the number of waiting jobs of a class."""
         return len(self._classes[priority])
 
+    def set_lengths(self, lengths_max: Mapping[Priority, int]) -> None:
+        """Bound the waiting jobs of each class; none that wait are dropped."""
+        self._lengths_max = dict(lengths_max)
+
     def offer(self, job: Job, now: float) -> None:
         """Add a job.
 
@@ -232,7 +239,7 @@
 
     def _check_room(self, job: Job) -> None:
         queue = self._classes[job.priority]
-        free = self._limits.max_waiting_per_class - len(queue)
+        free = self._lengths_max[job.priority] - len(queue)
         team_limit = free * self._limits.team_share_of_free
         if free > 0 and queue.waiting(job.team) < team_limit:
             return
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -20,6 +20,7 @@
     server_context,
 )
 from oriolegauge.core.errors import OriolegaugeError
+from oriolegauge.core.priority import Priority
 from oriolegauge.daemon.adminapi import AdminApi
 from oriolegauge.daemon.callerapi import CallerApi
 from oriolegauge.daemon.completions import Completions
@@ -293,6 +294,21 @@
             'configuration applied', key=key, version=self._tree.version(key)
         )
         self._server_watch.apply_config()
+        self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        limits = self._tree.limits_for(self._settings)
+        lengths = limits.queue_lengths
+        self._queue.set_lengths(
+            {
+                Priority.URGENT: lengths.urgent,
+                Priority.NORMAL: lengths.normal,
+                Priority.BATCH: lengths.batch,
+            }
+        )
+        self._dispatcher.set_shares(
+            retry=limits.retry_share, hedge=limits.hedge_share
+        )
 
     def _gauges(self) -> dict[str, float]:
         return {
--- a/packages/daemon/src/oriolegauge/daemon/deadholders.py
+++ b/packages/daemon/src/oriolegauge/daemon/deadholders.py
@@ -8,6 +8,7 @@
 from oriolegauge.budget import BudgetManager
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.daemon.peermesh import PeerMesh
+from oriolegauge.membership import MemberState
 from oriolegauge.platform import ObjectStore
 
 CHECK_PERIOD_S = 0.5
@@ -39,6 +40,7 @@
         self._store = store
         self._clock = clock
         self._seen: dict[str, float] = {}
+        self._positions: dict[tuple[str, str], int] = {}
         self._next_read = clock()
 
     async def run(self) -> None:
@@ -65,10 +67,16 @@
         except OriolegaugeError as error:
             log.info('budget shards not read', error=error.message)
             return
-        for shard in shards:
-            for holder in shard.value.get('positions', {}):
-                process = holder.partition('.')[0]
-                self._seen.setdefault(process, read_at)
+        known = self._positions
+        self._positions = {
+            (shard.key, holder): position
+            for shard in shards
+            for holder, position in shard.value.get('positions', {}).items()
+        }
+        for (key, holder), position in self._positions.items():
+            # A changed position is a sign that the holder lived.
+            if known.get((key, holder)) != position:
+                self._seen[holder.partition('.')[0]] = read_at
 
     def _is_dead(self, holder: str) -> bool:
         if holder == self._holder:
@@ -84,10 +92,17 @@
             now=self._clock(),
         )
 
+    def _has_evidence(self, holder: str) -> bool:
+        member = holder.partition('/')[0]
+        state = self._mesh.table.state(member, self._clock())
+        return member == self._name or state is not MemberState.GONE
+
     async def _close(self, holder: str) -> None:
         del self._seen[holder]
         log.info('closing holder', holder=holder)
         try:
-            await self._budgets.close_dead(holder)
+            await self._budgets.close_dead(
+                holder, has_evidence=self._has_evidence(holder)
+            )
         except OriolegaugeError as error:
             log.warning('holder not closed yet', error=error.message)
--- a/packages/daemon/src/oriolegauge/daemon/dispatcher.py
+++ b/packages/daemon/src/oriolegauge/daemon/dispatcher.py
@@ -37,6 +37,11 @@
         self._hedges = HedgePolicy()
         self._numbers = itertools.count(1)
 
+    def set_shares(self, *, retry: float, hedge: float) -> None:
+        """Bound retries and hedges as shares of all requests."""
+        self._retries.share = retry
+        self._hedges.share = hedge
+
     def learn(
         self, request: SlotRequest, output_tokens: int, seconds: float
     ) -> None:
--- a/packages/daemon/src/oriolegauge/daemon/slotqueue.py
+++ b/packages/daemon/src/oriolegauge/daemon/slotqueue.py
@@ -99,6 +99,10 @@
             },
         }
 
+    def set_lengths(self, lengths_max: Mapping[Priority, int]) -> None:
+        """Bound the waiting requests of each class."""
+        self._queue.set_lengths(lengths_max)
+
     def observe_peers(
         self,
         requests: Mapping[str, int],
--- a/packages/routing/src/oriolegauge/routing/hedgepolicy.py
+++ b/packages/routing/src/oriolegauge/routing/hedgepolicy.py
@@ -15,11 +15,12 @@
     def __init__(self) -> None:
         """Start without credit and without latencies."""
         self._credit: float = 0
+        self.share = HEDGE_SHARE
         self._latencies = RecentValues(WINDOW)
 
     def request(self) -> None:
         """Count a request that is not a hedge."""
-        self._credit = min(MAX_CREDIT, self._credit + HEDGE_SHARE)
+        self._credit = min(MAX_CREDIT, self._credit + self.share)
 
     def observe(self, latency_s: float) -> None:
         """Record the latency of a whole answer."""
--- a/packages/routing/src/oriolegauge/routing/retrybudget.py
+++ b/packages/routing/src/oriolegauge/routing/retrybudget.py
@@ -17,10 +17,11 @@
         """Start with the credit for one retry."""
         self._rng = rng
         self._credit = INITIAL_CREDIT
+        self.share = RETRY_SHARE
 
     def request(self) -> None:
         """Count a request that is not a retry."""
-        self._credit = min(MAX_CREDIT, self._credit + RETRY_SHARE)
+        self._credit = min(MAX_CREDIT, self._credit + self.share)
 
     def retry(self, attempt: int, *, all_failing: bool = False) -> float | None:
         """Spend one retry; return the backoff in seconds, or None.
--- a/packages/routing/tests/test_router_machine.py
+++ b/packages/routing/tests/test_router_machine.py
@@ -13,6 +13,7 @@
     rule,
     run_state_machine_as_test,
 )
+
 from oriolegauge.routing import HedgePolicy, RetryBudget, Router, ServerView
 from oriolegauge.routing.ejection import Ejection
 from oriolegauge.routing.retrybudget import INITIAL_CREDIT
