--- a/bench/fleetcosts.py
+++ b/bench/fleetcosts.py
@@ -4,6 +4,7 @@
 import os
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
 import psutil
@@ -111,8 +112,8 @@
         {f'd{number}': ZONES[number % 3] for number in range(1, size + 1)},
         flush_period_s=FLUSH_PERIOD_S,
     )
-    for name in fleet.daemon_settings:
-        fleet.start_daemon(name)
+    with ThreadPoolExecutor(len(fleet.daemon_settings)) as pool:
+        list(pool.map(fleet.start_daemon, fleet.daemon_settings))
     fleet.key = fleet.create_team('cafes', tokens=PREPAID_TOKENS)
     wait_until(
         lambda: all(
--- a/bench/slope.py
+++ b/bench/slope.py
@@ -18,7 +18,8 @@
 class Slope:
     """Hold a fitted line `intercept + slope * items` over a range.
 
-    `error` is the standard error of the slope. `worst_residual` is the largest
+    `error` is the standard error of the slope or, if larger, half the range of
+    the slopes of repeated rounds. `worst_residual` is the largest
     distance of a point from the line as a share of the largest value.
     """
 
--- a/bench/slopesofcpu.py
+++ b/bench/slopesofcpu.py
@@ -1,7 +1,9 @@
 """Slopes of processor time, without sockets."""
 
+import dataclasses
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -32,33 +34,62 @@
 MODEL = 'toaster-7b'
 
 
+@dataclass(frozen=True, slots=True)
+class _Task:
+    """Hold the calls to time for one slope."""
+
+    name: str
+    xs: tuple[int, ...]
+    actions: tuple[Callable[[], Any], ...]
+    item: str
+    how: str
+
+
 def slopes() -> list[Slope]:
-    """Return the slopes of processor time in microseconds."""
+    """Return the slopes of processor time in microseconds.
+
+    The rounds are apart by seconds, so that a slow spell of the machine shows
+    in the error of a slope rather than in the slope.
+    """
+    tasks = [*_flushes(), *_codecs(), *_members(), *_queue(), *_routing()]
+    rounds = [
+        [[cpu_us(action) for action in task.actions] for task in tasks]
+        for _ in range(ROUNDS)
+    ]
     return [
-        *_flushes(),
-        *_codecs(),
-        *_members(),
-        *_queue(),
-        *_routing(),
+        _fitted(task, [taken[place] for taken in rounds])
+        for place, task in enumerate(tasks)
     ]
 
 
+def _fitted(task: _Task, rounds: list[list[float]]) -> Slope:
+    def line(values: list[float]) -> Slope:
+        return fit(
+            task.name,
+            task.xs,
+            values,
+            unit='us',
+            item=task.item,
+            how=task.how,
+        )
+
+    best = line([min(column) for column in zip(*rounds, strict=True)])
+    each = [line(values).slope for values in rounds]
+    half_range = float(f'{(max(each) - min(each)) / 2:.4g}')
+    return dataclasses.replace(best, error=max(best.error, half_range))
+
+
 def _timed(
     name: str,
     xs: tuple[int, ...],
     prepare: Callable[[int], Callable[[], Any]],
     item: str,
     how: str = CPU,
-) -> Slope:
-    # A slow spell of the shared machine covers neighbouring samples, so each
-    # point is taken again after the others.
-    actions = [prepare(x) for x in xs]
-    rounds = [[cpu_us(one) for one in actions] for _ in range(ROUNDS)]
-    values = [min(column) for column in zip(*rounds, strict=True)]
-    return fit(name, xs, values, unit='us', item=item, how=how)
+) -> _Task:
+    return _Task(name, xs, tuple(prepare(x) for x in xs), item, how)
 
 
-def _flushes() -> list[Slope]:
+def _flushes() -> list[_Task]:
     return [
         _timed(
             'flush_us_per_budget',
@@ -113,7 +144,7 @@
     return lambda: apply_flush(shard, flush)
 
 
-def _codecs() -> list[Slope]:
+def _codecs() -> list[_Task]:
     shard = 'encode and decode the JSON value once; ' + CPU
     return [
         _timed(
@@ -174,7 +205,7 @@
     )
 
 
-def _members() -> list[Slope]:
+def _members() -> list[_Task]:
     return [
         _timed(
             'member_view_us',
@@ -225,7 +256,7 @@
     return lambda: first('team-001/5f3a9c015f3a9c01', names)
 
 
-def _queue() -> list[Slope]:
+def _queue() -> list[_Task]:
     return [
         _timed(
             'queue_job_us',
@@ -296,7 +327,7 @@
     return work
 
 
-def _routing() -> list[Slope]:
+def _routing() -> list[_Task]:
     xs = (6, 50, 200, 800)
     return [
         _timed(
--- a/bench/slopesofstate.py
+++ b/bench/slopesofstate.py
@@ -110,6 +110,7 @@
         _traced('tombstone_bytes', (12_000, 20_000, 40_000), _records, 'id'),
         _traced('journal_copy_bytes', (500, 2_000, 8_000), _copies, 'copy'),
         _traced('config_object_bytes', (50, 200, 800), _config, 'team object'),
+        _traced('config_key_bytes', (20, 100, 500), _keys, 'caller key'),
         _traced('server_bytes', (100, 500, 2_500), _servers, 'server'),
         _traced('member_bytes', (50, 200, 700), _members, 'member'),
         _traced(
@@ -218,6 +219,12 @@
     return tree
 
 
+def _keys(count: int) -> ConfigTree:
+    tree = ConfigTree()
+    tree.apply(StoredObject('config/teams/team-001', 1, _team(1, count)))
+    return tree
+
+
 def _servers(count: int) -> tuple[Router, dict[str, ConcurrencyLimit]]:
     router = Router(zone='zone-a', rng=random.Random(1))
     limits = {}
