--- a/bench/slopesofcpu.py
+++ b/bench/slopesofcpu.py
@@ -1,13 +1,16 @@
 """Slopes of processor time, without sockets."""
 
+import dataclasses
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
 
 from bench.slope import Slope, cpu_us, fit
 from bench.slopesofstate import (
+    engines_value,
     frame,
     heartbeat,
     intents_value,
@@ -24,35 +27,69 @@
 from oriolegauge.wire import decode
 from oriolegauge.wire.messages import Heard, Heartbeat
 
-CPU = 'process time, least of 8 samples'
+ROUNDS = 3
+CPU = 'process time, least of 15 samples'
 HOLDER = 'daemon-000/00000000'
 NOW = 1.0
 MODEL = 'toaster-7b'
 
 
+@dataclass(frozen=True, slots=True)
+class _Task:
+    """Hold the calls to time for one slope."""
+
+    name: str
+    xs: tuple[int, ...]
+    actions: tuple[Callable[[], Any], ...]
+    item: str
+    how: str
+
+
 def slopes() -> list[Slope]:
-    """Return the slopes of processor time in microseconds."""
+    """Return the slopes of processor time in microseconds.
+
+    The rounds are apart by seconds, so that a slow spell of the machine shows
+    in the error of a slope rather than in the slope.
+    """
+    tasks = [*_flushes(), *_codecs(), *_members(), *_queue(), *_routing()]
+    rounds = [
+        [[cpu_us(action) for action in task.actions] for task in tasks]
+        for _ in range(ROUNDS)
+    ]
     return [
-        *_flushes(),
-        *_codecs(),
-        *_members(),
-        *_queue(),
-        *_routing(),
+        _fitted(task, [taken[place] for taken in rounds])
+        for place, task in enumerate(tasks)
     ]
 
 
+def _fitted(task: _Task, rounds: list[list[float]]) -> Slope:
+    def line(values: list[float]) -> Slope:
+        return fit(
+            task.name,
+            task.xs,
+            values,
+            unit='us',
+            item=task.item,
+            how=task.how,
+        )
+
+    best = line([min(column) for column in zip(*rounds, strict=True)])
+    each = [line(values).slope for values in rounds]
+    half_range = float(f'{(max(each) - min(each)) / 2:.4g}')
+    return dataclasses.replace(best, error=max(best.error, half_range))
+
+
 def _timed(
     name: str,
     xs: tuple[int, ...],
     prepare: Callable[[int], Callable[[], Any]],
     item: str,
     how: str = CPU,
-) -> Slope:
-    values = [cpu_us(prepare(x)) for x in xs]
-    return fit(name, xs, values, unit='us', item=item, how=how)
+) -> _Task:
+    return _Task(name, xs, tuple(prepare(x) for x in xs), item, how)
 
 
-def _flushes() -> list[Slope]:
+def _flushes() -> list[_Task]:
     return [
         _timed(
             'flush_us_per_budget',
@@ -107,7 +144,7 @@
     return lambda: apply_flush(shard, flush)
 
 
-def _codecs() -> list[Slope]:
+def _codecs() -> list[_Task]:
     shard = 'encode and decode the JSON value once; ' + CPU
     return [
         _timed(
@@ -168,7 +205,7 @@
     )
 
 
-def _members() -> list[Slope]:
+def _members() -> list[_Task]:
     return [
         _timed(
             'member_view_us',
@@ -219,7 +256,7 @@
     return lambda: first('team-001/5f3a9c015f3a9c01', names)
 
 
-def _queue() -> list[Slope]:
+def _queue() -> list[_Task]:
     return [
         _timed(
             'queue_job_us',
@@ -290,7 +327,7 @@
     return work
 
 
-def _routing() -> list[Slope]:
+def _routing() -> list[_Task]:
     xs = (6, 50, 200, 800)
     return [
         _timed(
@@ -347,14 +384,8 @@
 
 def _server_list(count: int) -> Callable[[], Any]:
     tree = ConfigTree()
-    entries = {
-        f'engine-{number:04}': {
-            'url': f'http://10.0.{number // 250}.{number % 250}:8000',
-            'zone': 'zone-a',
-            'models': [MODEL],
-        }
-        for number in range(count)
-    }
-    tree.apply(StoredObject('config/servers', 1, {'engines': entries}))
+    tree.apply(
+        StoredObject('config/servers', 1, {'engines': engines_value(count)})
+    )
     pool = ServerPool(tree=tree, is_leaving=lambda _: False)
     return lambda: pool.usable(MODEL, ('*',))
