--- a/packages/budget/src/oriolegauge/budget/budgetaccount.py
+++ b/packages/budget/src/oriolegauge/budget/budgetaccount.py
@@ -19,7 +19,7 @@
 SCARCE_REQUESTS = 8
 """Requests per live daemon below which only needed tokens are granted."""
 
-SCARCE_S = 10.0
+SCARCE_S = 20.0
 """Seconds of the fleet's spending below which only the hub holds tokens; a
 reservation lasts a few seconds, so few are left elsewhere at the end."""
 
--- a/packages/budget/tests/test_budgetmachine.py
+++ b/packages/budget/tests/test_budgetmachine.py
@@ -151,7 +151,21 @@
     machine.top_up('a/x', 500)
 
 
+def drain_in_outage(machine):
+    machine.begin([5000, 0])
+    machine.serve(HUB, 'a/x', 100, 3, 0.05)
+    machine.switch_store(StoreFault.OUTAGE)
+    machine.spawn(machine.daemons[HUB].manager.drain())
+    machine.run(1)
+    machine.kill(HUB, is_replaced=False)
+    machine.heal()
+    for name in OTHERS:
+        machine.flush(name, 0.4)
+    assert not machine.record('a/x')['grants']
+
+
 SCENARIOS = (
+    drain_in_outage,
     lose_answer_of_applied_put,
     lose_answer_of_put_not_applied,
     die_before_flush,
