--- a/bench/lostanswers.py
+++ b/bench/lostanswers.py
@@ -5,13 +5,12 @@
 from typing import Any
 from unittest import mock
 
-from oriolegauge.budget import shardlog, writeplanner
-from oriolegauge.budget.shard import Flush, apply_flush
-from oriolegauge.budget.shardlog import ShardLog
-
 from bench.budgetpolicies import Grants
 from bench.budgetworkload import Workload, World
 from bench.figure import Figure
+from oriolegauge.budget import shardlog, writeplanner
+from oriolegauge.budget.shard import Flush, apply_flush
+from oriolegauge.budget.shardlog import ShardLog
 
 SEEDS = (1, 2, 3)
 REQUESTS = 5_000
--- a/packages/budget/tests/test_budgetmanager.py
+++ b/packages/budget/tests/test_budgetmanager.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+
 from oriolegauge.budget import (
     BudgetExhaustedError,
     BudgetManager,
--- a/packages/daemon/src/oriolegauge/daemon/callerrequest.py
+++ b/packages/daemon/src/oriolegauge/daemon/callerrequest.py
@@ -1,6 +1,7 @@
 """What the caller port knows of one request."""
 
 import re
+import time
 import uuid
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -62,7 +63,7 @@
     team_name = team_of(key) if scheme.lower() == 'bearer' else ''
     settings = tree.team(team_name) if team_name else None
     entry = settings.keys.get(hash_key(key)) if settings else None
-    if settings is None or entry is None:
+    if settings is None or entry is None or entry.expired(time.time()):
         raise UnauthenticatedError('unknown caller key')
     return team_name, settings, f'{team_name}/{entry.budget}'
 
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -246,6 +246,7 @@
             'config_versions': self._tree.versions,
             'config_refused_lower': follower.refused_lower,
             'config_refused_invalid': follower.refused_invalid,
+            'config_store_behind': follower.store_behind,
             'store_calls': self._direct_store.calls,
             'store_relayed': self._store.relaying,
             'members': {
