--- a/packages/routing/tests/test_router_machine.py
+++ b/packages/routing/tests/test_router_machine.py
@@ -97,6 +97,13 @@
         self.in_flight[name] -= 1
         self.router.finished(name, ok, self.now, tokens=JOB_TOKENS)
 
+    @rule(names=st.sets(st.sampled_from(NAMES), min_size=1))
+    def outage(self, names):
+        """Let servers fail until they are ejected; ask for one of them."""
+        for name in sorted(names) * 3:
+            self.router.finished(name, False, self.now, tokens=0)
+        self.request(names, None)
+
     @rule(name=st.sampled_from(NAMES), slow=st.booleans())
     def progress(self, name, slow):
         self.router.progress(name, 10, 5.0 if slow else 0.2, self.now)
