--- a/packages/admission/tests/test_admissionqueue_machine.py
+++ b/packages/admission/tests/test_admissionqueue_machine.py
@@ -290,32 +290,20 @@
 
 def fuzz(machine, *, examples=60, steps=60):
     chosen = os.environ.get('FUZZ_SEED')
-    phases = (Phase.explicit, Phase.generate)
     common = {
         'deadline': None,
         'database': None,
         'suppress_health_check': list(HealthCheck),
-        'phases': phases,
+        'phases': (Phase.explicit, Phase.generate),
+        'stateful_step_count': steps,
     }
     if chosen is None:
-        run_state_machine_as_test(
-            machine,
-            settings=settings(
-                max_examples=examples,
-                stateful_step_count=steps,
-                derandomize=True,
-                **common,
-            ),
-        )
-        return
-    more = int(os.environ.get('FUZZ_STEPS', examples))
-    seed(int(chosen))(machine)
-    run_state_machine_as_test(
-        machine,
-        settings=settings(
-            max_examples=more, stateful_step_count=steps, **common
-        ),
-    )
+        options = settings(max_examples=examples, derandomize=True, **common)
+    else:
+        examples = int(os.environ.get('FUZZ_STEPS', examples))
+        options = settings(max_examples=examples, **common)
+        seed(int(chosen))(machine)
+    run_state_machine_as_test(machine, settings=options)
 
 
 @pytest.mark.fuzz
