Split the capacity rows and test that they follow their slopes

The median of Router.progress is now measured up to 2,500 servers instead of extended from 800. A new test doubles the slopes that a row names and expects another value, which guards against figures that are not computed from the record. Today's section names the bytes of a full shard object per flush, which it had left out.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -6,7 +6,8 @@
 from bench import capacitytext as text
 from bench import slopes as recorded
 from bench.capacitymodel import TODAY, TWO_YEARS, Model, Sizes
-from bench.capacityrows import ROLES, Row
+from bench.capacityrow import Row
+from bench.capacityrows import ROLES
 from bench.capacitytext import number
 from bench.slope import Slope
 
@@ -34,8 +35,7 @@
         '| size | today | two years |\n|---|---|---|',
     ]
     table = '\n'.join(
-        f'| {name} | {number(getattr(TODAY, name))} '
-        f'| {number(getattr(TWO_YEARS, name))} |'
+        f'| {name} | {getattr(TODAY, name):,} | {getattr(TWO_YEARS, name):,} |'
         for name in Sizes.__slots__
     )
     return '\n\n'.join(rows) + '\n' + table
--- a/bench/capacitymodel.py
+++ b/bench/capacitymodel.py
@@ -231,6 +231,10 @@
     def record_count(self) -> float:
         return self.requests_per_daemon * REPLAY_WINDOW_S
 
+    def record_bytes_mb(self) -> float:
+        kept = min(RECORDS_MAX, self.record_count())
+        return kept * self.slope('request_record_bytes') / 1e6
+
     def replay_s(self) -> float:
         """Return how long an answer of many parts can be replayed."""
         held = self.tokens_per_request * self.slope('request_part_bytes')
--- a/bench/capacityrows.py
+++ b/bench/capacityrows.py
@@ -1,36 +1,16 @@
 """Rows of the capacity page by role."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
-
 from bench import capacitymodel as model
 from bench.capacitymodel import Model
-
-CORE = '0.02 core in all'
-MEMORY = '256 MB in all'
-BYTES = '15 KB/s in all'
-WRITES = '400 a second'
-READS = '2,000 a second'
-VERSIONS = 'heartbeats that carry all configuration versions'
-
-
-@dataclass(frozen=True, slots=True)
-class Row:
-    """Describe one cost: what carries it and what breaks first."""
-
-    cost: str
-    mechanism: str
-    slopes: tuple[str, ...]
-    value: Callable[[Model], float]
-    allowed: str
-    breaks: str
-
-
-def _beat(prefix: str) -> tuple[str, ...]:
-    return tuple(
-        f'{prefix}_per_{kind}' for kind in ('versions', 'servers', 'heard')
-    )
-
+from bench.capacityrow import (
+    BYTES,
+    CORE,
+    MEMORY,
+    READS,
+    WRITES,
+    Row,
+)
+from bench.controlrows import CONFIG_RELAY, MEMBERSHIP, PLACER
 
 ENTRY = (
     Row(
@@ -200,11 +180,19 @@
     Row(
         'records of the replay window',
         '`RequestLedger`',
-        ('request_record_bytes',),
+        (),
         Model.record_count,
         '10,000 records',
         '`RECORDS_MAX` shortens the window',
     ),
+    Row(
+        'memory of records with answers of 1 KB, MB',
+        '`RequestLedger`, at most 10,000 records',
+        ('request_record_bytes',),
+        Model.record_bytes_mb,
+        '64 MB of answers',
+        '`RECORDS_MAX`',
+    ),
     Row(
         'seconds that a streamed answer can be replayed',
         '`RequestLedger`, parts of 200 B, one per token',
@@ -237,6 +225,14 @@
         'serving cost',
         'an owner in another region adds a round trip between regions',
     ),
+    Row(
+        'requests forwarded a second, sent per daemon',
+        '`Forward`; as many arrive',
+        (),
+        lambda at: at.requests_per_daemon * at.peers / at.sizes.daemons,
+        'serving cost',
+        'each streamed event passes two daemons',
+    ),
     Row(
         'intents that fit in 24 h, fleet',
         '`IntentLog`, objects `intents/<n>`',
@@ -249,154 +245,6 @@
     ),
 )
 
-CONFIG_RELAY = (
-    Row(
-        'memory of the tree, MB',
-        '`ConfigTree`, one caller key per budget',
-        ('config_key_bytes',),
-        lambda at: at.config_bytes() / 1e6,
-        MEMORY,
-        'each daemon holds the keys of all teams twice, raw and parsed',
-    ),
-    Row(
-        'version rows sent, bytes a second per daemon',
-        '`Heartbeat.config_versions`',
-        (
-            'heartbeat_deflated_bytes_per_versions',
-            'heartbeat_plain_bytes_per_versions',
-        ),
-        Model.version_bytes_per_s,
-        BYTES,
-        VERSIONS,
-    ),
-    Row(
-        'team objects fetched, bytes a second per daemon',
-        '`ConfigFetch`, each change to each daemon',
-        ('team_object_bytes_per_key',),
-        Model.config_fetch_bytes_per_s,
-        BYTES,
-        'a change of one key sends the whole team',
-    ),
-    Row(
-        'server list fetched, bytes a second per daemon',
-        '`ConfigFetch` of `config/servers`, a change per replaced host',
-        ('servers_object_bytes_per_server',),
-        Model.server_fetch_bytes_per_s,
-        BYTES,
-        'a change of one server sends all servers',
-    ),
-    Row(
-        'watches at the store, fleet',
-        '`StoreWatch`, one daemon per zone',
-        (),
-        lambda at: at.sizes.zones,
-        READS,
-        'nothing at this size',
-    ),
-)
-
-PLACER = (
-    Row(
-        'leases, fleet',
-        '`ModelLease`, one leader per model; no daemon starts a `Placer` yet',
-        (),
-        lambda at: at.sizes.models,
-        WRITES,
-        'nothing at this size',
-    ),
-    Row(
-        'hours of weight loads a day',
-        '`LoadPacer`, one load per 10 s in the fleet',
-        (),
-        lambda at: at.sizes.replaced_per_day * model.LOAD_INTERVAL_S / 3_600,
-        '24 h',
-        'the interval of 10 s after a zone is lost',
-    ),
-    Row(
-        'minutes to load the replicas of a lost zone again',
-        '`LoadPacer`',
-        (),
-        lambda at: (
-            at.sizes.replicas / at.sizes.zones * model.LOAD_INTERVAL_S / 60
-        ),
-        'none stated',
-        'the interval is for the fleet, not for a region',
-    ),
-)
-
-MEMBERSHIP = (
-    Row(
-        'bytes of one heartbeat',
-        '`Heartbeat` to each peer',
-        (
-            *_beat('heartbeat_deflated_bytes'),
-            *_beat('heartbeat_plain_bytes'),
-        ),
-        Model.heartbeat_bytes,
-        'none stated',
-        '16 kB, above which heartbeats are not deflated',
-    ),
-    Row(
-        'heartbeats sent a second, per daemon',
-        'full mesh, each 500 ms',
-        (),
-        Model.heartbeats_per_s,
-        'none stated',
-        'links grow with the square of daemons',
-    ),
-    Row(
-        'heartbeat bytes a second, sent per daemon',
-        'full mesh',
-        (
-            *_beat('heartbeat_deflated_bytes'),
-            *_beat('heartbeat_plain_bytes'),
-        ),
-        Model.heartbeat_bytes_per_s,
-        BYTES,
-        VERSIONS,
-    ),
-    Row(
-        'core share of encoding heartbeats',
-        '`PeerLink.send`, once per link',
-        _beat('heartbeat_encode_us'),
-        Model.encode_share,
-        CORE,
-        'the same heartbeat is encoded for each peer',
-    ),
-    Row(
-        'core share of decoding and observing heartbeats',
-        '`PeerServer` and `MemberTable.observe`',
-        (*_beat('heartbeat_decode_us'), 'member_observe_us'),
-        Model.decode_share,
-        CORE,
-        VERSIONS,
-    ),
-    Row(
-        'core share of views',
-        '`MemberTable.view`, twice per request and per heartbeat round',
-        ('member_view_us',),
-        Model.view_share,
-        CORE,
-        'the view is sorted and compared again on each call',
-    ),
-    Row(
-        'memory of received heartbeats, MB',
-        '`PeerMesh.heartbeats`',
-        _beat('heartbeat_held_bytes'),
-        lambda at: at.held_heartbeat_bytes() / 1e6,
-        MEMORY,
-        'each daemon holds the rows of all others',
-    ),
-    Row(
-        'memory of the member table, MB',
-        '`MemberRecord.reports`, a row per pair',
-        ('member_bytes', 'member_pair_bytes'),
-        lambda at: at.member_bytes() / 1e6,
-        MEMORY,
-        'reports grow with the square of members',
-    ),
-)
-
 ROLES = {
     'Entry': ENTRY,
     'Budget home': BUDGET_HOME,
--- a/bench/capacitytext.py
+++ b/bench/capacitytext.py
@@ -247,13 +247,16 @@
     calls = 2 * at.flushes_per_s() / at.sizes.requests_per_s * 1_000
     idle = at.sizes.daemons * limits.HOST_LISTS_PER_S + at.sizes.zones
     needed = (2 * at.flushes_per_s() + idle) / limits.CALLS_PER_1K * 1_000
+    flushed = at.flushes_per_s() / at.sizes.daemons * at.shard_bytes()
     links = distinct(at.sizes.replicas, at.running_per_daemon)
     return '\n'.join(
         (
             "## Today's sizes",
             '',
             f'With {at.sizes.daemons} daemons and {at.sizes.replicas} '
-            'replicas the mesh, the polls and the single shard are carried:',
+            'replicas the mesh, the polls and the number of writes are '
+            'carried; the settled keys and the replay of streams are not '
+            'at the assumed load:',
             '',
             f'- heartbeats of {number(at.heartbeat_bytes())} bytes with '
             f'{number(links)} servers in flight; '
@@ -270,9 +273,14 @@
             f'{number(at.sizes.requests_per_s)} requests a second. Flushes, '
             'host lists and probes go by time, not by requests: the target '
             f'of under 10 is met from {number(needed)} requests a second on;',
+            f'- {number(flushed / 1e3)} KB a second of shard values written '
+            'per daemon once the list of settled keys is full, above the '
+            '15 KB/s: a flush writes the whole object of '
+            f'{number(at.shard_bytes() / 1e3)} KB. The change is the same as '
+            'in two years, the keys outside the object;',
             f'- a shard remembers a billed id for {number(at.key_window_s())} '
             's if all requests are keyed, less than the replay window of '
-            '600 s. What breaks first today is this: one shard covers the '
+            '600 s. One shard covers the '
             'window up to '
             f'{number(limits.SETTLED_KEYS_MAX / limits.REPLAY_WINDOW_S)} '
             'keyed requests a second; `budget_shards` divides it by team;',
--- a/bench/slopesofcpu.py
+++ b/bench/slopesofcpu.py
@@ -9,7 +9,7 @@
 import orjson
 
 from bench.slope import Slope, cpu_us, fit
-from bench.slopesofstate import (
+from bench.slopefixtures import (
     engines_value,
     frame,
     heartbeat,
@@ -344,7 +344,7 @@
         ),
         _timed(
             'router_progress_us',
-            xs,
+            (6, 200, 800, 2_500),
             _progress,
             'server with samples',
             'one latency sample, judged against the median; ' + CPU,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 from bench import capacity, slopes
@@ -11,6 +12,32 @@
         assert page == capacity.render(slopes.load())
         assert page == capacity.OUTPUT.read_text()
 
+    def test_page_follows_each_slope_that_a_row_names(self):
+        """Guards against figures that are not computed from the slopes."""
+        measured = slopes.load()
+        page = capacity.render(measured)
+        for row in [row for rows in capacity.ROLES.values() for row in rows]:
+            later = capacity.Model(capacity.TWO_YEARS, measured)
+            now = capacity.Model(capacity.TODAY, measured)
+            doubled = {
+                **measured,
+                **{
+                    name: dataclasses.replace(
+                        measured[name],
+                        slope=2 * measured[name].slope,
+                        intercept=2 * measured[name].intercept,
+                    )
+                    for name in row.slopes
+                },
+            }
+            changed = (
+                row.value(capacity.Model(capacity.TWO_YEARS, doubled)),
+                row.value(capacity.Model(capacity.TODAY, doubled)),
+            )
+            if row.slopes:
+                assert changed != (row.value(later), row.value(now)), row.cost
+        assert 'nan' not in page
+
 
 class TestFit:
     def test_fit_finds_a_known_line_within_its_error(self):
