Report progress as the routing policy needs it; move streams off slow servers

Cause: the router saw totals since the first token every 32 tokens, so a slow server was found late; retries earned credit for retries; service calls distorted the mean size of completions; running streams stayed on ejected servers. Change: progress since the last report every 2 tokens, one credit per request, a router of their own for service calls, streams move within the retry budget.

--- a/packages/daemon/src/oriolegauge/daemon/completions.py
+++ b/packages/daemon/src/oriolegauge/daemon/completions.py
@@ -112,6 +112,7 @@
         if not _is_allowed(caller, body.model):
             raise ForbiddenError(f'model {body.model} is not allowed')
         self._guard.check(call.fingerprint)
+        self._dispatcher.begin()
         reservation = await self._budgets.reserve(
             budget=caller.budget,
             request_id=caller.request_id,
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -40,14 +40,12 @@
 from oriolegauge.daemon.serverpool import ServerPool
 from oriolegauge.daemon.serverwatch import ServerWatch
 from oriolegauge.daemon.servicecalls import ServiceCalls
-from oriolegauge.daemon.slotqueue import SlotQueue
 from oriolegauge.daemon.supervise import supervise
 from oriolegauge.ledger import IntentLog, RequestLedger
 from oriolegauge.membership import LeavingServers
 from oriolegauge.placement import PlacementSettings, Placer
 from oriolegauge.platform.httpobjectstore import HttpObjectStore
 from oriolegauge.platform.relayedstore import RelayedStore
-from oriolegauge.routing import Router
 
 DRAIN_POLL_S = 0.05
 # Outcomes of intents that the store does not take in this time stay unknown.
@@ -134,11 +132,10 @@
             leaving=self._leaving,
             clock=clock,
         )
-        router = Router(zone=settings.zone, rng=rng)
-        self._queue = SlotQueue(pool=pool, router=router, rng=rng, clock=clock)
         self._dispatcher = Dispatcher(
-            pool=pool, queue=self._queue, router=router, rng=rng, clock=clock
+            pool=pool, zone=settings.zone, rng=rng, clock=clock
         )
+        self._queue = self._dispatcher.queue
         self._placement = PlacementLoop(
             name=settings.name,
             placer=Placer(
--- a/packages/daemon/src/oriolegauge/daemon/dispatcher.py
+++ b/packages/daemon/src/oriolegauge/daemon/dispatcher.py
@@ -22,16 +22,23 @@
         self,
         *,
         pool: ServerPool,
-        queue: SlotQueue,
-        router: Router,
+        zone: str,
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
-        """Queue completions in `queue`; `clock` is in seconds."""
+        """Prefer servers in `zone`; `clock` is in seconds."""
         self._pool = pool
-        self._queue = queue
-        self._router = router
         self._clock = clock
+        # Service calls count as one token each, which would distort the mean
+        # size of completions.
+        self._services = Router(zone=zone, rng=rng)
+        self.queue = SlotQueue(
+            pool=pool,
+            router=Router(zone=zone, rng=rng),
+            rng=rng,
+            clock=clock,
+            may_move=lambda: self._retries.retry(1) is not None,
+        )
         self._predictor = LengthPredictor()
         self._retries = RetryBudget(rng=rng)
         self._hedges = HedgePolicy()
@@ -42,6 +49,10 @@
         self._retries.share = retry
         self._hedges.share = hedge
 
+    def begin(self) -> None:
+        """Count a request, which earns a share of a retry."""
+        self._retries.request()
+
     def learn(
         self, request: SlotRequest, output_tokens: int, seconds: float
     ) -> None:
@@ -56,19 +67,18 @@
     ) -> AbstractAsyncContextManager[Slot]:
         """Hold a slot on a server, outside `exclude` if there is one."""
         servers = self._servers(request, exclude)
-        self._retries.request()
-        return self._queue.slot(self._job(request, servers), servers)
+        return self.queue.slot(self._job(request, servers), servers)
 
     def resume(
         self, request: SlotRequest, job: Job
     ) -> AbstractAsyncContextManager[Slot]:
         """Hold a slot for a paused job, which is queued already."""
         servers = self._servers(request, frozenset())
-        return self._queue.slot(job, servers, is_queued=True)
+        return self.queue.slot(job, servers, is_queued=True)
 
     def forget(self, job: Job) -> None:
         """Drop a paused job that is not resumed."""
-        self._queue.forget(job)
+        self.queue.forget(job)
 
     def can_resume(self, request: SlotRequest, tried: set[str]) -> bool:
         """Tell whether another server can go on with a cut stream."""
@@ -113,19 +123,18 @@
     ) -> BackendServer:
         """Return a server of a plain service."""
         views = [ServerView(name=name, zone='') for name in urls]
-        name = self._router.choose(views, None, self._clock())
+        name = self._services.choose(views, None, self._clock())
         if name is None:
             raise NoServerError(
                 f'service {service} has no server',
                 retry_after_s=RETRY_AFTER_S,
             )
-        self._router.started(name, 1, self._clock())
-        self._retries.request()
+        self._services.started(name, 1, self._clock())
         return BackendServer(name=name, url=urls[name], zone='')
 
     def service_ended(self, server: str, *, ok: bool) -> None:
         """Note the end of a service call."""
-        self._router.finished(server, ok, self._clock(), tokens=1)
+        self._services.finished(server, ok, self._clock(), tokens=1)
 
     def _servers(
         self, request: SlotRequest, exclude: frozenset[str]
--- a/packages/daemon/src/oriolegauge/daemon/servicecalls.py
+++ b/packages/daemon/src/oriolegauge/daemon/servicecalls.py
@@ -83,6 +83,7 @@
         """Write the answer with its bill to the sink and return it."""
         target = self.target(caller, call)
         price = target.service.tokens_per_call
+        self._dispatcher.begin()
         reservation = await self._budgets.reserve(
             budget=caller.budget,
             request_id=caller.request_id,
--- a/packages/daemon/src/oriolegauge/daemon/slot.py
+++ b/packages/daemon/src/oriolegauge/daemon/slot.py
@@ -7,8 +7,9 @@
 from oriolegauge.backends import BackendServer
 from oriolegauge.core.priority import Priority
 
-# Reporting each token would cost more than relaying it.
-PROGRESS_STEP_TOKENS = 32
+# A slow server is found within a few tokens, but reporting each one would cost
+# as much as relaying it.
+PROGRESS_STEP_TOKENS = 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,6 +45,8 @@
     started_at: float
     on_progress: Callable[['Slot'], None]
     first_token_at: float | None = None
+    reported_at: float = 0
+    reported_tokens: int = 0
     tokens: int = 0
     ok: bool = False
     cancel_sent: bool = False
--- a/packages/daemon/src/oriolegauge/daemon/slotqueue.py
+++ b/packages/daemon/src/oriolegauge/daemon/slotqueue.py
@@ -45,12 +45,17 @@
         router: Router,
         rng: random.Random,
         clock: Callable[[], float],
+        may_move: Callable[[], bool],
         limits: QueueLimits | None = None,
     ) -> None:
-        """Place jobs on servers of `pool`; `clock` is in seconds."""
+        """Place jobs on servers of `pool`; `clock` is in seconds.
+
+        `may_move` spends the retry budget for a stream that changes servers.
+        """
         self._pool = pool
         self._router = router
         self._clock = clock
+        self._may_move = may_move
         self._queue = AdmissionQueue(rng=rng, limits=limits)
         self._limits: dict[str, ConcurrencyLimit] = {}
         self._tokens: Counter[str] = Counter()
@@ -149,6 +154,7 @@
             await asyncio.sleep(EXPIRY_PERIOD_S)
             for job in self._queue.expire(self._clock()):
                 self._refuse(job)
+            self._leave_ejected()
             self._pump()
 
     async def _wait(
@@ -254,9 +260,26 @@
             latency_s = now - slot.started_at
             self._router.first_token(name, latency_s, now)
             self._limit(name).first_token(latency_s, now)
-            return
-        self._queue.progress(slot.job.request_id, slot.tokens)
-        self._router.progress(name, slot.tokens, now - slot.first_token_at, now)
+        else:
+            self._queue.progress(slot.job.request_id, slot.tokens)
+            self._router.progress(
+                name,
+                slot.tokens - slot.reported_tokens,
+                now - slot.reported_at,
+                now,
+            )
+        slot.reported_at = now
+        slot.reported_tokens = slot.tokens
+
+    def _leave_ejected(self) -> None:
+        """Move streams off servers that were ejected while they run."""
+        for slot in list(self._held.values()):
+            if (
+                slot.can_pause
+                and self._router.is_ejected(slot.server.name)
+                and self._may_move()
+            ):
+                slot.pause()
 
     def _end(self, slot: Slot, servers: Mapping[str, BackendServer]) -> None:
         if slot.paused and not slot.ok:
