--- a/bench/capacitymodel.py
+++ b/bench/capacitymodel.py
@@ -159,6 +159,19 @@
         each_us += self.slope('member_observe_us') * self.peers
         return each_us * self.heartbeats_per_s() / US_PER_S
 
+    def idle_share(self) -> float:
+        """Return the share of a core of an idle daemon, from real fleets."""
+        one = self._slopes['idle_core_us_per_s']
+        return one.at(self.sizes.daemons) / US_PER_S
+
+    def idle_daemons_max(self) -> float:
+        """Return the fleet at which an idle daemon reaches its share."""
+        one = self._slopes['idle_core_us_per_s']
+        return (CORE_SHARE * US_PER_S - one.intercept) / one.slope
+
+    def idle_rss_bytes(self) -> float:
+        return self._slopes['idle_rss_bytes'].at(self.sizes.daemons)
+
     def view_share(self) -> float:
         views = VIEWS_PER_REQUEST * self.requests_per_daemon + BEATS_PER_S
         return views * self.slope('member_view_us') * self.peers / US_PER_S
--- a/bench/capacitytext.py
+++ b/bench/capacitytext.py
@@ -14,8 +14,9 @@
 or of two years is a slope times a size, or a count that follows from a
 period in the code ("counted"). It is not a run at that size: where a size is
 outside the fitted range, the line is extended. Costs of connections, TLS,
-framing and garbage collection are not in it. `bench.fleetcosts` measures
-fleets of real processes."""
+framing and garbage collection are not in it, except in the two slopes of
+idle fleets, which `BENCH_LARGE=1 python -m bench.fleetcosts --write` takes
+from real processes."""
 
 SIZES = """The sizes of two years are those of section 1.5 of the design page.
 Today's requests and tokens a second, budgets, changes, replaced hosts and
@@ -254,19 +255,23 @@
             "## Today's sizes",
             '',
             f'With {at.sizes.daemons} daemons and {at.sizes.replicas} '
-            'replicas the mesh, the polls and the number of writes are '
-            'carried; the settled keys and the replay of streams are not '
-            'at the assumed load:',
+            'replicas memory and the number of writes are carried. Not '
+            'within their targets are the processor time of an idle daemon, '
+            'the bytes of shard writes, store calls per request, settled '
+            'keys and the replay of streams, at the assumed load:',
             '',
             f'- heartbeats of {number(at.heartbeat_bytes())} bytes with '
             f'{number(links)} servers in flight; '
             f'{number(at.heartbeat_bytes_per_s())} bytes a second sent, and '
             f'{number(sent)} with journal copies, of 15,000;',
-            f'- {number(core)} of a core for heartbeats and views, of 0.02. '
-            'The event loop, timers, polls and sockets of an idle daemon '
-            'are not in it; `bench.fleetcosts` measures them;',
-            f'- {number(memory / 1e6)} MB of state beside the process '
-            'itself, of 256;',
+            f'- {number(at.idle_share())} of a core for an idle daemon, of '
+            '0.02, from fleets of real processes (the costliest daemon). By '
+            f'the slopes, heartbeats and views take {number(core)} at the '
+            'assumed load; the event loop, timers, polls and sockets take '
+            'the most. The limit is reached at '
+            f'{number(at.idle_daemons_max())} daemons;',
+            f'- {number(at.idle_rss_bytes() / 1e6)} MB for an idle process '
+            f'and {number(memory / 1e6)} MB of state, of 256;',
             f'- {number(at.flushes_per_s())} writes a second, of 400. A '
             'flush that finds another writer also reads, which makes '
             f'{number(calls)} calls per 1,000 requests at '
--- a/bench/fleetcosts.py
+++ b/bench/fleetcosts.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import sys
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -9,7 +10,9 @@
 
 import psutil
 
+from bench import slopes
 from bench.figure import Figure
+from bench.slope import fit
 from oriolegauge.wire import Envelope, Sender, encode
 from oriolegauge.wire.messages import (
     ConfigVersion,
@@ -309,6 +312,33 @@
     return times.user + times.system
 
 
+def _record(figures: list[Figure]) -> None:
+    """Put the growth of idle daemons beside the slopes without sockets."""
+    slopes.record(
+        [
+            fit(
+                name,
+                (*FLEETS, LARGE_FLEET),
+                [
+                    scale * figure.ours
+                    for figure in figures
+                    if figure.measure.startswith(measure)
+                ],
+                unit=unit,
+                item='daemon of an idle fleet',
+                how='psutil, processes on loopback, costliest daemon',
+            )
+            for name, measure, scale, unit in (
+                ('idle_core_us_per_s', 'control_core_share', 1e6, 'us/s'),
+                ('idle_rss_bytes', 'control_rss_mb', MB, 'bytes'),
+            )
+        ]
+    )
+
+
 if __name__ == '__main__':
-    for figure in run():
+    found = run()
+    for figure in found:
         print(figure.line())
+    if sys.argv[1:] == ['--write'] and os.environ.get('BENCH_LARGE') == '1':
+        _record(found)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,6 +22,14 @@
     return {row['name']: Slope(**row) for row in json.loads(path.read_text())}
 
 
+def record(found: list[Slope], path: Path = OUTPUT) -> None:
+    """Write the slopes; recorded ones that were not measured stay."""
+    merged = load(path) if path.exists() else {}
+    merged.update({one.name: one for one in found})
+    rows = [dataclasses.asdict(one) for one in merged.values()]
+    path.write_text(json.dumps(rows, indent=1) + '\n')
+
+
 def main() -> None:
     """Print the slopes; with `--write`, record them."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -38,8 +46,7 @@
         )
     print(f'# {time.monotonic() - started:.0f} s')
     if write:
-        rows = [dataclasses.asdict(one) for one in found]
-        OUTPUT.write_text(json.dumps(rows, indent=1) + '\n')
+        record(found)
 
 
 if __name__ == '__main__':
