--- a/bench/capacitytext.py
+++ b/bench/capacitytext.py
@@ -267,8 +267,8 @@
             f'- {number(at.idle_share())} of a core for an idle daemon, of '
             '0.02, from fleets of real processes (the costliest daemon). By '
             f'the slopes, heartbeats and views take {number(core)} at the '
-            'assumed load; the event loop, timers, polls and sockets take '
-            'the most. The limit is reached at '
+            'assumed load; what takes the rest was not measured. The limit '
+            'is reached at '
             f'{number(at.idle_daemons_max())} daemons;',
             f'- {number(at.idle_rss_bytes() / 1e6)} MB for an idle process '
             f'and {number(memory / 1e6)} MB of state, of 256;',
