Read the host list only where the store is watched

Cause: each daemon called the platform's host list every 2 s; at 8 daemons that is 4 calls a second, and store calls per 1,000 requests were 43 to 105 at 110 requests a second. Ruled out: a longer period, which would break the 3 s for leaving servers. Change: members that watch the store read the list and pass what it says of configured servers in heartbeats; the rest take it over.

--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -130,6 +130,7 @@
             engines=engines,
             store=self._store,
             leaving=self._leaving,
+            reads_host_list=lambda: self._follower.watching,
             clock=clock,
         )
         self._dispatcher = Dispatcher(
@@ -188,6 +189,7 @@
             tree=self._tree,
             follower=self._follower,
             queue=self._queue,
+            server_watch=self._server_watch,
             mesh=self._mesh,
             clock=clock,
         )
--- a/packages/daemon/src/oriolegauge/daemon/heartbeats.py
+++ b/packages/daemon/src/oriolegauge/daemon/heartbeats.py
@@ -7,12 +7,14 @@
 from oriolegauge.core.priority import Priority
 from oriolegauge.daemon.lifecycle import Lifecycle
 from oriolegauge.daemon.peermesh import PeerMesh
+from oriolegauge.daemon.serverwatch import ServerWatch
 from oriolegauge.daemon.slotqueue import SlotQueue
 from oriolegauge.wire.messages import (
     NEVER_MS,
     ConfigVersion,
     Heard,
     Heartbeat,
+    HostSign,
     ServerInFlight,
 )
 
@@ -32,6 +34,7 @@
         tree: ConfigTree,
         follower: ConfigFollower,
         queue: SlotQueue,
+        server_watch: ServerWatch,
         mesh: PeerMesh,
         clock: Callable[[], float],
     ) -> None:
@@ -43,6 +46,7 @@
         self._tree = tree
         self._follower = follower
         self._queue = queue
+        self._server_watch = server_watch
         self._mesh = mesh
         self._clock = clock
 
@@ -75,16 +79,24 @@
                 NEVER_MS if age_s is None else int(age_s * MS_PER_S)
             ),
             watches_store=self._follower.watching,
+            host_signs=tuple(
+                HostSign(name, leaving)
+                for name, leaving in self._server_watch.host_signs.items()
+                if self._follower.watching
+            ),
         )
 
     def take_over(self) -> None:
-        """Hand the peers' requests in flight to the queue."""
+        """Hand on what peers report of servers and requests in flight."""
         requests: Counter[str] = Counter()
         tokens: Counter[str] = Counter()
         members = self._mesh.view().members
         for name, found in self._mesh.heartbeats.items():
             if name not in members:
                 continue
+            self._server_watch.note_hosts(
+                {row.server: row.leaving for row in found.heartbeat.host_signs}
+            )
             for row in found.heartbeat.in_flight:
                 requests[row.server] += row.requests
                 tokens[row.server] += row.tokens
--- a/packages/daemon/src/oriolegauge/daemon/serverwatch.py
+++ b/packages/daemon/src/oriolegauge/daemon/serverwatch.py
@@ -1,7 +1,7 @@
 """Load reports of engines and signs that backend servers leave."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import structlog
 
@@ -18,6 +18,7 @@
 HOST_LIST_PERIOD_S = 2.0
 # Reports count requests; the router weighs tokens.
 TOKENS_PER_REQUEST = 256.0
+LIVE = 'live'
 
 log = structlog.get_logger()
 
@@ -33,15 +34,21 @@
         engines: EngineClient,
         store: ObjectStore,
         leaving: LeavingServers,
+        reads_host_list: Callable[[], bool],
         clock: Callable[[], float],
     ) -> None:
-        """Feed `pool` and `leaving`; `clock` is in seconds."""
+        """Feed `pool` and `leaving`; `clock` is in seconds.
+
+        Only members for which `reads_host_list` holds call the platform.
+        """
         self._tree = tree
         self._pool = pool
         self._engines = engines
         self._store = store
         self._leaving = leaving
+        self._reads_host_list = reads_host_list
         self._clock = clock
+        self._host_signs: Mapping[str, bool] = {}
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -60,6 +67,21 @@
                 now=self._clock(),
             )
 
+    @property
+    def host_signs(self) -> Mapping[str, bool]:
+        """Return which servers the host list, as last read, calls leaving."""
+        return self._host_signs
+
+    def note_hosts(self, signs: Mapping[str, bool]) -> None:
+        """Note what the host list says, read here or by a peer."""
+        for name, leaving in signs.items():
+            self._leaving.sign(
+                name,
+                LeavingSource.HOST_LIST,
+                leaving=leaving,
+                now=self._clock(),
+            )
+
     async def _read_reports(self) -> None:
         while True:
             await asyncio.gather(
@@ -90,16 +112,20 @@
 
     async def _read_hosts(self) -> None:
         while True:
-            try:
-                hosts = await self._store.hosts()
-            except OriolegaugeError as error:
-                log.info('host list not read', error=error.message)
-                hosts = []
-            for host in hosts:
-                self._leaving.sign(
-                    host.name,
-                    LeavingSource.HOST_LIST,
-                    leaving=host.state != 'live',
-                    now=self._clock(),
-                )
+            if self._reads_host_list():
+                await self._read_host_list()
             await asyncio.sleep(HOST_LIST_PERIOD_S)
+
+    async def _read_host_list(self) -> None:
+        try:
+            hosts = await self._store.hosts()
+        except OriolegaugeError as error:
+            log.info('host list not read', error=error.message)
+            return
+        engines = self._tree.servers.engines
+        self._host_signs = {
+            host.name: host.state != LIVE
+            for host in hosts
+            if host.name in engines
+        }
+        self.note_hosts(self._host_signs)
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -52,6 +52,7 @@
   heard @8 :Heard;
   storeReachedAgeMs @9 :Int64;
   watchesStore @10 :Bool;
+  hostSigns @11 :HostSigns;
 }
 
 struct ConfigVersions { key @0 :List(Text); version @1 :List(Int64); }
@@ -60,6 +61,7 @@
   requests @1 :List(UInt32);
   tokens @2 :List(Int64);
 }
+struct HostSigns { server @0 :List(Text); leaving @1 :List(Bool); }
 struct ServerSuspects { server @0 :Text; fingerprints @1 :List(Text); }
 struct Heard {
   member @0 :List(Text);
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -55,12 +55,21 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class HostSign:
+    """State whether the platform's host list calls a server leaving."""
+
+    server: str
+    leaving: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Heartbeat:
     """Tell peers that a member lives, and what it holds and runs.
 
     `queue_lengths` is indexed by priority. `store_reached_age_ms` is the time
-    since the last answer of the store, or NEVER_MS.
+    since the last answer of the store, or NEVER_MS. Members that watch the
+    store read the host list for the others.
     """
 
     member: str
@@ -74,6 +83,7 @@
     heard: tuple[Heard, ...] = ()
     store_reached_age_ms: int = NEVER_MS
     watches_store: bool = False
+    host_signs: tuple[HostSign, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
