Tell an outage apart from a spent budget; split the HTTP ports

Cause: in a store outage a budget without a grant was refused as budget_exhausted although the pool may hold tokens. Change: such a refusal carries store_unavailable, not run, with a retry time.

--- a/packages/budget/src/oriolegauge/budget/acquirer.py
+++ b/packages/budget/src/oriolegauge/budget/acquirer.py
@@ -4,7 +4,10 @@
 from dataclasses import dataclass
 
 from oriolegauge.budget.budgetaccount import BudgetAccount
-from oriolegauge.budget.errors import BudgetExhaustedError
+from oriolegauge.budget.errors import (
+    BudgetExhaustedError,
+    BudgetUnreachableError,
+)
 from oriolegauge.budget.reservation import Reservation
 from oriolegauge.budget.settler import Settler
 from oriolegauge.budget.shardlog import ShardLog
@@ -33,8 +36,13 @@
     deadline: float
 
 
-def refusal(budget: str) -> BudgetExhaustedError:
+def refusal(budget: str, *, store_down: bool = False) -> BudgetExhaustedError:
     """Return the error for a request that nothing can pay."""
+    if store_down:
+        return BudgetUnreachableError(
+            f'no grant of budget {budget} can pay and the store is down',
+            retry_after_s=RETRY_AFTER_S,
+        )
     return BudgetExhaustedError(
         f'budget {budget} cannot pay', retry_after_s=RETRY_AFTER_S
     )
@@ -69,7 +77,9 @@
         if found is None and account.is_exhausted:
             found = await self._ask_all(log, account, request)
         if found is None:
-            raise refusal(request.budget)
+            raise refusal(
+                request.budget, store_down=self._source.is_store_down(log)
+            )
         return found
 
     async def acquire_here(
--- a/packages/budget/src/oriolegauge/budget/errors.py
+++ b/packages/budget/src/oriolegauge/budget/errors.py
@@ -10,6 +10,12 @@
     code = ResultCode.BUDGET_EXHAUSTED
 
 
+class BudgetUnreachableError(BudgetExhaustedError):
+    """Refuse a request in a store outage: no grant can pay, the pool might."""
+
+    code = ResultCode.STORE_UNAVAILABLE
+
+
 class BudgetUnknownError(OriolegaugeError):
     """Report a budget that does not exist."""
 
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -3,13 +3,11 @@
 import asyncio
 import random
 import secrets
-import ssl
 import time
 from typing import Any
 
 import aiohttp
 import structlog
-from aiohttp import web
 
 from oriolegauge.backends import EngineClient, OrderSender, ServiceClient
 from oriolegauge.budget import BudgetManager
@@ -17,7 +15,6 @@
 from oriolegauge.config.tlscontexts import (
     peer_client_context,
     peer_server_context,
-    server_context,
 )
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.core.priority import Priority
@@ -29,6 +26,7 @@
 from oriolegauge.daemon.dispatcher import Dispatcher
 from oriolegauge.daemon.forwarder import Forwarder
 from oriolegauge.daemon.heartbeats import Heartbeats
+from oriolegauge.daemon.httpports import HttpPorts
 from oriolegauge.daemon.lifecycle import Lifecycle
 from oriolegauge.daemon.meshpeers import MeshBudgetPeers, MeshConfigPeers
 from oriolegauge.daemon.meshrelay import MeshRelay
@@ -70,7 +68,7 @@
         self._lifecycle = Lifecycle()
         self._tree = ConfigTree()
         self._drain_asked = asyncio.Event()
-        self._runners: list[web.AppRunner] = []
+        self._ports = HttpPorts(settings)
         self._metrics = Metrics(self._gauges)
         self._clock = clock
 
@@ -336,35 +334,16 @@
         # The peer port opens first: a refused connection there is taken as
         # the end of the process.
         await self._mesh.listen()
-        caller_tls, admin_tls = settings.caller_tls, settings.admin_tls
-        await self._serve(
-            admin.application(),
-            settings.admin_port,
-            server_context(admin_tls) if admin_tls else None,
+        await self._ports.open(
+            admin.application(), settings.admin_port, settings.admin_tls
         )
-        await self._serve(
+        await self._ports.open(
             self._callers.application(),
             settings.caller_port,
-            server_context(caller_tls) if caller_tls else None,
+            settings.caller_tls,
         )
         log.info('listening', name=settings.name, port=settings.caller_port)
 
-    async def _serve(
-        self, app: web.Application, port: int, context: ssl.SSLContext | None
-    ) -> None:
-        runner = web.AppRunner(
-            app,
-            access_log=None,
-            max_line_size=self._settings.max_header_bytes,
-            max_field_size=self._settings.max_header_bytes,
-        )
-        await runner.setup()
-        site = web.TCPSite(
-            runner, self._settings.address, port, ssl_context=context
-        )
-        await site.start()
-        self._runners.append(runner)
-
     async def _become_ready(self) -> None:
         await self._follower.wait_ready()
         self._server_watch.apply_config()
@@ -397,8 +376,7 @@
         await self._intents.close()
 
     async def _close(self) -> None:
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._ports.close()
         # The peer port closes last, when all grants are returned.
         await self._mesh.close()
         self._lifecycle.stop()
--- a/tests/test_store_failures.py
+++ b/tests/test_store_failures.py
@@ -1,3 +1,4 @@
+import json
 import time
 
 from tests.fleet import chat
@@ -37,6 +38,17 @@
         fleet.set_links('pass', 'd1-store')
         wait_until(lambda: bill_equals(fleet, load))
 
+    def test_unused_budget_in_an_outage(self, fleet):
+        """Guards against an outage that is told as a spent budget."""
+        start(fleet)
+        fleet.faults('platform', outage=True)
+        answer = chat(fleet.url('d1'), fleet.key, 'Hello [len=2]')
+        fleet.faults('platform', outage=False)
+        error = json.loads(answer[2])['error']
+        assert error['name'] == 'store_unavailable'
+        assert error['run_state'] == 'not_run'
+        assert error['retry_after_s']
+
     def test_start_during_an_outage(self, fleet):
         """Guards against a replaced daemon that cannot start."""
         start(fleet)
