Wait for the grant of a lost daemon instead of refusing

Cause: the demo in a clean clone failed with budget_exhausted: the daemon it kills held the rest of the scarce budget, and the retry came in the second before the death was proved and the grant freed. A refusal there is false. Ruled out: closing without evidence, which could spend twice; a longer wait for every refusal, which would delay true ones.

--- a/packages/budget/src/oriolegauge/budget/__init__.py
+++ b/packages/budget/src/oriolegauge/budget/__init__.py
@@ -6,6 +6,7 @@
     BudgetExhaustedError,
     BudgetPeerError,
     BudgetUnknownError,
+    BudgetUnreachableError,
     HolderClosedError,
 )
 from oriolegauge.budget.reservation import Reservation, Settled
@@ -18,6 +19,7 @@
     'BudgetPeerError',
     'BudgetPeers',
     'BudgetUnknownError',
+    'BudgetUnreachableError',
     'HolderClosedError',
     'Reservation',
     'Settled',
--- a/packages/budget/src/oriolegauge/budget/budgetmanager.py
+++ b/packages/budget/src/oriolegauge/budget/budgetmanager.py
@@ -251,6 +251,17 @@
             'shards': self._logs.state(),
         }
 
+    def other_holders(self, budget: str) -> frozenset[str]:
+        """Return the daemons that held a grant when the store was last read."""
+        account = self._logs.of_budget(budget).accounts.get(budget)
+        if account is None:
+            return frozenset()
+        return frozenset(
+            daemon_of(holder)
+            for holder, tokens in account.others.items()
+            if tokens
+        )
+
     async def handle_reserve(self, message: Reserve) -> ReserveAnswer:
         """Set aside tokens of the own grant for a peer."""
         return await self._remote.reserve(message)
--- a/packages/daemon/src/oriolegauge/daemon/completions.py
+++ b/packages/daemon/src/oriolegauge/daemon/completions.py
@@ -34,6 +34,7 @@
 from oriolegauge.daemon.completionbody import CompletionBody
 from oriolegauge.daemon.crashguard import CrashGuard, CrowdedError
 from oriolegauge.daemon.dispatcher import Dispatcher
+from oriolegauge.daemon.lostgrants import LostGrants
 from oriolegauge.daemon.slot import PausedError, Slot, SlotRequest
 
 MINIMUM_OUTPUT_TOKENS = 1
@@ -89,6 +90,7 @@
         self,
         *,
         budgets: BudgetManager,
+        grants: LostGrants,
         engines: EngineClient,
         dispatcher: Dispatcher,
         guard: CrashGuard,
@@ -96,6 +98,7 @@
     ) -> None:
         """Use the given parts of the daemon."""
         self._budgets = budgets
+        self._grants = grants
         self._engines = engines
         self._dispatcher = dispatcher
         self._guard = guard
@@ -113,7 +116,7 @@
             raise ForbiddenError(f'model {body.model} is not allowed')
         self._guard.check(call.fingerprint)
         self._dispatcher.begin()
-        reservation = await self._budgets.reserve(
+        reservation = await self._grants.reserve(
             budget=caller.budget,
             request_id=caller.request_id,
             tokens=body.input_bound + body.wanted_output,
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -28,6 +28,7 @@
 from oriolegauge.daemon.heartbeats import Heartbeats
 from oriolegauge.daemon.httpports import HttpPorts
 from oriolegauge.daemon.lifecycle import Lifecycle
+from oriolegauge.daemon.lostgrants import LostGrants
 from oriolegauge.daemon.meshpeers import MeshBudgetPeers, MeshConfigPeers
 from oriolegauge.daemon.meshrelay import MeshRelay
 from oriolegauge.daemon.metrics import Metrics
@@ -260,9 +261,13 @@
     def _build_requests(
         self, engines: EngineClient, session: aiohttp.ClientSession
     ) -> Requests:
+        grants = LostGrants(
+            budgets=self._budgets, mesh=self._mesh, clock=self._clock
+        )
         return Requests(
             completions=Completions(
                 budgets=self._budgets,
+                grants=grants,
                 engines=engines,
                 dispatcher=self._dispatcher,
                 guard=self._guard,
@@ -273,6 +278,7 @@
             services=ServiceCalls(
                 tree=self._tree,
                 budgets=self._budgets,
+                grants=grants,
                 services=ServiceClient(session=session),
                 dispatcher=self._dispatcher,
             ),
--- a/packages/daemon/src/oriolegauge/daemon/servicecalls.py
+++ b/packages/daemon/src/oriolegauge/daemon/servicecalls.py
@@ -27,6 +27,7 @@
 from oriolegauge.daemon.callercall import CallerCall
 from oriolegauge.daemon.callerrequest import CallerRequest
 from oriolegauge.daemon.dispatcher import Dispatcher
+from oriolegauge.daemon.lostgrants import LostGrants
 
 ROUTE_PREFIX = '/services/'
 MAX_ATTEMPTS = 3
@@ -51,12 +52,14 @@
         *,
         tree: ConfigTree,
         budgets: BudgetManager,
+        grants: LostGrants,
         services: ServiceClient,
         dispatcher: Dispatcher,
     ) -> None:
         """Use the given parts of the daemon."""
         self._tree = tree
         self._budgets = budgets
+        self._grants = grants
         self._services = services
         self._dispatcher = dispatcher
 
@@ -84,7 +87,7 @@
         target = self.target(caller, call)
         price = target.service.tokens_per_call
         self._dispatcher.begin()
-        reservation = await self._budgets.reserve(
+        reservation = await self._grants.reserve(
             budget=caller.budget,
             request_id=caller.request_id,
             tokens=price,
--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -1,7 +1,7 @@
 import json
 import time
 
-from tests.fleet import fetch
+from tests.fleet import chat, fetch
 from tests.load import Load, settled, wait_until
 from tests.scenario import (
     DAEMONS,
@@ -56,6 +56,30 @@
 
         assert wait_until(closed) < 5
 
+    def test_no_false_refusal_while_a_grant_returns(self, fleet):
+        """Guards against a refusal while a dead daemon holds the rest."""
+        start(fleet, tokens=1_500)
+        for number in range(6):
+            name = list(DAEMONS)[number % len(DAEMONS)]
+            chat(fleet.url(name), fleet.key, f'Warm {number} [len=2]')
+
+        def granted(name):
+            shards = fleet.state(name)['budgets']['shards']
+            return sum(
+                account['granted']
+                for shard in shards
+                for account in shard['budgets'].values()
+            )
+
+        richest = max(DAEMONS, key=granted)
+        fleet.processes[richest].kill()
+        alive = [name for name in DAEMONS if name != richest]
+        answers = [
+            chat(fleet.url(name), fleet.key, 'Again [len=2]', max_tokens=200)
+            for name in alive
+        ]
+        assert [answer[0] for answer in answers] == [200, 200]
+
     def test_two_deaths_lose_no_bill(self, fleet):
         """Guards against settlements that only the dead daemons knew."""
         start(fleet)
