Tell the caller of a smaller output cap; report engine rejections as such

Cause: a budget that pays less output than asked for led to a shorter answer without a word; a request that the engine rejected (4xx) was reported as a failed server with 502. Change: bills carry the cap as a header and in the last event; rejections are invalid_request. Ruled out: refusing what can be paid in part.

--- a/packages/daemon/src/oriolegauge/daemon/bill.py
+++ b/packages/daemon/src/oriolegauge/daemon/bill.py
@@ -10,22 +10,35 @@
 DONE_EVENT = b'data: [DONE]\n\n'
 
 
-def bill_fields(request_id: str, settled: Settled) -> dict[str, Any]:
-    """Return the bill as a JSON object; token counts."""
-    return {
+def bill_fields(
+    request_id: str, settled: Settled, *, output_cap: int | None = None
+) -> dict[str, Any]:
+    """Return the bill as a JSON object; token counts.
+
+    `output_cap` is what the budget allowed of the wanted output.
+    """
+    fields: dict[str, Any] = {
         'request_id': request_id,
         'billed_tokens': settled.billed,
         'budget_left': settled.left,
     }
+    if output_cap is not None:
+        fields['output_cap_tokens'] = output_cap
+    return fields
 
 
-def bill_headers(request_id: str, settled: Settled) -> dict[str, str]:
+def bill_headers(
+    request_id: str, settled: Settled, *, output_cap: int | None = None
+) -> dict[str, str]:
     """Return the bill as headers of a whole answer."""
-    return {
+    headers = {
         'X-Request-Id': request_id,
         'X-Billed-Tokens': str(settled.billed),
         'X-Budget-Left': str(settled.left),
     }
+    if output_cap is not None:
+        headers['X-Output-Cap-Tokens'] = str(output_cap)
+    return headers
 
 
 def final_events(
--- a/packages/daemon/src/oriolegauge/daemon/completions.py
+++ b/packages/daemon/src/oriolegauge/daemon/completions.py
@@ -1,15 +1,15 @@
 """Serve completions: reserve, dispatch, relay, settle."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 import orjson
 import structlog
 
-from oriolegauge.admission import DeadlineUnreachableError, Job
+from oriolegauge.admission import DeadlineUnreachableError
 from oriolegauge.backends import (
     EngineClient,
     EngineRequest,
@@ -22,6 +22,7 @@
 from oriolegauge.core.errors import (
     AnswerIncompleteError,
     ForbiddenError,
+    InvalidRequestError,
     OriolegaugeError,
     OutcomeUnknownError,
     ServerFailedError,
@@ -32,6 +33,8 @@
 from oriolegauge.daemon.callercall import CallerCall
 from oriolegauge.daemon.callerrequest import CallerRequest
 from oriolegauge.daemon.completionbody import CompletionBody
+from oriolegauge.daemon.completionoutcome import CompletionOutcome
+from oriolegauge.daemon.completionrun import CompletionRun
 from oriolegauge.daemon.crashguard import CrashGuard, CrowdedError
 from oriolegauge.daemon.dispatcher import Dispatcher
 from oriolegauge.daemon.lostgrants import LostGrants
@@ -51,36 +54,9 @@
 log = structlog.get_logger()
 
 
-@dataclass
-class _Run:
-    """State of one completion across its attempts."""
-
-    caller: CallerRequest
-    body: CompletionBody
-    request: EngineRequest
-    reservation: Reservation
-    slot_request: SlotRequest
-    fingerprint: str
-    started_at: float
-    sent_events: int = 0
-    tried: set[str] = field(default_factory=set)
-    paused: Job | None = None
-
-    @property
-    def request_id(self) -> str:
-        return self.caller.request_id
-
-
-@dataclass(frozen=True, slots=True)
-class _Outcome:
-    """Hold what an engine answered: a whole answer or the end of a stream."""
-
-    usage: Usage
-    answer: dict[str, Any] | None = None
-    tail: Sequence[dict[str, Any]] = ()
-
-
-Attempt = Callable[[_Run, Slot, AnswerSink], Awaitable[_Outcome]]
+Attempt = Callable[
+    [CompletionRun, Slot, AnswerSink], Awaitable[CompletionOutcome]
+]
 
 
 class Completions:
@@ -139,7 +115,9 @@
         settled = await self._settle(run, outcome.usage)
         await _send_end(run, sink, outcome, settled)
 
-    async def _dispatch(self, run: _Run, sink: AnswerSink) -> _Outcome:
+    async def _dispatch(
+        self, run: CompletionRun, sink: AnswerSink
+    ) -> CompletionOutcome:
         if run.body.stream:
             return await self._attempts(run, self._stream_attempt, sink)
         return await self._hedged(run, sink)
@@ -151,9 +129,9 @@
         tree: dict[str, Any],
         body: CompletionBody,
         reservation: Reservation,
-    ) -> _Run:
+    ) -> CompletionRun:
         max_tokens = reservation.tokens - body.input_bound
-        return _Run(
+        return CompletionRun(
             caller=caller,
             body=body,
             request=EngineRequest(
@@ -179,7 +157,9 @@
             started_at=asyncio.get_running_loop().time(),
         )
 
-    async def _hedged(self, run: _Run, sink: AnswerSink) -> _Outcome:
+    async def _hedged(
+        self, run: CompletionRun, sink: AnswerSink
+    ) -> CompletionOutcome:
         """Send a second copy of late idempotent work; the first answer wins."""
         first = asyncio.create_task(
             self._attempts(run, self._whole_attempt, sink)
@@ -203,7 +183,7 @@
                 copy.cancel()
             await asyncio.gather(*copies, return_exceptions=True)
 
-    async def _settle(self, run: _Run, usage: Usage) -> Settled:
+    async def _settle(self, run: CompletionRun, usage: Usage) -> Settled:
         if usage.total > run.reservation.tokens:
             log.warning(
                 'engine used more tokens than reserved',
@@ -218,8 +198,8 @@
         )
 
     async def _attempts(
-        self, run: _Run, attempt: Attempt, sink: AnswerSink
-    ) -> _Outcome:
+        self, run: CompletionRun, attempt: Attempt, sink: AnswerSink
+    ) -> CompletionOutcome:
         """Try servers until one gives the whole answer."""
         number = 0
         crowded: set[str] = set()
@@ -242,16 +222,16 @@
 
     async def _in_slot(
         self,
-        run: _Run,
+        run: CompletionRun,
         crowded: set[str],
         attempt: Attempt,
         sink: AnswerSink,
-    ) -> _Outcome:
+    ) -> CompletionOutcome:
         async with self._slot(run, crowded) as slot:
             return await self._guarded(run, slot, sink, attempt)
 
     def _slot(
-        self, run: _Run, crowded: set[str]
+        self, run: CompletionRun, crowded: set[str]
     ) -> AbstractAsyncContextManager[Slot]:
         paused = run.paused
         run.paused = None
@@ -262,7 +242,7 @@
         )
 
     def _next_crowded(
-        self, run: _Run, crowded: set[str], error: CrowdedError
+        self, run: CompletionRun, crowded: set[str], error: CrowdedError
     ) -> set[str]:
         """Return the servers to avoid next; all of them come round again."""
         known = crowded | {error.server}
@@ -270,8 +250,8 @@
         return set() if everywhere <= known | run.tried else known
 
     async def _guarded(
-        self, run: _Run, slot: Slot, sink: AnswerSink, attempt: Attempt
-    ) -> _Outcome:
+        self, run: CompletionRun, slot: Slot, sink: AnswerSink, attempt: Attempt
+    ) -> CompletionOutcome:
         """Run an attempt; report a crash before anything is sent again."""
         server = slot.server.name
         async with self._guard.running(run.fingerprint, server):
@@ -288,12 +268,16 @@
         await self._guard.succeeded(run.fingerprint)
         return outcome
 
-    def _check_repeatable(self, run: _Run, error: ServerFailedError) -> None:
+    def _check_repeatable(
+        self, run: CompletionRun, error: ServerFailedError
+    ) -> None:
         """Raise what the caller gets if no other server may try."""
         if error.run_state is RunState.NOT_RUN:
             return
         if isinstance(error, ServerRejectedError) and not error.is_server_fault:
-            raise error
+            raise InvalidRequestError(
+                f'the engine rejected the request with {error.status}'
+            ) from error
         if run.caller.non_idempotent:
             raise OutcomeUnknownError(
                 f'connection lost after dispatch: {error.message}'
@@ -306,16 +290,16 @@
             ) from error
 
     async def _whole_attempt(
-        self, run: _Run, slot: Slot, sink: AnswerSink
-    ) -> _Outcome:
+        self, run: CompletionRun, slot: Slot, sink: AnswerSink
+    ) -> CompletionOutcome:
         answer = await self._engines.whole(slot.server, run.request)
         usage = parse_usage(answer.get('usage', {}))
         slot.succeed(usage.output_tokens)
-        return _Outcome(usage, answer=answer)
+        return CompletionOutcome(usage, answer=answer)
 
     async def _stream_attempt(
-        self, run: _Run, slot: Slot, sink: AnswerSink
-    ) -> _Outcome:
+        self, run: CompletionRun, slot: Slot, sink: AnswerSink
+    ) -> CompletionOutcome:
         request = replace(run.request, resume_tokens=run.sent_events)
         async with self._engines.stream(slot.server, request) as stream:
             if not sink.started:
@@ -336,9 +320,9 @@
         if stream.usage is None:
             raise ServerCutError('the engine reported no usage')
         slot.succeed(stream.events)
-        return _Outcome(stream.usage, tail=tail)
+        return CompletionOutcome(stream.usage, tail=tail)
 
-    async def _cancel(self, slot: Slot, run: _Run) -> None:
+    async def _cancel(self, slot: Slot, run: CompletionRun) -> None:
         """End a stream that nobody reads; its usage still arrives."""
         if slot.cancel_sent:
             return
@@ -355,7 +339,7 @@
     return '*' in allowed or model in allowed
 
 
-def _deadline_passed(run: _Run) -> OriolegaugeError:
+def _deadline_passed(run: CompletionRun) -> OriolegaugeError:
     if run.tried and run.caller.non_idempotent:
         return OutcomeUnknownError('the deadline passed after dispatch')
     return DeadlineUnreachableError(
@@ -366,8 +350,8 @@
 
 
 async def _first_success(
-    copies: set[asyncio.Task[_Outcome]],
-) -> _Outcome:
+    copies: set[asyncio.Task[CompletionOutcome]],
+) -> CompletionOutcome:
     """Return the first answer; raise the last failure if all copies fail."""
     pending = copies
     while True:
@@ -380,15 +364,20 @@
 
 
 async def _send_end(
-    run: _Run, sink: AnswerSink, outcome: _Outcome, settled: Settled
+    run: CompletionRun,
+    sink: AnswerSink,
+    outcome: CompletionOutcome,
+    settled: Settled,
 ) -> None:
-    bill = bill_fields(run.request_id, settled)
+    bill = bill_fields(run.request_id, settled, output_cap=run.output_cap)
     if outcome.answer is None:
         await sink.write(
             final_events(outcome.tail, bill, with_usage=run.body.with_usage)
         )
     else:
-        headers = bill_headers(run.request_id, settled)
+        headers = bill_headers(
+            run.request_id, settled, output_cap=run.output_cap
+        )
         headers['Content-Type'] = 'application/json'
         await sink.start(HTTP_OK, headers)
         await sink.write(orjson.dumps({**outcome.answer, 'oriolegauge': bill}))
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -124,6 +124,21 @@
         assert answer[0] == 404
 
 
+class TestSmallBudget:
+    def test_output_is_capped_and_the_caller_told(self, fleet):
+        """Guards against a refusal, or a silent cut, of what can be paid."""
+        key = fleet.create_team('tiny', tokens=100)
+        answer = chat(
+            fleet.url('d2'), key, 'Long story [len=400]', max_tokens=500
+        )
+        assert answer[0] == 200
+        cap = int(answer[1]['X-Output-Cap-Tokens'])
+        usage = json.loads(answer[2])['usage']
+        assert 0 < usage['completion_tokens'] <= cap < 100
+        again = chat(fleet.url('d1'), key, 'x' * 200)
+        assert error_of(again)['name'] == 'budget_exhausted'
+
+
 class TestKeys:
     def test_retry_at_another_daemon_replays_and_bills_once(self, fleet):
         """Guards against a second run or bill of a repeated request."""
