--- a/packages/config/src/oriolegauge/config/daemonsettings.py
+++ b/packages/config/src/oriolegauge/config/daemonsettings.py
@@ -41,7 +41,7 @@
     certificate_path: str = Field(
         min_length=1,
         description='Certificate chain of this daemon, PEM; its subject '
-        'alternative names hold the IP address.',
+        'alternative names hold the name of the daemon.',
     )
     key_path: str = Field(min_length=1, description='Private key, PEM.')
     ca_path: str = Field(
--- a/packages/config/src/oriolegauge/config/tlscontexts.py
+++ b/packages/config/src/oriolegauge/config/tlscontexts.py
@@ -26,7 +26,7 @@
 
 
 def peer_client_context(tls: PeerTlsSettings) -> ssl.SSLContext:
-    """Return the context of links to peers, which checks the IP address.
+    """Return the context of links to peers, which checks the daemon's name.
 
     Raise SettingsInvalidError if the files cannot be used.
     """
