--- a/packages/admission/src/oriolegauge/admission/admissionqueue.py
+++ b/packages/admission/src/oriolegauge/admission/admissionqueue.py
@@ -153,6 +153,9 @@
 
     def progress(self, request_id: str, tokens: int) -> None:
         """Record the output tokens so far; long jobs become stragglers."""
+        # The bound costs a median to compute, so short jobs skip it.
+        if tokens <= self._limits.min_straggler_tokens:
+            return
         if tokens > self.straggler_tokens:
             self._running.mark_long(request_id)
 
--- a/packages/config/src/oriolegauge/config/configtree.py
+++ b/packages/config/src/oriolegauge/config/configtree.py
@@ -46,6 +46,8 @@
         """Start with an empty tree."""
         self._objects: dict[str, StoredObject] = {}
         self._parsed: dict[str, Subtree] = {}
+        # A host has one set of settings, so the version alone is the key.
+        self._limits: tuple[int, Limits] | None = None
 
     @property
     def versions(self) -> dict[str, int]:
@@ -90,6 +92,12 @@
 
     def limits_for(self, settings: DaemonSettings) -> Limits:
         """Return the limits in force on a host with these settings."""
+        version = self.version(LIMITS_KEY)
+        if self._limits is None or self._limits[0] != version:
+            self._limits = (version, self._lower_limits(settings))
+        return self._limits[1]
+
+    def _lower_limits(self, settings: DaemonSettings) -> Limits:
         if LIMITS_KEY not in self._parsed:
             return Limits(
                 max_body_bytes=settings.max_body_bytes,
