--- a/bench/capacityrows.py
+++ b/bench/capacityrows.py
@@ -79,11 +79,11 @@
     ),
     Row(
         'host list reads a second, fleet',
-        '`ServerWatch`, each daemon every 2 s',
+        '`ServerWatch`, one daemon per zone every 2 s',
         (),
-        lambda at: at.sizes.daemons * model.HOST_LISTS_PER_S,
+        lambda at: at.sizes.zones * model.HOST_LISTS_PER_S,
         READS,
-        'reads grow with daemons; each returns the whole list',
+        'heartbeats of these daemons carry a row for each listed server',
     ),
 )
 
--- a/bench/capacitytext.py
+++ b/bench/capacitytext.py
@@ -109,14 +109,13 @@
 
 def _polling(at: Model) -> str:
     each = at.sizes.replicas * limits.REPORTS_PER_S
-    hosts = at.sizes.daemons * limits.HOST_LISTS_PER_S
+    hosts = at.sizes.zones * limits.HOST_LISTS_PER_S
     return (
         f'**Polls.** Each daemon asks {number(each)} engines a second, in '
-        f'all {number(each * at.sizes.daemons)} polls a second, and the host '
-        f'list takes {number(hosts)} reads a second, '
-        f'{number(100 * hosts / limits.READS_PER_S)}% of what the store '
-        'gives. Change: a few daemons per zone poll an engine and the host '
-        'list and pass on changes; a daemon uses a subset of the engines.'
+        f'all {number(each * at.sizes.daemons)} polls a second. The host list '
+        f'takes {number(hosts)} reads a second, as one daemon per zone reads '
+        'it. Change: a few daemons per zone poll an engine and pass on '
+        'changes; a daemon uses a subset of the engines.'
     )
 
 
@@ -229,7 +228,7 @@
     return (
         f'**Reload after a lost zone.** {number(loads)} replicas at one load '
         f'per 10 s take {number(minutes)} minutes. Change: a rate per region '
-        "and weight store. Today's daemons do not start a `Placer`."
+        'and weight store.'
     )
 
 
@@ -246,7 +245,7 @@
     sent = at.heartbeat_bytes_per_s() + at.journal_bytes_per_s()
     # A flush writes and, when another holder wrote before, also reads.
     calls = 2 * at.flushes_per_s() / at.sizes.requests_per_s * 1_000
-    idle = at.sizes.daemons * limits.HOST_LISTS_PER_S + at.sizes.zones
+    idle = at.sizes.zones * (limits.HOST_LISTS_PER_S + 1)
     needed = (2 * at.flushes_per_s() + idle) / limits.CALLS_PER_1K * 1_000
     flushed = at.flushes_per_s() / at.sizes.daemons * at.shard_bytes()
     links = distinct(at.sizes.replicas, at.running_per_daemon)
--- a/bench/controlrows.py
+++ b/bench/controlrows.py
@@ -62,7 +62,7 @@
 PLACER = (
     Row(
         'leases, fleet',
-        '`ModelLease`, one leader per model; no daemon starts a `Placer` yet',
+        '`PlacementLoop`, one leader per model by `ModelLease`',
         (),
         lambda at: at.sizes.models,
         WRITES,
