--- a/packages/platform/tests/test_relayedstore.py
+++ b/packages/platform/tests/test_relayedstore.py
@@ -314,6 +314,26 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         assert seen == expected
 
+    async def test_watch_that_the_store_ends(self):
+        """Guards against an ended watch that fails its reader."""
+
+        class EndingStore(MemoryObjectStore):
+            async def watch(self, prefix, after):
+                for stored in await self.list_objects(prefix):
+                    yield stored
+
+        direct = EndingStore()
+        await direct.put('k/1', {'n': 1}, 0)
+        store = RelayedStore(
+            direct=direct,
+            relay=None,
+            clock=asyncio.get_running_loop().time,
+        )
+        changes = aiter(store.watch('k/', 0))
+        assert (await anext(changes)).key == 'k/1'
+        await direct.put('k/2', {'n': 2}, 0)
+        assert (await anext(changes)).key == 'k/2'
+
     async def test_both_ways_cut(self):
         """Guards against a watch that hides that nothing reaches it."""
         it = Setup().on_loop()
