Size grants by demand and keep a share of unspent tokens in the pool

Ruled out: asking the store at each refusal (37 calls a second in a shortage). Change: a daemon draws 12 s of its own demand while 0.3 of the unspent tokens stay in the pool; a write tops up all teams; an empty pool is not asked again for 0.5 s; refusals log pool, holdings and version.

--- a/packages/grants/src/oriolegauge/grants/grantbook.py
+++ b/packages/grants/src/oriolegauge/grants/grantbook.py
@@ -9,6 +9,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+# Grants ahead of demand leave this share of the unspent tokens in the pool, so
+# that the last daemon to ask finds some, and few are stranded when all die.
+POOL_SHARE = 0.3
 # Holders whose last entry is kept to resolve lost answers. Only holders that
 # wait for an answer need theirs, so this is ample for hundreds of daemons.
 MAX_POSITIONS = 1024
@@ -16,15 +19,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Wanted:
-    """Ask for tokens: the minimum if it is free, `tokens` if there is plenty.
-
-    More than the minimum is granted only up to `free_share` of what is free.
-    """
+    """Ask for tokens: the minimum if it is free, `tokens` if there is plenty."""
 
     tokens: int
     minimum: int
     prepaid: int
-    free_share: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +80,15 @@
         """Return the tokens that are neither spent nor granted."""
         return max(0, prepaid - self.charged.get(team, 0))
 
+    def unspent(self, team: str, prepaid: int) -> int:
+        """Return the tokens that are not known to be spent."""
+        return max(0, prepaid - self.settled.get(team, 0))
+
+    def ample(self, team: str, prepaid: int) -> int:
+        """Return the tokens that may be granted ahead of demand."""
+        kept = int(self.unspent(team, prepaid) * POOL_SHARE)
+        return max(0, self.free(team, prepaid) - kept)
+
     def position(self, holder: str) -> int:
         """Return the last position applied for the holder."""
         entry = self.last.get(holder)
@@ -93,8 +101,8 @@
             charged[team] = charged.get(team, 0) - tokens
         granted = {}
         for team, wanted in entry.wanted.items():
-            free = max(0, wanted.prepaid - charged.get(team, 0))
-            tokens = _grant(wanted, free)
+            pool = GrantBook(charged, self.settled)
+            tokens = _grant(wanted, pool, team)
             if tokens:
                 granted[team] = tokens
                 charged[team] = charged.get(team, 0) + tokens
@@ -112,6 +120,7 @@
         return GrantBook(charged, settled, last)
 
 
-def _grant(wanted: Wanted, free: int) -> int:
-    ample = min(wanted.tokens, int(free * wanted.free_share))
+def _grant(wanted: Wanted, book: GrantBook, team: str) -> int:
+    free = book.free(team, wanted.prepaid)
+    ample = min(wanted.tokens, book.ample(team, wanted.prepaid))
     return max(ample, min(wanted.minimum, free))
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -1,6 +1,7 @@
 """Grants of this daemon: drawn ahead, spent locally, returned when idle."""
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
@@ -13,7 +14,6 @@
 )
 from oriolegauge.grants.grantbook import GrantBook, GrantEntry, Wanted
 from oriolegauge.grants.teamaccount import (
-    HELD_SHARE,
     HIGH_SHARE,
     LOW_SHARE,
     TeamAccount,
@@ -26,10 +26,16 @@
     VersionConflictError,
 )
 
-TICK_S = 0.5
+TICK_S = 1.0
 # A store that failed is left alone by requests for this time; the tick goes on
 # asking.
 STORE_PAUSE_S = 1.0
+# A team whose pool could not meet a need is not asked for again for this time;
+# meanwhile its needs are met by peers.
+EMPTY_POOL_PAUSE_S = 0.5
+# A write for one team tops up the others that are below this part of their
+# target, so that they need no write of their own soon.
+TOP_UP_SHARE = 0.8
 # Races between daemons that write the same object; each retry costs a call.
 MAX_CONFLICTS = 8
 # Unspent tokens of others count for 3% of the prepaid amount at the end, so a
@@ -65,6 +71,14 @@
     expected_version: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Shortage:
+    prepaid: int = 0
+    need: int = 0
+    below_target: int = 0
+    is_urgent: bool = False
+
+
 class GrantKeeper:
     """Reserve and settle tokens; keep grants in step with demand."""
 
@@ -96,7 +110,9 @@
         self._position = 0
         self._unresolved: _Unresolved | None = None
         self._lock = asyncio.Lock()
-        self._failed_at: float | None = None
+        self._failed_at = -math.inf
+        self._is_lost = False
+        self._empty_at: dict[str, float] = {}
         self._writes = 0
 
     @property
@@ -154,11 +170,7 @@
                 await self._write_entry({}, returned)
 
     async def _draw(self, team: str, tokens: int) -> None:
-        failed_at = self._failed_at
-        is_pausing = (
-            failed_at is not None and self._clock() - failed_at < STORE_PAUSE_S
-        )
-        if is_pausing:
+        if self._is_pausing(team):
             return
         writes = self._writes
         self._needs[team] = self._needs.get(team, 0) + tokens
@@ -167,9 +179,17 @@
             async with self._lock:
                 if self._writes == writes:
                     await self._write_locked()
+                if self._account(team).free < tokens:
+                    self._empty_at[team] = self._clock()
         finally:
             self._lower_need(team, tokens)
 
+    def _is_pausing(self, team: str) -> bool:
+        now = self._clock()
+        store_pause = now - self._failed_at < STORE_PAUSE_S
+        empty_at = self._empty_at.get(team, -math.inf)
+        return store_pause or now - empty_at < EMPTY_POOL_PAUSE_S
+
     def _lower_need(self, team: str, tokens: int) -> None:
         left = self._needs.get(team, 0) - tokens
         if left > 0:
@@ -198,15 +218,17 @@
         try:
             await self._write_or_raise(wanted, returned)
         except StoreError as error:
-            if self._failed_at is None:
+            if not self._is_lost:
                 log.warning('store lost for grants', error=error.message)
+            self._is_lost = True
             self._failed_at = self._clock()
             if not isinstance(error, StoreAnswerLostError):
                 self._take_back(returned)
             return
-        if self._failed_at is not None:
+        if self._is_lost:
             log.info('store regained for grants', version=self._version)
-        self._failed_at = None
+        self._is_lost = False
+        self._failed_at = -math.inf
 
     async def _write_or_raise(
         self, wanted: Mapping[str, Wanted], returned: Mapping[str, int]
@@ -301,36 +323,54 @@
         }
 
     def _wanted_now(self) -> dict[str, Wanted]:
-        share = HELD_SHARE
-        wanted = {}
-        for team, account in self._accounts.items():
-            prepaid = self._prepaid(team)
-            if prepaid is None:
-                continue
-            target = self._target(team, account, prepaid)
-            need = max(0, self._needs.get(team, 0) - account.free)
-            if need or account.free < target * LOW_SHARE:
-                wanted[team] = Wanted(
-                    tokens=max(need, need + target - account.free),
-                    minimum=need,
-                    prepaid=prepaid,
-                    free_share=share,
-                )
-        return wanted
+        """Return what to draw, or nothing while no team is short."""
+        shortages = {
+            team: self._shortage(team, account)
+            for team, account in self._accounts.items()
+        }
+        if not any(shortage.is_urgent for shortage in shortages.values()):
+            return {}
+        return {
+            team: Wanted(
+                tokens=shortage.need + shortage.below_target,
+                minimum=shortage.need,
+                prepaid=shortage.prepaid,
+            )
+            for team, shortage in shortages.items()
+            if shortage.need or shortage.below_target
+        }
+
+    def _shortage(self, team: str, account: TeamAccount) -> _Shortage:
+        prepaid = self._prepaid(team)
+        if prepaid is None:
+            return _Shortage()
+        need = max(0, self._needs.get(team, 0) - account.free)
+        if self._is_known and not self._book.ample(team, prepaid):
+            return _Shortage(prepaid, need, 0, is_urgent=need > 0)
+        target = self._target(account, prepaid)
+        has_enough = account.free >= target * TOP_UP_SHARE
+        return _Shortage(
+            prepaid,
+            need,
+            0 if has_enough else int(target - account.free),
+            is_urgent=need > 0 or account.free < target * LOW_SHARE,
+        )
 
     def _returns_now(self) -> dict[str, int]:
+        """Return what is held beyond the target while the pool is short."""
         returns = {}
         for team, account in self._accounts.items():
-            prepaid = self._prepaid(team)
-            target = self._target(team, account, prepaid) if prepaid else 0
+            prepaid = self._prepaid(team) or 0
+            if self._book.ample(team, prepaid):
+                continue
+            target = self._target(account, prepaid)
             spare = account.free - max(target, self._needs.get(team, 0))
-            if account.free > target * HIGH_SHARE and spare > 0:
+            if spare > target * (HIGH_SHARE - 1):
                 returns[team] = spare
         return returns
 
-    def _target(self, team: str, account: TeamAccount, prepaid: int) -> int:
+    def _target(self, account: TeamAccount, prepaid: int) -> int:
         return account.target(
-            free_in_pool=self._book.free(team, prepaid),
             prepaid=prepaid,
             members=self._peers.members,
             now=self._clock(),
@@ -339,8 +379,20 @@
     def _refusal(
         self, team: str, tokens: int, prepaid: int
     ) -> PrepaidExhaustedError | GrantUnavailableError:
-        settled = self._book.settled.get(team, 0)
-        unspent = prepaid - settled - self._account(team).unreported
+        free = self._book.free(team, prepaid)
+        unspent = self._book.unspent(team, prepaid)
+        unspent -= self._account(team).unreported
+        log.info(
+            'grant refused',
+            team=team,
+            tokens=tokens,
+            prepaid=prepaid,
+            unspent=unspent,
+            pool=free,
+            held=self._account(team).free,
+            version=self._version,
+            store_lost=self._is_lost,
+        )
         if unspent < tokens + prepaid * UNSPENT_SHARE:
             return PrepaidExhaustedError(
                 f'{unspent} of {prepaid} prepaid tokens are unspent'
--- a/packages/grants/src/oriolegauge/grants/teamaccount.py
+++ b/packages/grants/src/oriolegauge/grants/teamaccount.py
@@ -2,24 +2,19 @@
 
 import math
 
-# Demand is averaged over this time: several requests of a small team.
-RATE_TIME_CONSTANT_S = 5.0
-# A grant lasts this long at the team's recent demand: the longest partition
-# that the platform's operators plan for (9 s) and a second to draw again.
-HORIZON_S = 10.0
-# What a daemon holds of a team's budget before it has seen any demand, divided
-# among the daemons.
-FIRST_SHARE = 0.08
-# One daemon holds at most this share of what is free. Unspent tokens are lent
-# between daemons, so an uneven split costs nothing; what is free shrinks with
-# each grant, so that some is left for the last daemon to ask.
-HELD_SHARE = 0.12
-# The same for a fleet of a few daemons.
-HELD_SHARE_ALONE = 0.5
+# Demand is averaged over this time: a small team sends one request in several
+# seconds to one daemon.
+RATE_TIME_CONSTANT_S = 8.0
+# A grant lasts this long at the team's recent demand: the longest partitions
+# from the store seen (9 s), and an outage of the store right after them.
+HORIZON_S = 12.0
+# What a daemon holds of a team's budget before it has seen much demand,
+# divided among the daemons.
+FIRST_SHARE = 0.1
 # Below this part of the target a new grant is drawn.
 LOW_SHARE = 0.5
-# Above this multiple of the target tokens are returned.
-HIGH_SHARE = 2.0
+# Above this multiple of the target tokens are returned if others may need them.
+HIGH_SHARE = 1.5
 
 
 class TeamAccount:
@@ -84,14 +79,10 @@
         """Note that so many spent tokens are on record."""
         self._unreported -= tokens
 
-    def target(
-        self, *, free_in_pool: int, prepaid: int, members: int, now: float
-    ) -> int:
+    def target(self, *, prepaid: int, members: int, now: float) -> int:
         """Return the tokens that this daemon should hold free."""
-        wish = max(self.rate(now) * HORIZON_S, prepaid * FIRST_SHARE / members)
-        pool = free_in_pool + self._free
-        share = max(HELD_SHARE, HELD_SHARE_ALONE / members)
-        return int(min(wish, pool * share))
+        first = prepaid * FIRST_SHARE / members
+        return int(max(self.rate(now) * HORIZON_S, first))
 
     def _decayed(self, now: float) -> float:
         age = max(0, now - self._rate_at)
