Test grants under deaths, lost answers and cuts

Cause: the grants had no tests of their own. Change: keepers of one budget over a store that loses answers and applies writes late; deaths of all and of single daemons; uneven load through a cut. Ruled out: a random machine alone, which says little on false refusals.

--- a/packages/grants/src/oriolegauge/grants/grantbook.py
+++ b/packages/grants/src/oriolegauge/grants/grantbook.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Wanted:
-    """Ask for tokens: the minimum if it is free, `tokens` if there is plenty."""
+    """Ask for the minimum if it is free, and `tokens` if there is plenty."""
 
     tokens: int
     minimum: int
--- /dev/null
+++ b/packages/grants/tests/fleet.py
@@ -0,0 +1,98 @@
+"""Keepers of one budget over a store whose writes may be applied late."""
+
+import asyncio
+import random
+
+from oriolegauge.grants import GrantKeeper
+from oriolegauge.objectstore import StoreAnswerLostError
+from oriolegauge.testkit import MemoryObjectStore
+
+KEY = 'grants/all'
+TEAM = 'team'
+
+
+class LateStore(MemoryObjectStore):
+    """Lose answers; a lost write may be applied seconds later."""
+
+    def __init__(self, rng: random.Random, lost_share: float = 0) -> None:
+        super().__init__()
+        self.lost_share = lost_share
+        self.late: list[tuple[str, dict, int]] = []
+        self._rng = rng
+
+    async def put(self, key, value, expected_version):
+        if self._rng.random() >= self.lost_share:
+            return await super().put(key, value, expected_version)
+        match self._rng.choice(['before', 'after', 'late']):
+            case 'after':
+                await super().put(key, value, expected_version)
+            case 'late':
+                self.late.append((key, value, expected_version))
+        raise StoreAnswerLostError('answer lost')
+
+    async def apply_late(self):
+        for entry in self.late:
+            try:
+                await MemoryObjectStore.put(self, *entry)
+            except Exception:
+                continue
+        self.late.clear()
+
+
+class Peers:
+    """Lend unspent tokens between the keepers that live."""
+
+    def __init__(self, fleet: 'Fleet', name: str) -> None:
+        self._fleet = fleet
+        self._name = name
+
+    @property
+    def members(self) -> int:
+        return len(self._fleet.names)
+
+    async def ask(self, team: str, tokens: int) -> int:
+        await asyncio.sleep(0)
+        others = [
+            keeper
+            for name, keeper in self._fleet.keepers.items()
+            if name != self._name and not self._fleet.is_cut
+        ]
+        return sum(keeper.give(team, tokens) for keeper in others)
+
+
+class Fleet:
+    """Count what was delivered, which no keeper can forget."""
+
+    def __init__(self, *, store, prepaid: int, size: int) -> None:
+        self.store = store
+        self.prepaid = prepaid
+        self.names = [f'd{number}' for number in range(size)]
+        self.keepers: dict[str, GrantKeeper] = {}
+        self.delivered = 0
+        self.is_cut = False
+        self._starts = 0
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start or restart a keeper; what it held in memory is gone."""
+        self._starts += 1
+        self.keepers[name] = GrantKeeper(
+            store=self.store,
+            key=KEY,
+            holder=f'{name}/{self._starts}',
+            peers=Peers(self, name),
+            prepaid=lambda _: self.prepaid,
+            clock=asyncio.get_running_loop().time,
+        )
+
+    async def request(
+        self, name: str, most: int, used: int, seconds: float = 0.1
+    ) -> None:
+        """Serve one request; a killed daemon has delivered before it died."""
+        keeper = self.keepers[name]
+        held = await keeper.reserve(TEAM, most)
+        assert held is not None
+        self.delivered += used
+        await asyncio.sleep(seconds)
+        keeper.settle(held, used)
--- /dev/null
+++ b/packages/grants/tests/test_grantkeeper.py
@@ -0,0 +1,190 @@
+"""Prepaid budgets while daemons die, stores lose answers and links are cut."""
+
+import asyncio
+import random
+
+import pytest
+
+from oriolegauge.core.errors import OriolegaugeError
+from oriolegauge.grants import (
+    GrantKeeper,
+    GrantUnavailableError,
+    PrepaidExhaustedError,
+)
+from oriolegauge.objectstore import StoreAnswerLostError
+from oriolegauge.testkit import MemoryObjectStore, StoreFault
+
+from . import fleet as fleet_module
+from .fleet import TEAM, Fleet, LateStore
+
+# Part of the prepaid tokens that callers are owed.
+OWED_SHARE = 0.97
+
+
+@pytest.fixture
+def rng():
+    return random.Random(1)
+
+
+def make_fleet(prepaid, size=6, lost_share=0, seed=1):
+    store = LateStore(random.Random(seed), lost_share)
+    return Fleet(store=store, prepaid=prepaid, size=size)
+
+
+async def served(fleet, name, most, used):
+    try:
+        await fleet.request(name, most, used)
+    except OriolegaugeError:
+        return False
+    return True
+
+
+@pytest.mark.looptime
+class TestGrantKeeper:
+    @pytest.mark.parametrize('seed', range(12))
+    async def test_never_overspends_when_all_die_at_once(self, seed):
+        """Guards against grants that are forgotten with their holders."""
+        rng = random.Random(seed)
+        fleet = make_fleet(40_000, lost_share=0.3, seed=seed)
+        for _ in range(5):
+            calls = [
+                asyncio.create_task(
+                    served(
+                        fleet,
+                        rng.choice(fleet.names),
+                        (most := rng.randint(100, 3_000)),
+                        rng.randint(0, most),
+                    )
+                )
+                for _ in range(30)
+            ]
+            await asyncio.sleep(rng.uniform(0, 0.2))
+            for name in fleet.names:
+                fleet.start(name)
+            await fleet.store.apply_late()
+            await asyncio.gather(*calls)
+            assert fleet.delivered <= fleet.prepaid
+
+    @pytest.mark.parametrize('seed', range(12))
+    async def test_never_overspends_with_single_deaths(self, seed):
+        """Guards against two holders that spend the same grant."""
+        rng = random.Random(100 + seed)
+        fleet = make_fleet(60_000, lost_share=0.3, seed=seed)
+        for step in range(120):
+            name = rng.choice(fleet.names)
+            most = rng.randint(100, 3_000)
+            await served(fleet, name, most, rng.randint(0, most))
+            if rng.random() < 0.05:
+                fleet.start(rng.choice(fleet.names))
+            if rng.random() < 0.1:
+                await fleet.store.apply_late()
+            fleet.is_cut = rng.random() < 0.3
+            assert fleet.delivered <= fleet.prepaid, step
+
+    async def test_serves_what_fits_while_holders_live(self, rng):
+        """Guards against refusals because tokens lie at another daemon."""
+        fleet = make_fleet(100_000)
+        for _ in range(10_000):
+            most = rng.randint(500, 2_500)
+            if fleet.delivered + most > OWED_SHARE * fleet.prepaid:
+                break
+            await fleet.request(rng.choice(fleet.names), most, most)
+        assert fleet.delivered > (OWED_SHARE - 0.025) * fleet.prepaid
+
+    async def test_serves_an_uneven_load_through_a_cut(self, rng):
+        """Guards against a split of grants that ignores who has the load.
+
+        Two of six daemons get most of the requests; the store is away for 9 s
+        and daemons reach each other.
+        """
+        fleet = make_fleet(1_300_000)
+        tasks = [
+            asyncio.create_task(keeper.run())
+            for keeper in fleet.keepers.values()
+        ]
+        refused = 0
+        for tick in range(200):
+            is_cut = 60 <= tick < 150
+            fleet.store.fault = StoreFault.OUTAGE if is_cut else StoreFault.NONE
+            name = rng.choice([*fleet.names, *fleet.names[:2] * 3])
+            most = rng.randint(1_000, 7_000)
+            refused += not await served(fleet, name, most, most)
+        for task in tasks:
+            task.cancel()
+        assert not refused
+
+    async def test_says_exhausted_only_when_spent(self):
+        """Guards against a final refusal while tokens are only held."""
+        fleet = make_fleet(10_000, size=2)
+        await fleet.keepers['d0'].reserve(TEAM, 6_000)
+        with pytest.raises(GrantUnavailableError) as refusal:
+            await fleet.keepers['d1'].reserve(TEAM, 6_000)
+        assert refusal.value.retry_after_s
+        fleet = make_fleet(10_000, size=2)
+        await fleet.request('d0', 9_800, 9_800)
+        with pytest.raises(PrepaidExhaustedError):
+            await fleet.request('d0', 1_000, 1_000)
+
+    async def test_returns_unspent_tokens_at_shutdown(self):
+        """Guards against tokens stranded by a planned restart."""
+        fleet = make_fleet(10_000, size=2)
+        await fleet.request('d0', 5_000, 1_000)
+        await fleet.keepers['d0'].close()
+        await fleet.request('d1', 8_900, 8_900)
+        assert fleet.delivered == 9_900
+
+    async def test_spent_pool_is_not_asked_at_each_refusal(self):
+        """Guards against a store call per request of an exhausted team."""
+        fleet = make_fleet(10_000, size=1)
+        await fleet.request('d0', 9_900, 9_900)
+        writes = fleet.store.writes
+        for _ in range(100):
+            assert not await served(fleet, 'd0', 1_000, 0)
+            await asyncio.sleep(0.01)
+        assert fleet.store.writes - writes <= 4
+
+    async def test_team_without_budget_is_not_limited(self):
+        """Guards against refusing teams that have no prepaid budget."""
+        fleet = Fleet(store=MemoryObjectStore(), prepaid=None, size=1)
+        assert await fleet.keepers['d0'].reserve(TEAM, 10**9) is None
+
+
+class BelievesLostWrites(GrantKeeper):
+    """Spend what a write without an answer would have granted."""
+
+    async def _put(self, entry):
+        try:
+            return await super()._put(entry)
+        except StoreAnswerLostError:
+            self._credit(entry, self._book.apply(entry))
+            raise
+
+
+class KeepsOldDoubts(GrantKeeper):
+    """Credit a lost write by the entry of a later one."""
+
+    def _drop_lost(self):
+        """Forget to settle the doubt."""
+
+
+async def play(seed):
+    rng = random.Random(seed)
+    fleet = make_fleet(20_000, size=3, lost_share=0.4, seed=seed)
+    for _ in range(150):
+        most = rng.randint(100, 2_000)
+        await served(fleet, rng.choice(fleet.names), most, most)
+        if rng.random() < 0.2:
+            await fleet.store.apply_late()
+    return fleet.delivered - fleet.prepaid
+
+
+@pytest.mark.looptime
+class TestBrokenKeepers:
+    async def test_sound_keeper_does_not_overspend(self):
+        assert max([await play(seed) for seed in range(10)]) <= 0
+
+    @pytest.mark.parametrize('broken', [BelievesLostWrites, KeepsOldDoubts])
+    async def test_oracle_sees_the_fault(self, broken, monkeypatch):
+        """Guards against a test that is blind to these faults."""
+        monkeypatch.setattr(fleet_module, 'GrantKeeper', broken)
+        assert max([await play(seed) for seed in range(10)]) > 0
