--- a/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
@@ -46,6 +46,12 @@
     reply: ServerReply
     body: bytes
 
+    @property
+    def summary(self) -> str:
+        """Describe the reply for the logs."""
+        framing = ' unframed' if self.reply.ends_with_connection else ''
+        return f'{self.reply.status}{framing}, {len(self.body)} bytes'
+
 
 @dataclass(slots=True)
 class _Progress:
@@ -118,7 +124,7 @@
             raise _unanswered(
                 error, self._clock() >= context.deadline
             ) from error
-        trace.note(attempt.server.instance, str(got.reply.status))
+        trace.note(attempt.server.instance, got.summary)
         return await self._judge(context, trace, progress, answer, got)
 
     async def _judge(
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -224,6 +224,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self._mesh.close()
         for runner in self._runners:
             await runner.cleanup()
         self.lifecycle.stop()
