--- a/packages/grants/src/oriolegauge/grants/grantbook.py
+++ b/packages/grants/src/oriolegauge/grants/grantbook.py
@@ -11,7 +11,7 @@
 
 # Grants ahead of demand leave this share of the unspent tokens in the pool, so
 # that the last daemon to ask finds some, and few are stranded when all die.
-POOL_SHARE = 0.45
+POOL_SHARE = 0.5
 # Holders whose last entry is kept to resolve lost answers. Only holders that
 # wait for an answer need theirs, so this is ample for hundreds of daemons.
 MAX_POSITIONS = 256
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -23,13 +23,13 @@
 
 TICK_S = 0.5
 # Below this part of its target an account is filled up before it runs dry.
-LOW_SHARE = 0.5
+LOW_SHARE = 0.85
 # Above this multiple of its target an account hands tokens back to the home.
 HIGH_SHARE = 3.0
 # What a home holds lasts this long at the recent demand of the daemons that it
 # draws for: the longest partitions from the store seen (9 s) and one more. One
 # account for many daemons has less of the wrong team's tokens than many.
-HOME_HORIZON_S = 10.0
+HOME_HORIZON_S = 12.0
 # The same for a daemon that draws from a home, which answers in milliseconds.
 OWN_HORIZON_S = 2.5
 # Held before much demand was seen, as shares of the budget.
