--- a/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
@@ -217,7 +217,8 @@
     def release(self) -> None:
         """Make the connection free for another request after a whole reply."""
         reply = self._reply
-        if not self._is_complete or reply is None:
+        is_read = self._is_complete and not self._parts
+        if reply is None or not is_read:
             self.abort()
             return
         self._request_id = None
