Test placement, shared documents, followers, the adapter; log request ids

Cause: these parts had no tests of their own; a refused grant could not be found from the id of its request. Change: a stand-in of the platform's store with the adapter's tests (outside platform/, whose name would shadow the standard library in pytest); the id of a request is bound to all log lines written while it is served.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 space := $(empty) $(empty)
 # Set order follows the hash seed; a fixed one gives tests the same verdict.
 export PYTHONHASHSEED := 0
-export PYTHONPATH := $(subst $(space),:,$(abspath $(PACKAGES))):$(CURDIR)
+export PYTHONPATH := $(subst $(space),:,$(abspath $(PACKAGES))):$(CURDIR):$(CURDIR)/platform
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.requirements.stamp
 SEED ?= 1
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -116,9 +116,15 @@
         self._retries.clear()
 
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
-        """Answer the request."""
-        trace = RequestTrace()
+        """Answer the request; its id is in all log lines until then."""
         request_id = request.header(self._names.request_id)
+        with structlog.contextvars.bound_contextvars(request_id=request_id):
+            await self._handle(request, request_id, answer)
+
+    async def _handle(
+        self, request: CallerRequest, request_id: str, answer: Answer
+    ) -> None:
+        trace = RequestTrace()
         context: RequestContext | None = None
         self.running += 1
         try:
@@ -134,7 +140,7 @@
             await self._refuse(request_id, trace, answer, error)
         finally:
             self.running -= 1
-            self._report(request, request_id, context, trace, answer)
+            self._report(request, context, trace, answer)
 
     def _admit(self, request: CallerRequest, request_id: str) -> RequestContext:
         table = self._table
@@ -256,7 +262,6 @@
     def _report(
         self,
         request: CallerRequest,
-        request_id: str,
         context: RequestContext | None,
         trace: RequestTrace,
         answer: Answer,
@@ -277,7 +282,6 @@
         beliefs = self._beliefs()
         log.info(
             'request',
-            request_id=request_id,
             outcome=trace.outcome,
             status=status,
             reason=trace.reason,
--- /dev/null
+++ b/packages/gateway/tests/test_gateway_parts.py
@@ -0,0 +1,167 @@
+"""Documents, links, followed kinds and bounded logs."""
+
+import asyncio
+import os
+
+import pytest
+
+from oriolegauge.gateway.boundedlog import BURST_LINES, BoundedWriter
+from oriolegauge.gateway.fleetlinks import FULL_MESH_MEMBERS, ring_neighbours
+from oriolegauge.gateway.kindfollower import KindFollower
+from oriolegauge.gateway.shareddocuments import Document, SharedDocuments
+from oriolegauge.objectstore import (
+    Changes,
+    HistoryLostError,
+    Snapshot,
+    StoredObject,
+    StoreUnavailableError,
+)
+
+
+class TestSharedDocuments:
+    def test_never_goes_back(self):
+        """Guards against a configuration that reverts."""
+        taken = []
+        documents = SharedDocuments(lambda _, found: taken.append(found))
+        assert documents.offer('config', Document(5, b'new', 'store'))
+        assert not documents.offer('config', Document(4, b'old', 'peer'))
+        assert not documents.offer('config', Document(5, b'other', 'peer'))
+        assert [found.payload for found in taken] == [b'new']
+
+    def test_same_content_is_no_change(self):
+        """Guards against reloading at each revision of the store."""
+        taken = []
+        documents = SharedDocuments(lambda *found: taken.append(found))
+        documents.offer('config', Document(5, b'same', 'store'))
+        documents.offer('config', Document(9, b'same', 'store'))
+        assert len(taken) == 1
+        assert documents.revisions == {'config': 9}
+
+
+class TestRingNeighbours:
+    @pytest.mark.parametrize('size', [2, 8, 16])
+    def test_small_fleets_link_all(self, size):
+        """Guards against needless steps in a small fleet."""
+        names = {f'm{number}' for number in range(size)}
+        assert ring_neighbours('m0', names - {'m0'}) == names - {'m0'}
+
+    @pytest.mark.parametrize('size', [30, 85, 300, 700])
+    def test_links_are_few_symmetric_and_short(self, size):
+        """Guards against links that grow with the fleet, and slow news."""
+        names = [f'm{number:03}' for number in range(size)]
+        links = {
+            name: ring_neighbours(name, set(names) - {name}) for name in names
+        }
+        assert max(map(len, links.values())) <= 2 * FULL_MESH_MEMBERS
+        for name in names:
+            assert all(name in links[peer] for peer in links[name])
+        reached, steps = {names[0]}, 0
+        while len(reached) < size:
+            reached |= {peer for name in reached for peer in links[name]}
+            steps += 1
+        assert steps <= 6
+
+
+class ScriptedStore:
+    """Answer calls from a list; an error is raised."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.calls = []
+
+    async def snapshot(self, kind):
+        return await self._next('snapshot')
+
+    async def changes(self, kind, after, wait_s):
+        return await self._next(after)
+
+    async def _next(self, call):
+        self.calls.append(call)
+        if not self.script:
+            await asyncio.Event().wait()
+        step = self.script.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+
+def entry(name, version):
+    return StoredObject(f'servers/{name}', version, {'v': version})
+
+
+async def follow(*script):
+    taken = []
+    documents = SharedDocuments(lambda _, found: taken.append(found))
+    store = ScriptedStore(*script)
+    follower = KindFollower(
+        store=store,
+        kind='servers',
+        documents=documents,
+        clock=asyncio.get_running_loop().time,
+    )
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(3)
+    task.cancel()
+    return taken, store, follower
+
+
+@pytest.mark.looptime
+class TestKindFollower:
+    async def test_follows_changes_and_deletions(self):
+        """Guards against servers that stay after they have gone."""
+        taken, _, _ = await follow(
+            Snapshot([entry('a', 1), entry('b', 2)], 2),
+            Changes([entry('b', 3)], ['servers/a'], 4),
+        )
+        assert [found.revision for found in taken] == [2, 4]
+        assert b'"v":3' in taken[-1].payload
+        assert b'servers/a' not in taken[-1].payload
+
+    async def test_lost_history_is_read_anew(self):
+        """Guards against missing what changed in a gap."""
+        taken, store, _ = await follow(
+            Snapshot([entry('a', 1)], 1),
+            HistoryLostError('gone'),
+            Snapshot([entry('b', 7)], 9),
+        )
+        assert store.calls[:3] == ['snapshot', 1, 'snapshot']
+        assert taken[-1].revision == 9
+
+    async def test_failures_are_noted_and_tried_again(self):
+        """Guards against a follower that ends in an outage."""
+        taken, _, follower = await follow(
+            StoreUnavailableError('down'),
+            StoreUnavailableError('down'),
+            Snapshot([entry('a', 1)], 1),
+        )
+        assert len(taken) == 1
+        assert follower.regained_at > follower.failed_at
+
+    async def test_older_answer_of_a_slow_store_is_ignored(self):
+        """Guards against going back to an older state."""
+        taken, _, _ = await follow(
+            Snapshot([entry('a', 5)], 5), Changes([entry('a', 3)], [], 3)
+        )
+        assert len(taken) == 1
+
+
+class TestBoundedWriter:
+    def test_full_pipe_never_blocks(self):
+        """Guards against a daemon that waits for its log reader."""
+        reading, writing = os.pipe()
+        writer = BoundedWriter(writing)
+        for _ in range(BURST_LINES):
+            writer.msg('x' * 1_000)
+        assert writer.dropped > 0
+        os.close(reading)
+        writer.msg('after the reader has gone')
+        os.close(writing)
+
+    def test_flood_is_bounded(self):
+        """Guards against logs that take the processor."""
+        writing = os.open(os.devnull, os.O_WRONLY)
+        writer = BoundedWriter(writing)
+        for _ in range(3 * BURST_LINES):
+            writer.msg('line')
+        assert writer.dropped > BURST_LINES
+        os.close(writing)
--- /dev/null
+++ b/packages/routing/tests/test_serverchooser.py
@@ -0,0 +1,146 @@
+"""Placement under the loads that the chooser names, on a played clock."""
+
+import random
+from collections import Counter
+
+from oriolegauge.routing.serverchooser import (
+    LONG_PROMPT_SHARE,
+    PREFILL_TOKENS_PER_S,
+    Candidate,
+    PromptPart,
+    ServerChooser,
+    Work,
+)
+
+SERVERS = [
+    Candidate(name=f's{number}', zone=f'z{number % 3}', slots=64)
+    for number in range(6)
+]
+CHAT = Work(prompt_tokens=800, output_tokens=260)
+
+
+def review(session, own=2_900):
+    parts = (PromptPart('manual', 2_500), PromptPart(session, 3_800))
+    return Work(prompt_tokens=6_300 + own, output_tokens=50, shared_parts=parts)
+
+
+def chooser(seed=1, zone='z0'):
+    return ServerChooser(zone=zone, rng=random.Random(seed))
+
+
+class Engines:
+    """Read prompts one after the other; chats share the engine."""
+
+    def __init__(self):
+        self.free_at = dict.fromkeys([one.name for one in SERVERS], 0.0)
+        self.kept = {one.name: set() for one in SERVERS}
+
+    def read(self, name, work, now):
+        """Return the time of the first token and the tokens read."""
+        unread = work.prompt_tokens
+        for part in work.shared_parts:
+            if part.name in self.kept[name]:
+                unread -= part.tokens
+            self.kept[name].add(part.name)
+        begin = max(now, self.free_at[name])
+        self.free_at[name] = begin + unread / PREFILL_TOKENS_PER_S
+        return self.free_at[name], unread
+
+
+def play(choosers, seconds=30, rate=10, seed=3):
+    """Play reviews of 150 sessions beside chats; return what callers get."""
+    rng = random.Random(seed)
+    engines = Engines()
+    delays = {'review': [], 'chat': []}
+    read = 0
+    open_work = []
+    for step in range(int(seconds * rate)):
+        now = step / rate
+        for ends in [one for one in open_work if one[0] <= now]:
+            open_work.remove(ends)
+            _, daemon, name, unread = ends
+            daemon.answered(name, unread, seconds=0.1, now=now)
+            daemon.ended(name, unread, was_answered=True, ok=True, now=now)
+        for kind, work in (
+            ('review', review(f'm{rng.randrange(150)}')),
+            ('chat', CHAT),
+        ):
+            daemon = rng.choice(choosers)
+            name = daemon.choose(SERVERS, work, now)
+            unread = daemon.started(name, work)
+            first_at, tokens = engines.read(name, work, now)
+            read += tokens
+            delays[kind].append(first_at - now)
+            open_work.append((first_at, daemon, name, unread))
+    return delays, read
+
+
+class TestServerChooser:
+    def test_chats_do_not_wait_behind_long_prompts(self):
+        """Guards the short chats of the heaviest days."""
+        delays, _ = play([chooser(seed) for seed in range(8)])
+        chats = sorted(delays['chat'])
+        assert chats[int(len(chats) * 0.99)] < 0.25
+        reviews = sorted(delays['review'])
+        assert reviews[int(len(reviews) * 0.95)] < 0.8
+
+    def test_daemons_meet_at_the_home_of_a_shared_part(self):
+        """Guards against reading a shared part on every server."""
+        delays, read = play([chooser(seed) for seed in range(8)])
+        count = len(delays['review'])
+        least = count * 2_900 + 150 * 3_800 + len(delays['chat']) * 800
+        assert read < 1.25 * least
+
+    def test_home_is_left_when_its_backlog_costs_more(self):
+        """Guards against a hot session that waits for one server."""
+        daemon = chooser()
+        names = Counter()
+        for _ in range(40):
+            work = review('hot', own=9_000)
+            name = daemon.choose(SERVERS, work, 0)
+            daemon.started(name, work)
+            names[name] += 1
+        assert len(names) >= int(len(SERVERS) * LONG_PROMPT_SHARE)
+        assert max(names.values()) < 20
+
+    def test_failing_server_is_avoided_and_tried_again(self):
+        """Guards against grey servers, and against losing them for good."""
+        daemon = chooser()
+        for _ in range(4):
+            daemon.started('s0', Work())
+            daemon.ended('s0', 0, was_answered=False, ok=False, now=0)
+        few = [SERVERS[0], SERVERS[3]]
+        soon = Counter(daemon.choose(few, Work(), 0.1) for _ in range(50))
+        assert soon['s0'] == 0
+        late = Counter(daemon.choose(few, Work(), 60) for _ in range(50))
+        assert late['s0'] > 0
+
+    def test_unreachable_server_is_left_out_unless_alone(self):
+        """Guards against refusing while the only server may be back."""
+        daemon = chooser()
+        daemon.connected('s0', ok=False, now=0)
+        assert daemon.choose(SERVERS[:2], Work(), 0.1) == 's1'
+        assert daemon.choose(SERVERS[:1], Work(), 0.1) == 's0'
+
+    def test_plain_calls_spread_over_slots(self):
+        """Guards against a queue at one server while others have slots."""
+        daemon = chooser()
+        plain = [
+            Candidate(name=f'p{number}', zone=f'z{number}', slots=6)
+            for number in range(3)
+        ]
+        names = Counter()
+        for _ in range(15):
+            name = daemon.choose(plain, Work(), 0)
+            daemon.started(name, Work())
+            names[name] += 1
+        assert max(names.values()) <= 6
+
+    def test_restarted_server_holds_no_parts(self):
+        """Guards against trusting the memory of an earlier process."""
+        daemon = chooser()
+        work = review('a')
+        daemon.started('s1', work)
+        assert daemon.started('s1', work) == 2_900
+        daemon.restarted('s1')
+        assert daemon.started('s1', work) == 9_200
--- /dev/null
+++ b/tests/adapter/test_decoder.py
@@ -0,0 +1,123 @@
+"""Configuration and server entries, whole and damaged."""
+
+import pytest
+from oriolegauge_adapter.decoder import PlatformDecoder
+
+from oriolegauge.forwarding import RequestKind
+
+ROUTE = {
+    'name': 'r',
+    'host': 'h.example',
+    'pathPrefix': '/p/',
+    'kind': 'streaming',
+    'timeoutMs': 15000,
+    'goalMs': 400,
+    'priority': 1,
+    'service': 'svc',
+    'maxAttempts': 2,
+    'public': False,
+    'sticky': True,
+    'canResume': True,
+    'gapGoalMs': 250,
+}
+CONFIG = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [
+        {
+            'name': 'svc',
+            'healthPath': '/health',
+            'maxConns': 370,
+            'engine': {'slots': 64, 'stride': 3},
+        }
+    ],
+    'limits': {
+        'maxHeaderBytes': 16384,
+        'maxBodyBytes': 4194304,
+        'headerTimeoutMs': 3000,
+        'idleTimeoutMs': 15000,
+    },
+    'tenants': [
+        {'name': 't', 'apiKeys': ['k1'], 'priority': 0, 'prepaid': 1000}
+    ],
+}
+SERVER = {
+    'service': 'svc',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'slots': 4,
+    'state': 'ready',
+    'born': 1700000000000,
+}
+
+
+def decode(config):
+    objects = [{'key': 'config/main', 'value': config}]
+    return PlatformDecoder().config(objects)
+
+
+def servers(fields):
+    return PlatformDecoder().servers([{'key': 'servers/i-1', 'value': fields}])
+
+
+class TestConfig:
+    def test_reads_units_and_names(self):
+        """Guards against milliseconds taken for seconds."""
+        found = decode(CONFIG)
+        route = found.routes[0]
+        assert found.version == 7
+        assert (route.timeout_s, route.objective_s) == (15, 0.4)
+        assert route.longest_pause_s == 0.25
+        assert route.kind is RequestKind.STREAM
+        assert route.is_resumable
+        assert found.services[0].tokens_per_event == 3
+        assert found.workspaces[0].prepaid_tokens == 1000
+        assert found.limits.header_timeout_s == 3
+
+    def test_split_route_has_weights(self):
+        """Guards against sending a split route to one service."""
+        route = {**ROUTE, 'backends': [{'service': 'a', 'weight': 9}]}
+        found = decode({**CONFIG, 'routes': [route]})
+        assert found.routes[0].services[0].weight == 9
+
+    def test_unknown_kind_is_never_repeated(self):
+        """Guards against repeating work of a kind that is not known."""
+        found = decode({**CONFIG, 'routes': [{**ROUTE, 'kind': 'new'}]})
+        assert found.routes[0].kind is RequestKind.NON_IDEMPOTENT
+
+    @pytest.mark.parametrize('missing', ['version', 'routes', 'limits'])
+    def test_unfit_configuration_is_rejected(self, missing):
+        """Guards against half a configuration in force."""
+        with pytest.raises(ValueError):
+            decode({k: v for k, v in CONFIG.items() if k != missing})
+
+
+class TestServers:
+    def test_reads_an_entry(self):
+        """Guards against leaving servers that get new work."""
+        assert not servers(SERVER)[0].is_leaving
+        assert servers({**SERVER, 'state': 'draining'})[0].is_leaving
+        assert servers(SERVER)[0].address == ('10.0.0.1', 80)
+
+    @pytest.mark.parametrize(
+        'damage',
+        [
+            {'state': 'odd'},
+            {'state': None},
+            {'address': 'nowhere'},
+            {'address': 7},
+            {'slots': 'many'},
+            {'slots': True},
+            {'service': ['svc']},
+            {'zone': 3},
+            {'born': 1.5},
+        ],
+    )
+    def test_damaged_entry_names_no_server(self, damage):
+        """Guards against a crash by what other writers leave."""
+        assert servers({**SERVER, **damage}) == []
+
+    @pytest.mark.parametrize('entry', [None, 'text', [], 5, {}])
+    def test_entry_of_another_shape_names_no_server(self, entry):
+        """Guards against a crash by bytes that can't be read."""
+        assert servers(entry) == []
--- /dev/null
+++ b/tests/adapter/test_platformstore.py
@@ -0,0 +1,97 @@
+"""The adapter's client against a store with its faults."""
+
+import pytest
+from oriolegauge_adapter.platformstore import PlatformStore
+
+from oriolegauge.objectstore import (
+    HistoryLostError,
+    StoreAnswerLostError,
+    StoreRateLimitError,
+    StoreUnavailableError,
+    StoreUnreachableError,
+    VersionConflictError,
+)
+
+
+@pytest.fixture
+async def client(stand_in):
+    store = PlatformStore(f'127.0.0.1:{stand_in.port}')
+    yield store
+    await store.close()
+
+
+class TestPlatformStore:
+    async def test_creates_replaces_and_reads(self, client):
+        """Guards against a wrong reading of names or revisions."""
+        made = await client.put('grants/a', {'x': 1}, 0)
+        changed = await client.put('grants/a', {'x': 2}, made.version)
+        found = await client.get('grants/a')
+        assert found == changed
+        assert found.value == {'x': 2}
+        assert await client.get('grants/b') is None
+
+    async def test_conflict_tells_the_object(self, client):
+        """Guards against a second call after each lost race."""
+        await client.put('grants/a', {'x': 1}, 0)
+        for expected in (0, 99):
+            with pytest.raises(VersionConflictError) as conflict:
+                await client.put('grants/a', {'x': 3}, expected)
+            assert conflict.value.current.value == {'x': 1}
+
+    @pytest.mark.parametrize(
+        ('status', 'error'),
+        [(429, StoreRateLimitError), (503, StoreUnavailableError)],
+    )
+    async def test_refusals_are_not_applied(
+        self, client, stand_in, status, error
+    ):
+        """Guards against taking a refusal for a lost answer."""
+        stand_in.status = status
+        with pytest.raises(error):
+            await client.put('grants/a', {}, 0)
+        with pytest.raises(error):
+            await client.get('grants/a')
+
+    async def test_lost_answer_of_a_write_is_unknown(self, client, stand_in):
+        """Guards against writing again what may have been applied."""
+        stand_in.lose_writes = True
+        with pytest.raises(StoreAnswerLostError):
+            await client.put('grants/a', {}, 0)
+        assert stand_in.calls['POST'] == 1
+        assert ('grants', 'a') in stand_in.objects
+
+    async def test_no_connection_is_not_applied(self, client, stand_in):
+        """Guards against doubt where nothing can have been sent."""
+        await stand_in.stop()
+        with pytest.raises(StoreUnreachableError):
+            await client.put('grants/a', {}, 0)
+
+    async def test_silent_store_is_given_up_in_time(self, client, stand_in):
+        """Guards against a read that hangs."""
+        stand_in.silent = True
+        with pytest.raises(StoreUnreachableError):
+            await client.get('grants/a')
+
+    async def test_snapshot_reads_all_pages(self, client, stand_in):
+        """Guards against servers missing from a long list."""
+        stand_in.page = 3
+        for number in range(8):
+            await stand_in.write('servers', f's{number}', {'n': number})
+        found = await client.snapshot('servers')
+        assert len(found.objects) == 8
+        assert found.revision == stand_in.revision
+
+    async def test_changes_hold_the_last_event_of_each_object(
+        self, client, stand_in
+    ):
+        """Guards against an entry that comes back after its removal."""
+        start = await stand_in.write('servers', 'a', {'n': 0})
+        await stand_in.write('servers', 'b', {'n': 1})
+        await stand_in.write('servers', 'b', {'n': 2})
+        await stand_in.delete('servers', 'a')
+        found = await client.changes('servers', start, 1)
+        assert [entry.value for entry in found.changed] == [{'n': 2}]
+        assert found.deleted == ['servers/a']
+        stand_in.forget_history()
+        with pytest.raises(HistoryLostError):
+            await client.changes('servers', start, 1)
