Let a daemon without the store draw grants through a peer

Ruled out: relaying any store call (a peer's own account serves it too). Change: homes are chosen among daemons that reach the store; a home that lost it draws through two peers; attempts are logged from the moment they are sent.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -194,8 +194,7 @@
             raise NoServerError('no time is left')
         data = self._encode(context, server, extra, now)
         await connection.send(data, context.request_id)
-        trace.sends += 1
-        trace.may_have_run = True
+        trace.note_sent(server.instance)
         return Attempt(
             server=server,
             connection=connection,
--- a/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
@@ -44,8 +44,16 @@
 
     def note(self, server: str, result: str) -> None:
         """Add the result of one attempt."""
+        if self.attempts and self.attempts[-1] == _sent(server):
+            self.attempts.pop()
         self.attempts.append(f'{server}: {result}')
 
+    def note_sent(self, server: str) -> None:
+        """Add an attempt without a result yet."""
+        self.sends += 1
+        self.may_have_run = True
+        self.attempts.append(_sent(server))
+
     def note_event(self, now: float, received_at: float) -> None:
         """Note that events were passed on to the caller."""
         if self.last_event_at is None:
@@ -56,6 +64,10 @@
         self.last_event_at = now
 
 
+def _sent(server: str) -> str:
+    return f'{server}: sent'
+
+
 def parse_work(bounds: str, parts: str) -> Work:
     """Read the token bounds and prompt parts; raise InvalidRequestError."""
     try:
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -39,6 +39,9 @@
 DRAW_TIMEOUT_S = 0.5
 # Daemons that draw for each team: the death of one strands only its part.
 HOMES_PER_TEAM = 2
+# Peers asked in turn by a daemon that can't reach the store; each may take the
+# time of a draw.
+MAX_SUBSTITUTES = 2
 # Fleets up to this size link all daemons.
 FULL_MESH_MEMBERS = 16
 _SERVING = ('serving', 'starting')
@@ -62,15 +65,17 @@
         documents: SharedDocuments,
         chooser: ServerChooser,
         state: Callable[[], str],
+        reaches_store: Callable[[], bool],
         clock: Callable[[], float],
     ) -> None:
-        """Report `state`, the lifecycle state, to the others."""
+        """Report the lifecycle state and the store's reach to the others."""
         self._name = name
         self._incarnation = incarnation
         self._zone = zone
         self._documents = documents
         self._chooser = chooser
         self._state = state
+        self._reaches_store = reaches_store
         self._clock = clock
         self._mesh: PeerMesh | None = None
         self._keeper: GrantKeeper | None = None
@@ -135,10 +140,7 @@
 
     def home(self, team: str) -> str | None:
         """Return the peer that draws for the team, None if it is this one."""
-        living = [name for name in self._known if self._may_be_home(name)]
-        if self._state() in _SERVING:
-            living.append(self._name)
-        homes = rank(team, living)[:HOMES_PER_TEAM]
+        homes = rank(team, self._candidates())[:HOMES_PER_TEAM]
         if self._name in homes:
             return None
         found = first(self._name, homes)
@@ -147,6 +149,19 @@
             self._choose_links()
         return found
 
+    def substitutes(self, team: str) -> list[str]:
+        """Return peers to draw through if neither home nor store answers."""
+        mesh = self._mesh
+        if mesh is None:
+            return []
+        reaching = [
+            peer.name
+            for peer in mesh.peers()
+            if peer.name in mesh.heartbeats
+            and mesh.heartbeats[peer.name].heartbeat.watches_store
+        ]
+        return rank(team, reaching)[:MAX_SUBSTITUTES]
+
     async def draw(self, home: str, draw: Draw) -> int | None:
         """Return the tokens given, or None if the home can't be reached.
 
@@ -210,7 +225,16 @@
             raise PeerUnreachableError('no links yet')
         return await self._mesh.link(peer).call(message, timeout_s)
 
-    def _may_be_home(self, name: str) -> bool:
+    def _candidates(self) -> list[str]:
+        """Return the daemons that may be homes, best those with a store."""
+        living = [name for name in self._known if self._is_serving(name)]
+        if self._state() in _SERVING:
+            living.append(self._name)
+        return [
+            name for name in living if self._may_reach_store(name)
+        ] or living
+
+    def _is_serving(self, name: str) -> bool:
         mesh = self._mesh
         if mesh is None or name not in mesh.names:
             return True
@@ -218,6 +242,12 @@
         state = heard.heartbeat.state if heard else _SERVING[0]
         return mesh.link(name).connected and state in _SERVING
 
+    def _may_reach_store(self, name: str) -> bool:
+        if name == self._name:
+            return self._reaches_store()
+        heard = self._mesh.heartbeats.get(name) if self._mesh else None
+        return heard is None or heard.heartbeat.watches_store
+
     def _choose_links(self) -> None:
         if self._mesh is None:
             return
@@ -236,6 +266,7 @@
             incarnation=self._incarnation,
             zone=self._zone,
             state=self._state(),
+            watches_store=self._reaches_store(),
             config_versions=tuple(
                 ConfigVersion(key, revision)
                 for key, revision in self._documents.revisions.items()
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -132,6 +132,7 @@
             documents=self._documents,
             chooser=self._chooser,
             state=lambda: self.lifecycle.state,
+            reaches_store=self._reaches_store,
             clock=self._clock,
         )
         self._keeper = GrantKeeper(
@@ -362,6 +363,9 @@
             return min(regained) + LAPSED_GRACE_S
         return self._clock() + HEARSAY_GRACE_S
 
+    def _reaches_store(self) -> bool:
+        return not all(one.is_lost for one in self._followers.values())
+
     def _note_connected(self, instance: str, ok: bool) -> None:
         self._chooser.connected(instance, ok=ok, now=self._clock())
 
--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -56,6 +56,11 @@
         """Return the loop time of the store's last answer."""
         return self._reached_at
 
+    @property
+    def is_lost(self) -> bool:
+        """State whether the last call had no answer."""
+        return self._is_lost
+
     @property
     def failed_at(self) -> float:
         """Return the loop time of the last call without an answer."""
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -61,6 +61,9 @@
     def home(self, team: str) -> str | None:
         """Return the peer that draws for the team, None if it is this one."""
 
+    def substitutes(self, team: str) -> Sequence[str]:
+        """Return peers to draw through if neither home nor store answers."""
+
     async def draw(self, home: str, draw: Draw) -> int | None:
         """Return the tokens given, or None if the home can't be reached."""
 
@@ -220,6 +223,18 @@
                 return
             held.account.take_report(spent)
         await held.draw(need, ahead)
+        if need and held.is_store_lost:
+            await self._obtain_elsewhere(team, need)
+
+    async def _obtain_elsewhere(self, team: str, need: int) -> None:
+        """Draw through a peer that may reach the store when this one can't."""
+        account = self._team(team).account
+        for peer in self._peers.substitutes(team):
+            draw = Draw(team=team, need=need, ahead=0, spent=0)
+            given = await self._peers.draw(peer, draw)
+            account.credit(given or 0)
+            if given:
+                return
 
     def _target(self, team: str) -> int:
         """Return the tokens that this daemon should hold free."""
--- a/packages/grants/tests/fleet.py
+++ b/packages/grants/tests/fleet.py
@@ -51,6 +51,9 @@
         found = first(team, self._fleet.names)
         return None if found == self._name else found
 
+    def substitutes(self, team: str) -> list[str]:
+        return [name for name in self._fleet.names if name != self._name]
+
     async def draw(self, home: str, draw: Draw) -> int | None:
         await asyncio.sleep(0)
         if self._fleet.is_cut:
@@ -84,6 +87,7 @@
         self.keepers: dict[str, GrantKeeper] = {}
         self.delivered = 0
         self.is_cut = False
+        self.stores: dict[str, MemoryObjectStore] = {}
         self._starts = 0
         for name in self.names:
             self.start(name)
@@ -92,7 +96,7 @@
         """Start or restart a keeper; what it held in memory is gone."""
         self._starts += 1
         self.keepers[name] = GrantKeeper(
-            store=self.store,
+            store=self.stores.get(name, self.store),
             kind=KIND,
             holder=f'{name}/{self._starts}',
             peers=Peers(self, name),
--- a/packages/grants/tests/test_grantkeeper.py
+++ b/packages/grants/tests/test_grantkeeper.py
@@ -145,6 +145,25 @@
             """Spend what the pool still holds."""
         assert fleet.delivered - before > unspent / 2
 
+    async def test_home_without_store_draws_through_a_peer(self):
+        """Guards against a refusal while others reach the store.
+
+        Found on kyklos-episkevi trouble-1: the store turned a home away and
+        its caller was refused with 0.9 of the budget unspent.
+        """
+        fleet = make_fleet(100_000, size=3)
+        home = next(
+            name
+            for name, keeper in fleet.keepers.items()
+            if keeper._peers.home(TEAM) is None
+        )
+        refusing = MemoryObjectStore()
+        refusing.fault = StoreFault.OUTAGE
+        fleet.stores[home] = refusing
+        fleet.start(home)
+        await fleet.request(home, 5_000, 5_000)
+        assert fleet.delivered == 5_000
+
     async def test_says_exhausted_only_when_spent(self):
         """Guards against a final refusal while tokens are only held."""
         fleet = make_fleet(10_000, size=2)
