Send news at once; ten daemons watch the store for all

Cause: at 85 daemons watches and changes cost a call each per daemon, and news took a heartbeat per step of the ring. Change: daemons outside the first ten by rank read now and then by calls that may return an older state; a new document triggers a heartbeat.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -42,6 +42,10 @@
 # Peers asked in turn by a daemon that can't reach the store; each may take the
 # time of a draw.
 MAX_SUBSTITUTES = 2
+# Daemons that watch the store; the others hear of changes from them. All of a
+# small fleet; of a large one enough that a zone and a rack may be lost.
+MAX_WATCHERS = 10
+WATCHER_KEY = 'watchers'
 # Fleets up to this size link all daemons.
 FULL_MESH_MEMBERS = 16
 _SERVING = ('serving', 'starting')
@@ -95,6 +99,11 @@
         """Return the number of daemons that a link is open to."""
         return len(self._mesh.peers()) if self._mesh else 0
 
+    def tell_news(self) -> None:
+        """Let the peers know of a new document at once."""
+        if self._mesh:
+            self._mesh.beat_soon()
+
     def attach(self, mesh: PeerMesh, keeper: GrantKeeper) -> None:
         """Use the links of the mesh and give from the keeper's grants."""
         self._mesh = mesh
@@ -149,6 +158,11 @@
             self._choose_links()
         return found
 
+    def watches(self) -> bool:
+        """State whether this daemon watches the store for the others."""
+        watchers = rank(WATCHER_KEY, self._candidates())[:MAX_WATCHERS]
+        return self._name in watchers
+
     def substitutes(self, team: str) -> list[str]:
         """Return peers to draw through if neither home nor store answers."""
         mesh = self._mesh
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -122,6 +122,7 @@
                 kind=kind,
                 documents=self._documents,
                 clock=self._clock,
+                is_watcher=self._watches,
             )
             for kind in (settings.config_kind, settings.server_kind)
         }
@@ -301,6 +302,7 @@
 
     def _take_over(self, key: str, document: Document) -> None:
         objects = orjson.loads(document.payload)
+        self._links.tell_news()
         if key == self._settings.config_kind:
             self._use_config(objects, document)
         elif key == self._settings.server_kind:
@@ -363,6 +365,9 @@
             return min(regained) + LAPSED_GRACE_S
         return self._clock() + HEARSAY_GRACE_S
 
+    def _watches(self) -> bool:
+        return self._links.watches()
+
     def _reaches_store(self) -> bool:
         return not all(one.is_lost for one in self._followers.values())
 
--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -20,6 +20,9 @@
 # a reset is noticed by the answer that is missing afterwards, so this is below
 # the 3 s within which daemons count as out of touch.
 WATCH_S = 2.0
+# Daemons that don't watch hear of changes from those that do; this only bounds
+# how late one is that all its peers have lost.
+UNWATCHED_READ_S = 3.0
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.6
 
@@ -38,12 +41,18 @@
         kind: str,
         documents: SharedDocuments,
         clock: Callable[[], float],
+        is_watcher: Callable[[], bool],
     ) -> None:
-        """Offer documents under the kind's name."""
+        """Offer documents under the kind's name.
+
+        While `is_watcher` is false, peers tell of changes, and the store is
+        only asked now and then, by calls that may return an older state.
+        """
         self._store = store
         self._kind = kind
         self._documents = documents
         self._clock = clock
+        self._is_watcher = is_watcher
         self._objects: dict[str, StoredObject] = {}
         self._revision: int | None = None
         self._reached_at: float | None = None
@@ -90,12 +99,11 @@
                 self._note_success()
 
     async def _step(self) -> None:
-        if self._revision is None:
-            found = await self._store.snapshot(self._kind)
-            self._objects = {entry.key: entry for entry in found.objects}
-            self._revision = found.revision
-            self._note_success()
-            self._offer()
+        is_watcher = self._is_watcher()
+        if self._revision is None or not is_watcher:
+            await self._read_all(may_be_old=self._revision is not None)
+            if not is_watcher:
+                await asyncio.sleep(UNWATCHED_READ_S)
             return
         changes = await self._store.changes(self._kind, self._revision, WATCH_S)
         # A store that was slow to answer may tell of an older state.
@@ -110,6 +118,13 @@
             self._note_success()
             self._offer()
 
+    async def _read_all(self, *, may_be_old: bool) -> None:
+        found = await self._store.snapshot(self._kind, may_be_old=may_be_old)
+        self._objects = {entry.key: entry for entry in found.objects}
+        self._revision = found.revision
+        self._note_success()
+        self._offer()
+
     def _offer(self) -> None:
         assert self._revision is not None
         payload = orjson.dumps(
--- a/packages/gateway/tests/test_gateway_parts.py
+++ b/packages/gateway/tests/test_gateway_parts.py
@@ -69,8 +69,8 @@
         self.script = list(script)
         self.calls = []
 
-    async def snapshot(self, kind):
-        return await self._next('snapshot')
+    async def snapshot(self, kind, *, may_be_old=False):
+        return await self._next('old snapshot' if may_be_old else 'snapshot')
 
     async def changes(self, kind, after, wait_s):
         return await self._next(after)
@@ -89,7 +89,7 @@
     return StoredObject(f'servers/{name}', version, {'v': version})
 
 
-async def follow(*script):
+async def follow(*script, is_watcher=True):
     taken = []
     documents = SharedDocuments(lambda _, found: taken.append(found))
     store = ScriptedStore(*script)
@@ -98,6 +98,7 @@
         kind='servers',
         documents=documents,
         clock=asyncio.get_running_loop().time,
+        is_watcher=lambda: is_watcher,
     )
     task = asyncio.create_task(follower.run())
     await asyncio.sleep(3)
@@ -127,6 +128,17 @@
         assert store.calls[:3] == ['snapshot', 1, 'snapshot']
         assert taken[-1].revision == 9
 
+    async def test_daemon_that_does_not_watch_reads_now_and_then(self):
+        """Guards against calls that rise with the number of daemons."""
+        taken, store, _ = await follow(
+            Snapshot([entry('a', 5)], 5),
+            Snapshot([entry('a', 3)], 3),
+            is_watcher=False,
+        )
+        assert store.calls[0] == 'snapshot'
+        assert len(store.calls) <= 2
+        assert [found.revision for found in taken] == [5]
+
     async def test_failures_are_noted_and_tried_again(self):
         """Guards against a follower that ends in an outage."""
         taken, _, follower = await follow(
--- a/packages/mesh/src/oriolegauge/mesh/peermesh.py
+++ b/packages/mesh/src/oriolegauge/mesh/peermesh.py
@@ -1,6 +1,7 @@
 """Links to all other daemons, heartbeats and the member table."""
 
 import asyncio
+import contextlib
 import ssl
 from collections.abc import (
     AsyncIterator,
@@ -29,6 +30,8 @@
 from oriolegauge.wire.messages import Heartbeat, Message
 
 HEARTBEAT_PERIOD_S = 0.5
+# News are sent before the next regular heartbeat, but no faster than this.
+MIN_BEAT_GAP_S = 0.05
 
 Answer = Message | AsyncIterator[Message] | None
 Handler = Callable[[Sender, Message], Awaitable[Answer]]
@@ -119,6 +122,7 @@
             zone=settings.zone,
             now=clock(),
         )
+        self._news = asyncio.Event()
         self._session = session
         self._client_ssl = client_ssl
         self._limits = LinkLimits(
@@ -159,6 +163,10 @@
         """Return the names of all peers, linked or not."""
         return self._links.keys()
 
+    def beat_soon(self) -> None:
+        """Send a heartbeat at once, because it holds news."""
+        self._news.set()
+
     def add_peer(self, name: str, address: str) -> None:
         """Keep a link to another peer from now on."""
         if name in self._links:
@@ -245,7 +253,11 @@
                 if link.connected:
                     await self._send(link, message, ask=name in ambiguous)
             after_beat()
-            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+            await asyncio.sleep(MIN_BEAT_GAP_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HEARTBEAT_PERIOD_S - MIN_BEAT_GAP_S):
+                    await self._news.wait()
+            self._news.clear()
 
     async def _send(
         self, link: PeerLink, message: Heartbeat, *, ask: bool
--- a/packages/objectstore/src/oriolegauge/objectstore/kindstore.py
+++ b/packages/objectstore/src/oriolegauge/objectstore/kindstore.py
@@ -27,8 +27,13 @@
 class KindStore(Protocol):
     """List and watch objects of a kind."""
 
-    async def snapshot(self, kind: str) -> Snapshot:
-        """Return all objects of the kind; raise a StoreError."""
+    async def snapshot(
+        self, kind: str, *, may_be_old: bool = False
+    ) -> Snapshot:
+        """Return all objects of the kind; raise a StoreError.
+
+        With `may_be_old` the call is cheaper and may miss recent changes.
+        """
 
     async def changes(self, kind: str, after: int, wait_s: float) -> Changes:
         """Return what changed after the revision, waiting up to `wait_s`.
