--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -62,6 +62,8 @@
 # of the server's own limit: traffic is uneven over daemons.
 CONNECTION_SHARE = 2.0
 MIN_CONNECTIONS = 8
+# Loads of servers change within the objectives of 0.1 to 0.8 s.
+BEAT_PERIOD_S = 0.2
 # Part of the common retry slack that is handed out to daemons.
 SLACK_SHARE = 0.8
 RELOADABLE = ('grace_s', 'retry_share', 'retry_slack')
@@ -151,6 +153,7 @@
             handler=self._links.answer,
             clock=self._clock,
             is_member=_is_peer_name,
+            beat_period_s=BEAT_PERIOD_S,
         )
         self._links.attach(self._mesh, self._keeper)
         self._metrics = ForwardMetrics(self._gauges)
--- a/packages/mesh/src/oriolegauge/mesh/peermesh.py
+++ b/packages/mesh/src/oriolegauge/mesh/peermesh.py
@@ -105,6 +105,7 @@
         server_ssl: ssl.SSLContext | None = None,
         client_ssl: ssl.SSLContext | None = None,
         is_member: Callable[[str], bool] | None = None,
+        beat_period_s: float = HEARTBEAT_PERIOD_S,
     ) -> None:
         """Answer messages of peers with `handler`; `clock` is in seconds.
 
@@ -123,6 +124,7 @@
             now=clock(),
         )
         self._news = asyncio.Event()
+        self._beat_period_s = beat_period_s
         self._session = session
         self._client_ssl = client_ssl
         self._limits = LinkLimits(
@@ -255,7 +257,7 @@
             after_beat()
             await asyncio.sleep(MIN_BEAT_GAP_S)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(HEARTBEAT_PERIOD_S - MIN_BEAT_GAP_S):
+                async with asyncio.timeout(self._beat_period_s - MIN_BEAT_GAP_S):
                     await self._news.wait()
             self._news.clear()
 
