--- a/packages/mesh/src/oriolegauge/mesh/peermesh.py
+++ b/packages/mesh/src/oriolegauge/mesh/peermesh.py
@@ -256,8 +256,9 @@
                     await self._send(link, message, ask=name in ambiguous)
             after_beat()
             await asyncio.sleep(MIN_BEAT_GAP_S)
+            rest_s = self._beat_period_s - MIN_BEAT_GAP_S
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._beat_period_s - MIN_BEAT_GAP_S):
+                async with asyncio.timeout(rest_s):
                     await self._news.wait()
             self._news.clear()
 
