--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,10 @@
 STAMP := $(VENV)/.requirements.stamp
 SEED ?= 1
 STEPS ?= 200
+SECONDS ?= 20
+COUNT ?= 1
 
-.PHONY: setup test check format demo fuzz bench capacity
+.PHONY: setup test check format demo fuzz bench capacity soak
 setup: $(STAMP)
 
 $(STAMP): requirements.txt
@@ -41,5 +43,8 @@
 bench: setup
 	$(PY) -m bench
 
+soak: setup
+	$(PY) -m tests.adapter.soak --seed $(SEED) --seconds $(SECONDS) --count $(COUNT)
+
 capacity: setup
 	$(PY) -m bench.capacity
--- /dev/null
+++ b/tests/adapter/soak.py
@@ -0,0 +1,182 @@
+"""Random faults on real daemons; promises checked from both sides.
+
+Run by hand: `make soak SEED=7 SECONDS=30`.
+"""
+
+import asyncio
+import random
+import secrets
+import signal
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import defopt
+
+from .soakfleet import (
+    EVENTS,
+    HOST,
+    KEY,
+    PROMPT_TOKENS,
+    TOKENS_PER_EVENT,
+    SoakFleet,
+)
+
+CALL_TIMEOUT_S = 6.0
+PROMISES = (429, 503, 408, 421)
+KINDS = ('once', 'safe', 'stream')
+
+
+@dataclass
+class Observed:
+    """Collect what callers saw."""
+
+    statuses: Counter[int] = field(default_factory=Counter)
+    refused: list[str] = field(default_factory=list)
+    ordered: list[str] = field(default_factory=list)
+    wrong: list[str] = field(default_factory=list)
+    delivered_tokens: int = 0
+
+
+async def call(fleet, rng, seen, kind):
+    """Send one request on a new connection and note its end."""
+    attempt = secrets.token_hex(8)
+    front = fleet.ports[rng.randrange(fleet.size)][0]
+    lines = [
+        f'POST /{kind}/x HTTP/1.1',
+        'Host: h.example',
+        f'X-Oriolegauge-Attempt-Id: {attempt}',
+        'X-Oriolegauge-Deadline-Ms: 3000',
+        f'X-Api-Key: {KEY}',
+        'Content-Length: 2',
+    ]
+    if kind == 'stream':
+        most = EVENTS * TOKENS_PER_EVENT
+        lines.append(f'X-Oriolegauge-Token-Usage: {PROMPT_TOKENS},{most}')
+        lines.append('X-Oriolegauge-Prompt-Prefix: a:60,b:40')
+    if kind == 'once':
+        seen.ordered.append(attempt)
+    status = 0
+    try:
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(HOST, front)
+            writer.write('\r\n'.join([*lines, '', 'ok']).encode())
+            head = await reader.readuntil(b'\r\n\r\n')
+            status = int(head.split()[1])
+            raw = await _body(reader, head, seen)
+            if status == 200 and attempt.encode() not in raw:
+                seen.wrong.append(attempt)
+            writer.close()
+    except (OSError, EOFError, TimeoutError, ValueError):
+        """A cut answer promises nothing; what came was counted."""
+    if status in PROMISES:
+        seen.refused.append(attempt)
+    seen.statuses[status] += 1
+    return status
+
+
+async def _body(reader, head, seen):
+    if b'chunked' not in head:
+        length = int(head.lower().split(b'content-length:')[1].split()[0])
+        return await reader.readexactly(length)
+    raw = b''
+    seen.delivered_tokens += PROMPT_TOKENS
+    while size := int(await reader.readline(), 16):
+        part = await reader.readexactly(size + 2)
+        raw += part
+        seen.delivered_tokens += part.count(b'data:') * TOKENS_PER_EVENT
+    return raw
+
+
+async def disturb(fleet, rng, until):
+    """Inject faults in series and overlapping until the loop time."""
+    loop = asyncio.get_running_loop()
+    while loop.time() < until:
+        await asyncio.sleep(rng.uniform(0.2, 0.8))
+        number = rng.randrange(fleet.size)
+        match rng.choice(
+            ['kill', 'pause', 'term', 'all', 'store', 'lose', 'config', 'hup']
+        ):
+            case 'kill':
+                await fleet.kill(number)
+                await fleet.start(number)
+            case 'all':
+                await asyncio.gather(*map(fleet.kill, range(fleet.size)))
+                await asyncio.gather(*map(fleet.start, range(fleet.size)))
+                await asyncio.sleep(1.5)
+            case 'term':
+                await fleet.term(number)
+                await fleet.start(number)
+            case 'pause':
+                fleet.signal(number, signal.SIGSTOP)
+                await asyncio.sleep(rng.uniform(0.2, 2))
+                fleet.signal(number, signal.SIGCONT)
+            case 'hup':
+                fleet.signal(number, signal.SIGHUP)
+            case 'store':
+                fleet.store.status = rng.choice([503, 429])
+                await asyncio.sleep(rng.uniform(0.2, 2))
+                fleet.store.status = 200
+            case 'lose':
+                fleet.store.lose_writes = True
+                await asyncio.sleep(rng.uniform(0.2, 1.5))
+                fleet.store.lose_writes = False
+            case 'config':
+                await fleet.write_config()
+
+
+async def soak(seed: int, seconds: float, *, prepaid: int = 12_000) -> Observed:
+    """Play one seed; raise AssertionError if a promise is broken."""
+    rng = random.Random(seed)
+    seen = Observed()
+    with tempfile.TemporaryDirectory() as folder:
+        async with SoakFleet(Path(folder), size=3, prepaid=prepaid) as fleet:
+            for number in range(fleet.size):
+                await fleet.wait_ready(number)
+            loop = asyncio.get_running_loop()
+            until = loop.time() + seconds
+            faults = asyncio.create_task(disturb(fleet, rng, until))
+            calls = []
+            while loop.time() < until:
+                kind = rng.choice(KINDS)
+                calls.append(asyncio.create_task(call(fleet, rng, seen, kind)))
+                await asyncio.sleep(rng.expovariate(40))
+            await faults
+            await asyncio.gather(*calls)
+            for number in range(fleet.size):
+                await fleet.wait_ready(number)
+            after = [await call(fleet, rng, seen, 'safe') for _ in range(9)]
+            check(fleet, seen, after)
+    return seen
+
+
+def check(fleet, seen, after):
+    """Compare what callers saw with what the servers ran."""
+    assert not seen.wrong, f'answers of other requests: {seen.wrong}'
+    twice = [name for name in seen.ordered if fleet.runs[name] > 1]
+    assert not twice, f'ran twice: {twice}'
+    ran = [name for name in seen.refused if fleet.runs[name]]
+    assert not ran, f'refused, but ran: {ran}'
+    assert seen.delivered_tokens <= fleet.prepaid, seen.delivered_tokens
+    assert after.count(200) >= len(after) - 1, after
+
+
+def main(*, seed: int = 1, seconds: float = 20, count: int = 1) -> None:
+    """Play seeds by hand.
+
+    :param seed: first seed
+    :param seconds: length of the faults of one seed
+    :param count: seeds to play, one after the other
+    """
+    for number in range(seed, seed + count):
+        seen = asyncio.run(soak(number, seconds))
+        sys.stdout.write(
+            f'seed {number}: {dict(seen.statuses)}, '
+            f'{seen.delivered_tokens} tokens\n'
+        )
+
+
+if __name__ == '__main__':
+    defopt.run(main)
--- /dev/null
+++ b/tests/adapter/soakfleet.py
@@ -0,0 +1,256 @@
+"""Real daemons as processes, with a stand-in store and backend servers."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+from collections import Counter
+from pathlib import Path
+
+from .standinstore import StandInStore
+
+ROOT = Path(__file__).resolve().parents[2]
+HOST = '127.0.0.1'
+TEAM = 'team'
+KEY = 'caller-key'
+EVENTS = 4
+TOKENS_PER_EVENT = 5
+PROMPT_TOKENS = 100
+SETTINGS = """
+ip = "127.0.0.1"
+zone = "z1"
+portRange = [{peer}, {peer}]
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[limits]
+maxFds = 1000
+[contractParams]
+retryRatio = 0.2
+retrySlack = 50
+graceS = 5
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+def free_ports(count):
+    """Return ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind((HOST, 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class Backend:
+    """Run requests and remember which attempts ran, and how often."""
+
+    def __init__(self, runs: Counter[str]) -> None:
+        self.runs = runs
+        self.port = 0
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, ConnectionError, OSError
+        ):
+            while True:
+                await self._answer(reader, writer)
+        writer.close()
+
+    async def _answer(self, reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        first, *lines = head.decode().split('\r\n')[:-2]
+        headers = dict(line.split(': ', 1) for line in lines)
+        lower = {name.lower(): text for name, text in headers.items()}
+        await reader.readexactly(int(lower.get('content-length', 0)))
+        attempt = lower['x-oriolegauge-attempt-id']
+        self.runs[attempt] += 1
+        base = (
+            'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n'
+            f'X-Oriolegauge-Attempt-Id: {attempt}\r\n'
+            'X-Oriolegauge-Server-Signature: s\r\n'
+        )
+        if '/stream/' not in first:
+            body = f'done {attempt}'.encode()
+            writer.write(f'{base}Content-Length: {len(body)}\r\n\r\n'.encode())
+            writer.write(body)
+            return
+        writer.write(f'{base}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        start = int(lower.get('last-event-id', 0))
+        for number in range(start + 1, EVENTS + 1):
+            data = f'id: {number}\ndata: {attempt}\n\n'.encode()
+            writer.write(b'%x\r\n%b\r\n' % (len(data), data))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        writer.write(b'0\r\n\r\n')
+
+
+class SoakFleet:
+    """Start, disturb and stop daemons; end only what it started."""
+
+    def __init__(self, folder: Path, *, size: int, prepaid: int) -> None:
+        self.folder = folder
+        self.size = size
+        self.prepaid = prepaid
+        self.store = StandInStore()
+        self.runs: Counter[str] = Counter()
+        self.backends = [Backend(self.runs) for _ in range(3)]
+        self.ports = [free_ports(3) for _ in range(size)]
+        self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.version = 0
+
+    async def __aenter__(self):
+        await self.store.start()
+        for backend in self.backends:
+            await backend.start()
+        for number, backend in enumerate(self.backends):
+            await self.store.write(
+                'servers',
+                f'i-{number}',
+                {
+                    'service': 'svc',
+                    'address': f'{HOST}:{backend.port}',
+                    'zone': 'z1',
+                    'slots': 20,
+                    'state': 'ready',
+                },
+            )
+        await self.write_config()
+        for number in range(self.size):
+            await self.start(number)
+        return self
+
+    async def __aexit__(self, *_):
+        for number in list(self.processes):
+            await self.kill(number)
+        for backend in self.backends:
+            await backend.stop()
+        await self.store.stop()
+
+    async def write_config(self):
+        self.version += 1
+        routes = [
+            _route('once', 'non_idempotent', maxAttempts=1),
+            _route('safe', 'idempotent'),
+            _route('stream', 'streaming', sticky=True, canResume=True),
+        ]
+        await self.store.write(
+            'config',
+            'main',
+            {
+                'version': self.version,
+                'routes': routes,
+                'services': [
+                    {
+                        'name': 'svc',
+                        'maxConns': 400,
+                        'engine': {'stride': TOKENS_PER_EVENT, 'slots': 20},
+                    }
+                ],
+                'limits': {
+                    'maxHeaderBytes': 16384,
+                    'maxBodyBytes': 100000,
+                    'headerTimeoutMs': 3000,
+                    'idleTimeoutMs': 10000,
+                },
+                'tenants': [
+                    {'name': TEAM, 'apiKeys': [KEY], 'prepaid': self.prepaid}
+                ],
+            },
+        )
+
+    async def start(self, number):
+        front, ready, peer = self.ports[number]
+        path = self.folder / f'settings-{number}.toml'
+        path.write_text(
+            SETTINGS.format(
+                front=front, ready=ready, peer=peer, store=self.store.port
+            )
+        )
+        with self._log_path(number).open('ab') as log:
+            self.processes[number] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / 'platform' / 'daemon.py'),
+                env={
+                    **os.environ,
+                    'ORIOLEGAUGE_CONFIG': str(path),
+                    'ORIOLEGAUGE_METRICS_PORT': '0',
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def _log_path(self, number):
+        return self.folder / f'daemon-{number}.log'
+
+    def signal(self, number, which):
+        with contextlib.suppress(ProcessLookupError):
+            self.processes[number].send_signal(which)
+
+    async def kill(self, number):
+        self.signal(number, signal.SIGKILL)
+        await self.processes.pop(number).wait()
+
+    async def term(self, number):
+        self.signal(number, signal.SIGTERM)
+        await self.processes.pop(number).wait()
+
+    async def wait_ready(self, number, seconds=15):
+        try:
+            async with asyncio.timeout(seconds):
+                while not await self._is_ready(number):
+                    await self._replace_if_ended(number)
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            last = self._log_path(number).read_text().splitlines()[-20:]
+            raise AssertionError(
+                f'daemon {number} is not ready:\n' + '\n'.join(last)
+            ) from None
+
+    async def _replace_if_ended(self, number):
+        """Start a daemon again whose port another socket had taken."""
+        if self.processes[number].returncode is None:
+            return
+        log = self._log_path(number).read_text()
+        assert 'address already in use' in log[-3_000:], log[-3_000:]
+        await self.start(number)
+
+    async def _is_ready(self, number):
+        try:
+            reader, writer = await asyncio.open_connection(
+                HOST, self.ports[number][1]
+            )
+        except OSError:
+            return False
+        writer.write(b'GET /oriolegauge/readiness HTTP/1.1\r\nHost: a\r\n\r\n')
+        line = await reader.readline()
+        writer.close()
+        return b' 200 ' in line
+
+
+def _route(name, kind, **changes):
+    fields = {
+        'name': name,
+        'host': 'h.example',
+        'pathPrefix': f'/{name}/',
+        'kind': kind,
+        'timeoutMs': 3000,
+        'goalMs': 200,
+        'service': 'svc',
+        'maxAttempts': 2,
+        'gapGoalMs': 250,
+    }
+    return {**fields, **changes}
