--- a/tests/adapter/soakfleet.py
+++ b/tests/adapter/soakfleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import random
 import signal
 import socket
 import sys
@@ -13,6 +14,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = '127.0.0.1'
+PORTS = (20_000, 30_000)
 TEAM = 'team'
 KEY = 'caller-key'
 EVENTS = 4
@@ -37,13 +39,17 @@
 
 
 def free_ports(count):
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return ports that were free a moment ago.
+
+    They lie below those that the system gives to outgoing connections, which
+    could take the port of a daemon that is down.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            ports.append(port)
     return ports
 
 
