--- a/packages/core/src/oriolegauge/core/taskset.py
+++ b/packages/core/src/oriolegauge/core/taskset.py
@@ -4,6 +4,10 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import structlog
+
+log = structlog.get_logger()
+
 
 class TaskSet:
     """Hold references to tasks, which the event loop does not."""
@@ -20,4 +24,9 @@
         """Run the job in the background."""
         task = asyncio.create_task(job)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            log.error('background task failed', exc_info=error)
--- a/packages/forwarding/src/oriolegauge/forwarding/backendserver.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/backendserver.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from oriolegauge.forwarding.departures import ServerLife
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BackendServer:
@@ -24,3 +26,8 @@
     def address(self) -> tuple[str, int]:
         """Return the host and port."""
         return self.host, self.port
+
+    @property
+    def life(self) -> ServerLife:
+        """Tell this start of the server from others under its name."""
+        return ServerLife(self.instance, self.started_ms)
--- a/packages/forwarding/src/oriolegauge/forwarding/connectionpool.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/connectionpool.py
@@ -2,16 +2,20 @@
 
 import asyncio
 from collections import Counter, deque
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Iterable
+from functools import partial
 
 from oriolegauge.forwarding.backendserver import BackendServer
+from oriolegauge.forwarding.departures import ServerLife
 from oriolegauge.forwarding.errors import ServerUnreachableError
 from oriolegauge.forwarding.serverconnection import ServerConnection
+from oriolegauge.forwarding.serversigns import ServerSigns
 
 # Idle connections kept per server; the rest of a burst is closed.
 MAX_IDLE_PER_SERVER = 16
 
 Address = tuple[str, int]
+_Place = tuple[ServerLife, Address]
 
 
 class ConnectionPool:
@@ -23,12 +27,18 @@
         request_id_header: str,
         connect_timeout_s: float,
         on_connected: Callable[[str, bool], None],
+        signs: ServerSigns,
     ) -> None:
-        """Report each attempt to connect to an instance and its success."""
+        """Report each attempt to connect to an instance and its success.
+
+        `signs` sees the header of each reply.
+        """
         self._id_header = request_id_header
+        self._signs = signs
         self._connect_timeout_s = connect_timeout_s
         self._on_connected = on_connected
-        self._idle: dict[Address, deque[ServerConnection]] = {}
+        # By the life too: its address may be another server's afterwards.
+        self._idle: dict[_Place, deque[ServerConnection]] = {}
         self._open: Counter[Address] = Counter()
 
     def in_use(self, address: Address) -> int:
@@ -42,7 +52,7 @@
 
         A kept one is used only if it was idle for at most `max_idle_s`.
         """
-        kept = self._idle.get(server.address)
+        kept = self._idle.get(_place(server))
         while kept:
             connection = kept.pop()
             if connection.is_reusable and connection.idle_s <= max_idle_s:
@@ -52,7 +62,10 @@
         self._open[server.address] += 1
         try:
             connection = await ServerConnection.open(
-                server.address, self._id_header, self._connect_timeout_s
+                server.address,
+                self._id_header,
+                self._connect_timeout_s,
+                partial(self._signs.observe, server.life),
             )
         except ServerUnreachableError:
             self._open[server.address] -= 1
@@ -70,29 +83,34 @@
         """Keep the connection if its last reply was whole, else close it."""
         self._open[server.address] -= 1
         connection.release()
-        kept = self._idle.setdefault(server.address, deque())
+        kept = self._idle.setdefault(_place(server), deque())
         if connection.is_reusable and len(kept) < MAX_IDLE_PER_SERVER:
             kept.append(connection)
         else:
             connection.abort()
 
-    def prune(self, live: Collection[Address]) -> None:
+    def prune(self, live: Iterable[BackendServer]) -> None:
         """Close idle connections that have expired or whose server is gone."""
-        for address in list(self._idle):
-            kept = self._idle[address]
+        places = {_place(server) for server in live}
+        for place in list(self._idle):
+            kept = self._idle[place]
             usable = deque(
                 connection
                 for connection in kept
-                if connection.is_reusable and address in live
+                if connection.is_reusable and place in places
             )
             for connection in kept:
                 if connection not in usable:
                     connection.abort()
             if usable:
-                self._idle[address] = usable
+                self._idle[place] = usable
             else:
-                del self._idle[address]
+                del self._idle[place]
 
     def close(self) -> None:
         """Close all idle connections."""
         self.prune(())
+
+
+def _place(server: BackendServer) -> _Place:
+    return server.life, server.address
--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -19,6 +19,7 @@
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.routing.serverchooser import Candidate, ServerChooser
+from oriolegauge.routing.serverpauses import ServerPauses
 
 # Servers tried in turn while none accepts a connection.
 MAX_CONNECTS = 3
@@ -27,8 +28,11 @@
 MAX_IDLE_NOT_REPEATABLE_S = 1.0
 MAX_IDLE_REPEATABLE_S = 30.0
 RETRY_AFTER_NO_SERVER_S = 0.5
+# A full server that asked for no pause takes work again as soon as one of its
+# requests has ended.
+RETRY_AFTER_REJECTED_S = 0.15
 MS_PER_S = 1000
-MISDIRECTED = 421
+FIRST_SERVER_ERROR = 500
 
 Clock = Callable[[], float]
 
@@ -69,6 +73,7 @@
         pool: ConnectionPool,
         names: HeaderNames,
         loads: FleetLoads,
+        pauses: ServerPauses,
         connection_limit: Callable[[str], int],
         clock: Clock,
     ) -> None:
@@ -78,6 +83,7 @@
         self._pool = pool
         self._names = names
         self._loads = loads
+        self._pauses = pauses
         self._connection_limit = connection_limit
         self._clock = clock
 
@@ -85,6 +91,12 @@
         """State whether another server may take work of the service."""
         return bool(self._candidates(service, excluded))
 
+    def rejection(self, service: str) -> NoServerError:
+        """Return the refusal of a request that full servers have rejected."""
+        return self._no_server(
+            service, 'the servers are full', RETRY_AFTER_REJECTED_S
+        )
+
     async def send(
         self,
         context: RequestContext,
@@ -118,9 +130,10 @@
             except ServerUnreachableError as error:
                 trace.note(server.instance, f'not sent ({error.message})')
                 self._pool.give_back(server, connection)
-        raise NoServerError(
+        raise self._no_server(
+            context.service,
             'no server accepts a connection',
-            retry_after_s=RETRY_AFTER_NO_SERVER_S,
+            RETRY_AFTER_NO_SERVER_S,
         )
 
     async def head(self, attempt: Attempt, until: float) -> ServerReply:
@@ -136,6 +149,14 @@
             raise
         return reply
 
+    def judge(self, attempt: Attempt, reply: ServerReply) -> None:
+        """Note what a whole reply says of the server's health and speed."""
+        is_full = bool(reply.header('Retry-After'))
+        # That it is full is no failure of a server, if it says until when.
+        attempt.ok = reply.status < FIRST_SERVER_ERROR or is_full
+        if not (is_full or reply.header(self._names.not_run)):
+            self.answered(attempt)
+
     def answered(self, attempt: Attempt) -> None:
         """Note that the first part of the answer is here."""
         if attempt.was_answered:
@@ -182,20 +203,33 @@
             is_informed=is_informed,
         )
         if name is None:
-            raise NoServerError(
+            raise self._no_server(
+                context.service,
                 f'no server of {context.service} takes work',
-                retry_after_s=RETRY_AFTER_NO_SERVER_S,
+                RETRY_AFTER_NO_SERVER_S,
             )
         return servers[name]
 
+    def _no_server(
+        self, service: str, reason: str, otherwise_s: float
+    ) -> NoServerError:
+        """Refuse until the first server takes work again, if that is known."""
+        names = [
+            server.instance for server in self._directory.of_service(service)
+        ]
+        wait_s = self._pauses.retry_after_s(names, self._clock())
+        return NoServerError(reason, retry_after_s=wait_s or otherwise_s)
+
     def _candidates(
         self, service: str, excluded: Collection[str]
     ) -> dict[str, BackendServer]:
         limit = self._connection_limit(service)
+        now = self._clock()
         return {
             server.instance: server
             for server in self._directory.of_service(service)
             if server.instance not in excluded
+            and not self._pauses.is_paused(server.instance, now)
             and self._pool.in_use(server.address) < limit
         }
 
--- a/packages/forwarding/src/oriolegauge/forwarding/exchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/exchange.py
@@ -3,25 +3,25 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from oriolegauge.core.errors import NoServerError
+from oriolegauge.core.bytebudget import ByteBudget, ByteLease
 from oriolegauge.forwarding.answer import Answer
 from oriolegauge.forwarding.dispatcher import Dispatcher
 from oriolegauge.forwarding.headernames import HeaderNames
 from oriolegauge.forwarding.requestcontext import RequestContext, RequestTrace
 
-RETRY_AFTER_REJECTED_S = 0.15
-
 
 @dataclass(slots=True)
 class Serving:
     """Follow one request over all its sends.
 
-    `has_run` says that a server may have run it.
+    `held` covers what is buffered for it. `has_run` says that a server may have
+    run it.
     """
 
     context: RequestContext
     trace: RequestTrace
     answer: Answer
+    held: ByteLease
     excluded: set[str] = field(default_factory=set)
     sends: int = 0
     has_run: bool = False
@@ -37,6 +37,7 @@
     dispatcher: Dispatcher
     names: HeaderNames
     may_retry: Callable[[str], bool]
+    buffers: ByteBudget
     clock: Callable[[], float]
 
     def has_server(self, serving: Serving) -> bool:
@@ -55,10 +56,3 @@
             and self.has_server(serving)
             and self.may_retry(context.service)
         )
-
-
-def rejected() -> NoServerError:
-    """Return the refusal of a request that no server has run."""
-    return NoServerError(
-        'the servers are full', retry_after_s=RETRY_AFTER_REJECTED_S
-    )
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -9,6 +9,7 @@
 import structlog
 
 from oriolegauge.admission import HostLink
+from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.core.errors import (
     InvalidRequestError,
     NotFoundError,
@@ -76,6 +77,7 @@
         names: HeaderNames,
         dispatcher: Dispatcher,
         budget: TokenBudget,
+        buffers: ByteBudget,
         link: HostLink,
         metrics: ForwardMetrics,
         beliefs: Callable[[], Beliefs],
@@ -83,7 +85,10 @@
         retry_credit: Callable[[], float],
         rng: random.Random,
     ) -> None:
-        """Grant retries by share, and `retry_credit` saved per service."""
+        """Grant retries by share, and `retry_credit` saved per service.
+
+        `buffers` bounds what is held of servers' replies.
+        """
         self._names = names
         self._budget = budget
         self._link = link
@@ -99,6 +104,7 @@
             dispatcher=dispatcher,
             names=names,
             may_retry=self._may_retry,
+            buffers=buffers,
             clock=self._clock,
         )
         self._whole = WholeExchange(parts)
--- a/packages/forwarding/src/oriolegauge/forwarding/headernames.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/headernames.py
@@ -13,6 +13,7 @@
     `prompt_parts` lists the parts of the prompt with their tokens, in order.
     `not_run` marks an answer of a server that did not run the request.
     `signature` marks an answer that a server made.
+    `leaving` is 1 in the answers of a server that leaves.
     `callers_never_set` are dropped from what callers send.
     """
 
@@ -26,4 +27,5 @@
     prompt_parts: str = 'X-Prompt-Parts'
     not_run: str = 'X-Not-Run'
     signature: str = 'X-Server-Signature'
+    leaving: str = 'X-Server-Leaving'
     callers_never_set: frozenset[str] = frozenset()
--- a/packages/forwarding/src/oriolegauge/forwarding/requestparser.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requestparser.py
@@ -11,6 +11,8 @@
 
 # Separators around a header's name and value.
 _HEADER_OVERHEAD_BYTES = 4
+# Bytes that frame a chunk of a single byte.
+_FRAMING_PER_BYTE = 16
 
 
 class RequestParser:
@@ -31,6 +33,7 @@
         self._began_at: float | None = None
         self._is_head_whole = False
         self._received_bytes = 0
+        self._framed_bytes = 0
         self._error: CallerError | None = None
         self._has_ended_in_feed = False
         self._reset()
@@ -62,6 +65,7 @@
         if self._error:
             raise self._error
         self._check_unfinished(len(data))
+        self._check_framing(len(data))
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -119,6 +123,7 @@
         self._body = bytearray()
         self._head_bytes = 0
         self._received_bytes = 0
+        self._framed_bytes = 0
         self._is_head_whole = False
         self._began_at = None
 
@@ -134,6 +139,17 @@
         if self._error:
             raise self._error
 
+    def _check_framing(self, count: int) -> None:
+        """Bound chunk extensions and trailers, which the parser hides."""
+        if not self.is_reading_body:
+            return
+        if not self._has_ended_in_feed:
+            self._framed_bytes += count
+        body_bytes = len(self._body) * (1 + _FRAMING_PER_BYTE)
+        self._check_head(self._framed_bytes - body_bytes)
+        if self._error:
+            raise self._error
+
     def _add_head_bytes(self, count: int) -> None:
         self._head_bytes += count
         self._check_head(self._head_bytes)
--- a/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
@@ -4,35 +4,77 @@
 import math
 import re
 from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import httptools
+import structlog
 
 from oriolegauge.forwarding.errors import (
     ReplyBrokenError,
     ServerUnreachableError,
 )
+from oriolegauge.forwarding.replybounds import ReplyBounds
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.forwarding.sockets import end_when_silent
 
 # Bytes of a reply that wait for a slow caller before reading is paused.
 MAX_BUFFERED_BYTES = 64 * 1024
+# Read and parsed at once.
+READ_BYTES = 32 * 1024
 # Assumed when a server names no time: it closes within a second.
 DEFAULT_KEEP_ALIVE_S = 0.5
 # The server's clock for an idle connection started before ours.
 KEEP_ALIVE_MARGIN_S = 0.3
-# A server may send its answer to an earlier request first.
-MAX_STRAY_REPLIES = 4
 _CONTINUE = 100
 _FIRST_FINAL = 200
 _KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
+_PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
+# One for all connections: what is read is parsed before the next read.
+_READ_BUFFER = memoryview(bytearray(READ_BYTES))
 
+ReplyObserver = Callable[[ServerReply], None]
 
-class ServerConnection(asyncio.Protocol):
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class _Counts:
+    """Count what came for one request.
+
+    Bytes of the header being read, before the reply's header, and of the reply
+    and its body; interim replies and those of other requests.
+    """
+
+    head: int = 0
+    before: int = 0
+    framing: int = 0
+    body: int = 0
+    interim: int = 0
+    strays: int = 0
+
+
+def ignore(_: ServerReply) -> None:
+    """Take no note of a reply."""
+
+
+class ServerConnection(asyncio.BufferedProtocol):
     """Send a request and read its reply; any doubt makes it unusable."""
 
-    def __init__(self, request_id_header: str) -> None:
-        """Match replies by the header that servers echo."""
+    def __init__(
+        self,
+        request_id_header: str,
+        on_reply: ReplyObserver = ignore,
+        bounds: ReplyBounds | None = None,
+    ) -> None:
+        """Match replies by the header that servers echo.
+
+        `on_reply` sees the header of every reply, also of those that answer no
+        request.
+        """
         self._id_header = request_id_header
+        self._on_reply = on_reply
+        self._bounds = bounds or ReplyBounds()
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -45,25 +87,30 @@
         self._reply: ServerReply | None = None
         self._is_complete = False
         self._is_skipping = False
-        self._strays = 0
+        self._is_in_head = False
         self._is_dirty = False
         self._is_eof = False
         self._failure: str | None = None
         self._headers: list[tuple[bytes, bytes]] = []
+        self._counts = _Counts()
         self._reusable_until = -math.inf
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self._released_at = self._loop.time()
 
     @classmethod
     async def open(
-        cls, address: tuple[str, int], request_id_header: str, timeout_s: float
+        cls,
+        address: tuple[str, int],
+        request_id_header: str,
+        timeout_s: float,
+        on_reply: ReplyObserver = ignore,
     ) -> 'ServerConnection':
         """Connect; raise ServerUnreachableError."""
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: cls(request_id_header), *address
+                    lambda: cls(request_id_header, on_reply), *address
                 )
         except TimeoutError as error:
             raise ServerUnreachableError('no connection in time') from error
@@ -95,17 +142,22 @@
         end_when_silent(transport)
         self._reusable_until = self._loop.time() + DEFAULT_KEEP_ALIVE_S
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to read to."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse a part of the reply."""
-        if self._request_id is None or self._is_complete:
-            # Bytes that no request asked for.
-            self._is_dirty = True
-            self.abort()
-            return
+        # Bytes that no request asked for still may tell of the server.
+        is_unasked = self._request_id is None or self._is_complete
+        self._is_dirty = self._is_dirty or is_unasked
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+            self._parser.feed_data(_READ_BUFFER[:nbytes])
+        except _PARSER_ERRORS as error:
             self._fail(f'malformed reply: {error}')
+        else:
+            self._count(nbytes)
+        if self._failure or is_unasked:
             self.abort()
         self._changed.set()
 
@@ -138,16 +190,21 @@
         if self._is_complete:
             self._is_dirty = True
         self._headers = []
+        self._is_in_head = True
+        self._counts.head = 0
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Add a header."""
+        """Add a header; trailers are dropped."""
+        if not self._is_in_head:
+            return
         self._headers.append((name, content))
+        if len(self._headers) > self._bounds.max_headers:
+            self._stop('too many headers')
 
     def on_headers_complete(self) -> None:
         """Decide whether the reply belongs to the request."""
+        self._is_in_head = False
         status = self._parser.get_status_code()
-        if self._is_complete or _CONTINUE <= status < _FIRST_FINAL:
-            return
         names = {name.lower() for name, _ in self._headers}
         reply = ServerReply(
             status=status,
@@ -156,19 +213,30 @@
                 (b'content-length', b'transfer-encoding')
             ),
         )
-        echoed = reply.header(self._id_header)
-        is_foreign = echoed != self._request_id and (echoed or reply.is_success)
-        if is_foreign:
+        self._on_reply(reply)
+        if self._is_complete or self._request_id is None:
+            return
+        if _CONTINUE <= status < _FIRST_FINAL:
+            self._counts.interim += 1
+            if self._counts.interim > self._bounds.max_interim:
+                self._stop('too many interim replies')
+            return
+        # Without the id of the request a reply promises nothing about it, not
+        # even that the request has not run.
+        if reply.header(self._id_header) != self._request_id:
             self._skip(reply)
             return
         self._note_keep_alive(reply)
         self._reply = reply
+        self._counts.framing = 0
+        self._counts.body = 0
 
     def on_body(self, part: bytes) -> None:
         """Keep a part of the body."""
-        if self._is_skipping or self._is_complete:
+        if self._is_skipping or self._is_complete or self._reply is None:
             return
         self._parts.append(part)
+        self._counts.body += len(part)
         self._buffered += len(part)
         if self._buffered > MAX_BUFFERED_BYTES and self._transport:
             self._transport.pause_reading()
@@ -188,7 +256,7 @@
         self._request_id = request_id
         self._reply = None
         self._is_complete = False
-        self._strays = 0
+        self._counts = _Counts()
         transport.write(data)
 
     async def head(self) -> ServerReply:
@@ -242,12 +310,43 @@
 
     def _skip(self, reply: ServerReply) -> None:
         self._is_dirty = True
-        self._strays += 1
-        if reply.ends_with_connection or self._strays > MAX_STRAY_REPLIES:
-            self._fail('replies of other requests')
+        self._counts.strays += 1
+        log.info(
+            'reply of no request here',
+            status=reply.status,
+            has_id=bool(reply.header(self._id_header)),
+        )
+        is_last = (
+            reply.ends_with_connection
+            or reply.header('Connection').lower() == 'close'
+        )
+        if is_last or self._counts.strays > self._bounds.max_strays:
+            self._stop('replies of other requests')
             return
         self._is_skipping = True
 
+    def _count(self, nbytes: int) -> None:
+        """Bound the bytes that are no part of the reply's body."""
+        counts, bounds = self._counts, self._bounds
+        if self._is_in_head:
+            counts.head += nbytes
+            if counts.head > bounds.max_head_bytes:
+                self._fail('the header is too large')
+        if self._reply is None:
+            counts.before += nbytes
+            if counts.before > bounds.max_stray_bytes:
+                self._fail('too many bytes before the reply')
+            return
+        counts.framing += nbytes
+        allowed = counts.body * (1 + bounds.framing_per_byte)
+        if counts.framing > allowed + bounds.max_framing_bytes:
+            self._fail('too many bytes beside the body')
+
+    def _stop(self, reason: str) -> None:
+        """Fail the reply, and have the parser look at no further byte."""
+        self._fail(reason)
+        raise ReplyBrokenError(reason)
+
     def _note_keep_alive(self, reply: ServerReply) -> None:
         found = _KEEP_ALIVE.search(reply.header('Keep-Alive').encode())
         self._keep_alive_s = (
--- a/packages/forwarding/src/oriolegauge/forwarding/serverdirectory.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverdirectory.py
@@ -1,20 +1,30 @@
 """Backend servers that may take work, by service."""
 
 import math
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 from oriolegauge.forwarding.backendserver import BackendServer
+from oriolegauge.forwarding.departures import Departures
 
 
 class ServerDirectory:
     """Hold the servers of the newest revision known."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], departures: Departures
+    ) -> None:
         """Start without servers."""
         self._clock = clock
+        self._departures = departures
         self._by_service: dict[str, list[BackendServer]] = {}
         self._servers: dict[str, BackendServer] = {}
         self._kept_until: dict[str, float] = {}
+        self._is_known = False
+
+    @property
+    def is_known(self) -> bool:
+        """State whether a list of servers was taken over."""
+        return self._is_known
 
     @property
     def instances(self) -> Sequence[str]:
@@ -22,9 +32,9 @@
         return list(self._servers)
 
     @property
-    def addresses(self) -> set[tuple[str, int]]:
-        """Return the addresses of all servers."""
-        return {server.address for server in self._servers.values()}
+    def servers(self) -> Collection[BackendServer]:
+        """Return all servers."""
+        return self._servers.values()
 
     def of_service(self, service: str) -> list[BackendServer]:
         """Return the servers of the service that may take new work."""
@@ -32,7 +42,7 @@
         return [
             server
             for server in self._by_service.get(service, ())
-            if not server.is_leaving
+            if not (server.is_leaving or self._has_departed(server))
             and self._kept_until.get(server.instance, math.inf) > now
         ]
 
@@ -61,7 +71,12 @@
         }
         known |= {name: self._servers[name] for name in self._kept_until}
         self._servers = known
+        self._is_known = True
         self._by_service = {}
         for server in known.values():
             self._by_service.setdefault(server.service, []).append(server)
+        self._departures.keep({server.life for server in known.values()})
         return restarted
+
+    def _has_departed(self, server: BackendServer) -> bool:
+        return bool(self._departures) and server.life in self._departures
--- a/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
@@ -4,19 +4,22 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+from oriolegauge.core.bytebudget import ByteLease
 from oriolegauge.core.errors import (
     NoServerError,
     OutcomeUnknownError,
     ServerFailedError,
 )
 from oriolegauge.forwarding.answer import Answer
-from oriolegauge.forwarding.dispatcher import MISDIRECTED, Attempt
+from oriolegauge.forwarding.dispatcher import FIRST_SERVER_ERROR, Attempt
 from oriolegauge.forwarding.errors import ReplyBrokenError
-from oriolegauge.forwarding.exchange import ExchangeParts, Serving, rejected
+from oriolegauge.forwarding.exchange import ExchangeParts, Serving
 from oriolegauge.forwarding.headernames import HeaderNames
 from oriolegauge.forwarding.headers import end_to_end
 from oriolegauge.forwarding.requestcontext import RequestContext, RequestTrace
+from oriolegauge.forwarding.serverconnection import ServerConnection
 from oriolegauge.forwarding.serverreply import ServerReply
+from oriolegauge.forwarding.serversigns import MISDIRECTED
 
 # Largest answer that is held until it is whole.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -33,7 +36,6 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
 )
-FIRST_SERVER_ERROR = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,26 @@
     )
 
 
+async def read_body(
+    connection: ServerConnection, until: float, held: ByteLease
+) -> bytes:
+    """Return the whole body of a reply; raise ReplyBrokenError."""
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async with asyncio.timeout_at(until):
+            while (part := await connection.read()) is not None:
+                parts.append(part)
+                size += len(part)
+                if size > MAX_ANSWER_BYTES:
+                    raise ReplyBrokenError('the answer is too large')
+                if not held.add(len(part)):
+                    raise ReplyBrokenError('too much is buffered')
+    except TimeoutError:
+        raise ReplyBrokenError('the answer is not whole in time') from None
+    return b''.join(parts)
+
+
 class WholeExchange:
     """Answer requests of plain services, with retries where they may run."""
 
@@ -77,9 +99,10 @@
         self, context: RequestContext, trace: RequestTrace, answer: Answer
     ) -> None:
         """Answer the request; raise an OriolegaugeError if none is had."""
-        serving = _WholeServing(context, trace, answer)
-        while not await self._attempt(serving):
-            """The request is sent to another server."""
+        with self._parts.buffers.lease() as held:
+            serving = _WholeServing(context, trace, answer, held)
+            while not await self._attempt(serving):
+                """The request is sent to another server."""
 
     async def _attempt(self, serving: _WholeServing) -> bool:
         """Return whether the request was answered."""
@@ -115,7 +138,10 @@
             serving.trace.may_have_run = serving.has_run
             if self._parts.may_send_again(serving):
                 return False
-            await self._give_up(serving, rejected())
+            await self._give_up(
+                serving,
+                self._parts.dispatcher.rejection(serving.context.service),
+            )
             return True
         serving.has_run = True
         if status in PROMISES and not serving.context.route.is_repeatable:
@@ -142,31 +168,20 @@
         dispatcher = self._parts.dispatcher
         try:
             reply = await dispatcher.head(attempt, self._patience(serving))
-            dispatcher.answered(attempt)
-            body = await self._read(serving.context, attempt)
+            dispatcher.judge(attempt, reply)
+            body = await read_body(
+                attempt.connection, serving.context.deadline, serving.held
+            )
             if not is_genuine(reply, self._parts.names):
                 raise ReplyBrokenError('a success without a signature')
         except ReplyBrokenError:
             attempt.ok = False
             raise
         else:
-            attempt.ok = reply.status < FIRST_SERVER_ERROR
             return WholeReply(reply, body)
         finally:
             dispatcher.close(attempt)
 
-    async def _read(self, context: RequestContext, attempt: Attempt) -> bytes:
-        body = bytearray()
-        try:
-            async with asyncio.timeout_at(context.deadline):
-                while (part := await attempt.connection.read()) is not None:
-                    body += part
-                    if len(body) > MAX_ANSWER_BYTES:
-                        raise ReplyBrokenError('the answer is too large')
-        except TimeoutError:
-            raise ReplyBrokenError('the answer is not whole in time') from None
-        return bytes(body)
-
     def _patience(self, serving: _WholeServing) -> float:
         context = serving.context
         route = context.route
--- a/packages/forwarding/tests/test_callerconnection.py
+++ b/packages/forwarding/tests/test_callerconnection.py
@@ -49,6 +49,16 @@
                 + chunk(b'a' * 6_000),
                 413,
             ),
+            (
+                HEAD + b'Transfer-Encoding: chunked\r\n\r\n1;' + b'e' * 3_000,
+                431,
+            ),
+            (
+                HEAD
+                + b'Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nT: '
+                + b't' * 3_000,
+                431,
+            ),
             (HEAD, 408),
             (HEAD + b'Content-Length: 10\r\n\r\nabc', 408),
             (b'GET http://a.example/x HTTP/1.1\r\nHost: a\r\n\r\n', 400),
--- a/packages/forwarding/tests/test_forwarder.py
+++ b/packages/forwarding/tests/test_forwarder.py
@@ -23,6 +23,7 @@
 )
 from .world import (
     ScriptedServer,
+    Seen,
     World,
     read_message,
     reply,
@@ -272,6 +273,43 @@
             answer = await world.call('/once/x', body=b'o')
             assert answer.body == b'own'
 
+    @pytest.mark.parametrize('status', [400, 429, 500, 503])
+    async def test_failure_without_an_id_belongs_to_no_request(self, status):
+        """Guards against "not run" for work that has run.
+
+        The late failure of an earlier request reaches a connection in use.
+        """
+        nobody = Seen('', {}, b'')
+
+        async def failure_first(seen, writer):
+            writer.write(reply(nobody, status, signed=False, X_Not_Run='1'))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+            writer.write(reply(seen, body=b'own'))
+
+        async with World(ScriptedServer(failure_first)) as world:
+            for number in range(4):
+                answer = await world.call(
+                    '/once/x', request_id=f'r{number}', body=b'o'
+                )
+                assert ' 200 ' in answer.first_line
+                assert answer.body == b'own'
+
+    @pytest.mark.parametrize('path', ['/once/x', '/review/x'])
+    async def test_failure_without_an_id_and_no_other_is_no_promise(self, path):
+        """Guards against "not run" where nothing is known."""
+        nobody = Seen('', {}, b'')
+
+        async def failure_only(seen, writer):
+            writer.write(reply(nobody, 503, signed=False, X_Not_Run='1'))
+            await writer.drain()
+            writer.close()
+
+        async with World(ScriptedServer(failure_only)) as world:
+            answer = await world.call(path, body=b'o')
+            assert ' 502 ' in answer.first_line
+            assert sent(world) == 1
+
     async def test_connections_are_reused(self):
         """Guards against a new connection per request."""
         server = ScriptedServer()
--- a/packages/forwarding/tests/test_serverconnection.py
+++ b/packages/forwarding/tests/test_serverconnection.py
@@ -54,7 +54,9 @@
     async def test_bytes_that_nobody_asked_for_end_it(self, server):
         """Guards against reading a stray reply as the next answer."""
         connection = await connect(server)
-        connection.data_received(b'HTTP/1.1 200 OK\r\n\r\n')
+        data = b'HTTP/1.1 200 OK\r\n\r\n'
+        connection.get_buffer(len(data))[: len(data)] = data
+        connection.buffer_updated(len(data))
         assert not connection.is_reusable
 
     async def test_closed_while_waiting_is_a_broken_reply(self):
--- a/packages/forwarding/tests/test_streamexchange.py
+++ b/packages/forwarding/tests/test_streamexchange.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from oriolegauge.forwarding.streamexchange import MIN_SILENCE_S
 from oriolegauge.grants import PrepaidExhaustedError
 
 from .serverscripts import fail, reject, reset, sent
@@ -19,6 +20,30 @@
 )
 
 
+def trickling(part, pause):
+    """Send one event, and then a part again and again."""
+
+    async def play(seen, writer):
+        writer.write(stream_head(seen) + chunk(event(1)))
+        while True:
+            writer.write(chunk(part))
+            await writer.drain()
+            await asyncio.sleep(pause)
+
+    return play
+
+
+async def large_event(seen, writer):
+    """Send an event in parts, for longer than a silent server is waited for."""
+    writer.write(stream_head(seen) + chunk(event(1)))
+    writer.write(chunk(b'id: 2\ndata: '))
+    for _ in range(6):
+        writer.write(chunk(b'x' * 2_000))
+        await writer.drain()
+        await asyncio.sleep(0.25)
+    writer.write(chunk(b'\n\n') + b'0\r\n\r\n')
+
+
 def streaming(*parts, end=True, abort=False, pause=0):
     async def play(seen, writer):
         writer.write(stream_head(seen))
@@ -116,3 +141,42 @@
             await reader.readuntil(b'data: t2')
             assert asyncio.get_running_loop().time() - began > 0.2
             writer.close()
+
+    @pytest.mark.parametrize('part', [b': still here\n\n', b'x', b':'])
+    async def test_stalled_stream_that_sends_bytes_is_moved(self, part):
+        """Guards against a server that holds a stream with a byte now and then.
+
+        The stream goes on elsewhere as after silence.
+        """
+        stalled = ScriptedServer(trickling(part, 0.2))
+        async with World(stalled, ScriptedServer(resumed)) as world:
+            world.chooser.connected('s1', ok=False, now=math.inf)
+            began = world.now()
+            answer = await world.call(
+                '/chat/x', body=b'p', X_Deadline_Ms='5000'
+            )
+            events = answer.body.replace(b': still here\n\n', b'')
+            assert events == WHOLE
+            assert world.now() - began < 2 * MIN_SILENCE_S
+
+    async def test_slow_event_that_goes_on_is_not_cut(self):
+        """Guards against cutting a sound stream on a slow link."""
+        slow = ScriptedServer(large_event)
+        async with World(slow, ScriptedServer(resumed)) as world:
+            world.chooser.connected('s1', ok=False, now=math.inf)
+            answer = await world.call(
+                '/chat/x', body=b'p', X_Deadline_Ms='5000'
+            )
+            assert answer.body.count(b'x') == 12_000
+            assert not world.servers[1].seen
+
+    @pytest.mark.parametrize('path', ['/chat/x', '/review/x'])
+    async def test_end_inside_an_event_is_no_success(self, path):
+        """Guards against an answer that broke off and looks whole.
+
+        The server ends its reply in order, in the middle of an event.
+        """
+        broken = streaming(event(1), b'id: 2\nda', end=True)
+        async with World(ScriptedServer(broken)) as world:
+            with pytest.raises((asyncio.IncompleteReadError, ValueError)):
+                await world.call(path, body=b'p')
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from oriolegauge.admission import HostLink
+from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.forwarding import (
     BackendServer,
@@ -25,11 +26,14 @@
 )
 from oriolegauge.forwarding.callerlistener import CallerListener
 from oriolegauge.forwarding.connectionpool import ConnectionPool
+from oriolegauge.forwarding.departures import Departures
 from oriolegauge.forwarding.dispatcher import Dispatcher
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
+from oriolegauge.forwarding.serversigns import ServerSigns
 from oriolegauge.grants import Reservation
 from oriolegauge.routing.serverchooser import ServerChooser
+from oriolegauge.routing.serverpauses import ServerPauses
 
 HOST = '127.0.0.1'
 NAMES = HeaderNames(callers_never_set=frozenset(('X-Hold',)))
@@ -195,6 +199,11 @@
         longest_pause_s=0.25,
     ),
     route('/review/', RequestKind.STREAM, has_prompt=True, max_attempts=1),
+    route(
+        '/sound/',
+        RequestKind.IDEMPOTENT,
+        services=(WeightedService('sound', 1),),
+    ),
 )
 
 
@@ -224,7 +233,9 @@
         clock = asyncio.get_running_loop().time
         for server in self.servers:
             await server.start()
-        self.directory = ServerDirectory(clock)
+        self.departures = Departures(clock, on_news=lambda: None)
+        self.directory = ServerDirectory(clock, self.departures)
+        self.pauses = ServerPauses(random.Random(1))
         self.show_servers()
         self.chooser = ServerChooser(zone='z1', rng=random.Random(1))
         self.pool = ConnectionPool(
@@ -233,12 +244,20 @@
             on_connected=lambda name, ok: self.chooser.connected(
                 name, ok=ok, now=clock()
             ),
+            signs=ServerSigns(
+                names=NAMES,
+                departures=self.departures,
+                pauses=self.pauses,
+                clock=clock,
+            ),
         )
+        self.buffers = ByteBudget(12 * 1024 * 1024)
         self.link = HostLink(mbps=1_000, clock=clock)
         self.forwarder = Forwarder(
             names=NAMES,
             dispatcher=Dispatcher(
                 loads=NoPeers(),
+                pauses=self.pauses,
                 directory=self.directory,
                 chooser=self.chooser,
                 pool=self.pool,
@@ -247,6 +266,7 @@
                 clock=clock,
             ),
             budget=self.budget,
+            buffers=self.buffers,
             link=self.link,
             metrics=ForwardMetrics(dict),
             beliefs=lambda: Beliefs(
@@ -288,6 +308,10 @@
         for server in self.servers:
             await server.stop()
 
+    @staticmethod
+    def now():
+        return asyncio.get_running_loop().time()
+
     def show_servers(self, leaving=()):
         self.directory.replace(
             [
--- a/packages/gateway/src/oriolegauge/gateway/enrolment.py
+++ b/packages/gateway/src/oriolegauge/gateway/enrolment.py
@@ -10,6 +10,7 @@
 from oriolegauge.objectstore import (
     KindStore,
     ObjectStore,
+    StoredObject,
     StoreError,
     VersionConflictError,
 )
@@ -62,17 +63,23 @@
             else:
                 listings += 1
                 for entry in found.objects:
-                    self._meet(
-                        FleetMember(
-                            name=str(entry.value.get('address', '')),
-                            zone=str(entry.value.get('zone', '')),
-                            strength=int(entry.value.get('strength', 0)),
-                        )
-                    )
+                    self._meet_entry(entry)
             await asyncio.sleep(ENROL_RETRY_S)
         # The task stays, like those of the other parts.
         await asyncio.Event().wait()
 
+    def _meet_entry(self, entry: StoredObject) -> None:
+        try:
+            member = FleetMember(
+                name=str(entry.value['address']),
+                zone=str(entry.value['zone']),
+                strength=int(entry.value['strength']),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            log.warning('unfit member', entry=entry.key, error=repr(error))
+            return
+        self._meet(member)
+
     async def _enter(self, key: str, value: Mapping[str, Any]) -> None:
         try:
             await self._store.put(key, value, 0)
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -10,6 +10,11 @@
 from oriolegauge.budget.messages import Ack
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.core.taskset import TaskSet
+from oriolegauge.forwarding.departures import (
+    Departure,
+    Departures,
+    ServerLife,
+)
 from oriolegauge.gateway.documentexchange import DocumentExchange
 from oriolegauge.gateway.fleetlayout import (
     has_zone_boards,
@@ -30,6 +35,7 @@
 from oriolegauge.wire.messages import (
     ConfigFetch,
     Heartbeat,
+    LeavingServer,
     LoadReport,
     Message,
 )
@@ -50,6 +56,7 @@
 SILENT_PAUSE_S = 1.0
 # A slow host answers within this time; shorter waits say nothing of it.
 SILENCE_S = 0.2
+_MS_PER_S = 1000
 _SERVING = ('serving', 'starting')
 
 MessageHandler = Callable[[Message], Awaitable[Message | None]]
@@ -82,6 +89,7 @@
         own: FleetMember,
         incarnation: str,
         documents: SharedDocuments,
+        departures: Departures,
         chooser: ServerChooser,
         state: Callable[[], str],
         reaches_store: Callable[[], bool],
@@ -92,6 +100,7 @@
         self._name = own.name
         self._incarnation = incarnation
         self._documents = DocumentExchange(documents, self._ask)
+        self._departures = departures
         self._chooser = chooser
         self._state = state
         self._reaches_store = reaches_store
@@ -150,6 +159,16 @@
                         strength=message.strength,
                     )
                 )
+                self._departures.learn(
+                    [
+                        Departure(
+                            ServerLife(row.server, row.started_ms),
+                            row.age_ms / _MS_PER_S,
+                        )
+                        for row in message.departures
+                    ],
+                    peer=sender.name,
+                )
                 return None
             case ConfigFetch(keys=keys):
                 return self._documents.answer(keys)
@@ -318,6 +337,14 @@
             watches_store=self._reaches_store(),
             config_versions=self._documents.versions(),
             in_flight=in_flight_rows(self._chooser.own_loads()),
+            departures=tuple(
+                LeavingServer(
+                    told.life.instance,
+                    told.life.started_ms,
+                    int(told.age_s * _MS_PER_S),
+                )
+                for told in self._departures.all()
+            ),
         )
 
     def after_beat(self) -> None:
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -4,8 +4,9 @@
 import math
 import random
 import secrets
-from collections.abc import Callable, Coroutine, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
+from functools import partial
 from typing import Any, Protocol
 
 import aiohttp
@@ -13,9 +14,12 @@
 import structlog
 
 from oriolegauge.admission import HostLink
+from oriolegauge.core.bytebudget import ByteBudget
+from oriolegauge.core.supervisor import Job, run_supervised
 from oriolegauge.forwarding.backendserver import BackendServer
 from oriolegauge.forwarding.callerlistener import CallerListener
 from oriolegauge.forwarding.connectionpool import ConnectionPool
+from oriolegauge.forwarding.departures import Departures
 from oriolegauge.forwarding.dispatcher import Dispatcher
 from oriolegauge.forwarding.forwarder import Beliefs, Forwarder
 from oriolegauge.forwarding.forwardingconfig import (
@@ -26,6 +30,7 @@
 from oriolegauge.forwarding.headernames import HeaderNames
 from oriolegauge.forwarding.routetable import RouteTable
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
+from oriolegauge.forwarding.serversigns import ServerSigns
 from oriolegauge.gateway.enrolment import Enrolment, GatewayStore
 from oriolegauge.gateway.fleetlayout import beat_period_s
 from oriolegauge.gateway.fleetlinks import FleetLinks
@@ -40,6 +45,7 @@
 from oriolegauge.mesh import PeerMesh
 from oriolegauge.mesh.lifecycle import Lifecycle
 from oriolegauge.routing.serverchooser import ServerChooser
+from oriolegauge.routing.serverpauses import ServerPauses
 
 # The balancer asks once a second and gives up after two misses; connections
 # that it opens until then are still served.
@@ -54,6 +60,11 @@
 MIN_CONNECTIONS = 8
 # Part of the common retry slack that is handed out to daemons.
 SLACK_SHARE = 0.8
+# Parts of the host's memory for what is held of servers' replies and of
+# callers' requests that are not whole; the daemon itself takes a third of the
+# smallest host's.
+REPLY_BUFFER_SHARE = 0.06
+REQUEST_BUFFER_SHARE = 0.12
 RELOADABLE = ('grace_s', 'retry_share', 'retry_slack')
 
 log = structlog.get_logger()
@@ -93,12 +104,22 @@
         self._incarnation = secrets.token_hex(6)
         self._drain_wanted = asyncio.Event()
         self.lifecycle = Lifecycle()
-        self._directory = ServerDirectory(self._clock)
+        self._departures = Departures(
+            self._clock, on_news=lambda: self._links.tell_news()
+        )
+        self._directory = ServerDirectory(self._clock, self._departures)
+        self._pauses = ServerPauses(self._rng)
         self._chooser = ServerChooser(zone=settings.zone, rng=self._rng)
         self._pool = ConnectionPool(
             request_id_header=names.request_id,
             connect_timeout_s=settings.connect_timeout_s,
             on_connected=self._note_connected,
+            signs=ServerSigns(
+                names=names,
+                departures=self._departures,
+                pauses=self._pauses,
+                clock=self._clock,
+            ),
         )
         self._documents = SharedDocuments(self._take_over)
         own = FleetMember(
@@ -112,6 +133,7 @@
             own=own,
             incarnation=self._incarnation,
             documents=self._documents,
+            departures=self._departures,
             chooser=self._chooser,
             state=lambda: self.lifecycle.state,
             reaches_store=self._reaches_store,
@@ -137,6 +159,7 @@
                 is_watcher=self._links.watches,
                 is_leader=self._links.leads,
                 on_regained=self._keeper.store_regained,
+                on_asked=partial(self._use_held, kind),
             )
             for kind in (settings.config_kind, settings.server_kind)
         }
@@ -170,10 +193,12 @@
                 pool=self._pool,
                 names=names,
                 loads=self._links.loads,
+                pauses=self._pauses,
                 connection_limit=self._connection_limit,
                 clock=self._clock,
             ),
             budget=self._keeper,
+            buffers=ByteBudget(int(settings.memory_bytes * REPLY_BUFFER_SHARE)),
             link=self._link,
             metrics=self._metrics,
             beliefs=self._beliefs,
@@ -214,8 +239,10 @@
         await self._listener.listen(
             settings.callers.host, settings.callers.port
         )
-        tasks = [asyncio.create_task(job) for job in self._jobs()]
-        await self._wait_for_drain(tasks)
+        tasks = [
+            asyncio.create_task(run_supervised(job)) for job in self._jobs()
+        ]
+        await self._drain_wanted.wait()
         await self._drain()
         for task in tasks:
             task.cancel()
@@ -223,26 +250,19 @@
         await self._close()
         log.info('stop', member=settings.name)
 
-    def _jobs(self) -> list[Coroutine[Any, Any, None]]:
+    def _jobs(self) -> list[Job]:
         return [
-            self._mesh.run(self._links.heartbeat, self._links.after_beat),
-            self._enrolment.run(),
-            self._keeper.run(),
-            self._links.loads.run(),
-            self._links.loads.run_sums(),
-            self._prune(),
-            *(follower.run() for follower in self._followers.values()),
+            self._run_links,
+            self._enrolment.run,
+            self._keeper.run,
+            self._links.loads.run,
+            self._links.loads.run_sums,
+            self._prune,
+            *(follower.run for follower in self._followers.values()),
         ]
 
-    async def _wait_for_drain(self, tasks: list[asyncio.Task]) -> None:
-        draining = asyncio.create_task(self._drain_wanted.wait())
-        done, _ = await asyncio.wait(
-            {draining, *tasks}, return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done - {draining}:
-            # A background task only ends by a fault; a fresh process is safer
-            # than one with a part missing.
-            task.result()
+    async def _run_links(self) -> None:
+        await self._mesh.run(self._links.heartbeat, self._links.after_beat)
 
     async def _close(self) -> None:
         await self._mesh.close()
@@ -267,17 +287,24 @@
     async def _prune(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_PERIOD_S)
-            self._pool.prune(self._directory.addresses)
+            self._pool.prune(self._directory.servers)
+
+    def _use_held(self, kind: str) -> None:
+        """Use what peers told before the store was asked."""
+        document = self._documents.get(kind)
+        if document:
+            self._take_over(kind, document)
 
     def _take_over(self, key: str, document: Document) -> None:
+        if not self._followers[key].was_asked:
+            return
         objects = orjson.loads(document.payload)
         self._links.tell_news()
         if key == self._settings.config_kind:
             self._use_config(objects, document)
         elif key == self._settings.server_kind:
             self._use_servers(objects, document)
-        is_complete = self._forwarder.table is not None
-        if is_complete and self._documents.get(self._settings.server_kind):
+        if self._forwarder.table is not None and self._directory.is_known:
             self.lifecycle.serve()
 
     def _use_config(
@@ -312,8 +339,10 @@
         )
         for name in restarted:
             self._links.loads.restarted(name)
+            self._pauses.forget(name)
+        self._pauses.keep_only(self._directory.instances)
         self._links.loads.keep_only(self._directory.instances)
-        self._pool.prune(self._directory.addresses)
+        self._pool.prune(self._directory.servers)
         log.info(
             'servers changed',
             revision=document.revision,
--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -19,6 +19,7 @@
     `retry_slack` is the number of retries in a window, beyond `retry_share` of
     the requests, that all daemons together may send to a service.
     `cores` and `link_mbps` tell what the host has for other daemons.
+    `memory_bytes` is all that the process may use.
     `grace_s` is the time between SIGTERM and the end of the process.
     """
 
@@ -39,6 +40,7 @@
     max_caller_connections: int
     cores: float
     link_mbps: float
+    memory_bytes: int = 256 * 1024 * 1024
     peers: tuple = ()
     peer_timeout_s: float = 0.6
     max_peer_message_bytes: int = 8 * 1024 * 1024
--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -53,9 +53,12 @@
         is_watcher: Callable[[], bool],
         is_leader: Callable[[], bool],
         on_regained: Callable[[], None],
+        on_asked: Callable[[], None],
     ) -> None:
         """Offer documents under the kind's name.
 
+        `on_asked` is called once the store has been asked, answered or not.
+
         While `is_watcher` is false, peers tell of changes, and the store is
         only asked now and then, by calls that may return an older state. A
         store that is lost is tried again often while `is_leader` is true.
@@ -67,6 +70,8 @@
         self._is_watcher = is_watcher
         self._is_leader = is_leader
         self._on_regained = on_regained
+        self._on_asked = on_asked
+        self._was_asked = False
         self._objects: dict[str, StoredObject] = {}
         self._revision: int | None = None
         self._reached_at: float | None = None
@@ -74,6 +79,15 @@
         self._regained_at = clock()
         self._is_lost = False
 
+    @property
+    def was_asked(self) -> bool:
+        """State whether the store has answered, or could not be asked.
+
+        Until then a peer may hold an older state than this process knew before
+        it was started again.
+        """
+        return self._was_asked
+
     @property
     def reached_at(self) -> float | None:
         """Return the loop time of the store's last answer."""
@@ -188,7 +202,13 @@
             self._kind, Document(self._revision, payload, SOURCE)
         )
 
+    def _note_asked(self) -> None:
+        if not self._was_asked:
+            self._was_asked = True
+            self._on_asked()
+
     def _note_success(self) -> None:
+        self._note_asked()
         was_lost = self._is_lost
         self._is_lost = False
         self._reached_at = self._clock()
@@ -202,3 +222,4 @@
             log.warning('store lost', kind=self._kind, error=error.message)
         self._is_lost = True
         self._failed_at = self._clock()
+        self._note_asked()
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from oriolegauge.forwarding.departures import Departures
 from oriolegauge.gateway.fleetlayout import (
     FULL_MESH_MEMBERS,
     beat_period_s,
@@ -124,6 +125,7 @@
         own=own,
         incarnation='1',
         documents=SharedDocuments(lambda *_: None),
+        departures=Departures(clock, on_news=lambda: None),
         chooser=ServerChooser(zone='z', rng=random.Random(1)),
         state=lambda: 'serving',
         reaches_store=lambda: reaches_store,
--- a/packages/gateway/tests/test_kindfollower.py
+++ b/packages/gateway/tests/test_kindfollower.py
@@ -53,7 +53,9 @@
     return StoredObject(f'servers/{name}', version, {'v': version})
 
 
-def make_follower(store, documents, *, is_watcher, is_leader, regained=None):
+def make_follower(
+    store, documents, *, is_watcher, is_leader, regained=None, asked=None
+):
     return KindFollower(
         store=store,
         kind='servers',
@@ -62,6 +64,7 @@
         is_watcher=lambda: is_watcher,
         is_leader=lambda: is_leader,
         on_regained=lambda: None if regained is None else regained.append(1),
+        on_asked=lambda: None if asked is None else asked.append(1),
     )
 
 
@@ -251,6 +254,7 @@
             is_watcher=lambda: not follower.is_lost,
             is_leader=lambda: True,
             on_regained=lambda: None,
+            on_asked=lambda: None,
         )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(2)
@@ -264,3 +268,31 @@
             Snapshot([entry('a', 5)], 5), Changes([entry('a', 3)], [], 3)
         )
         assert len(taken) == 1
+
+
+class TestStartOfADaemon:
+    @pytest.mark.parametrize(
+        'first',
+        [Snapshot([entry('a', 5)], 5), StoreUnavailableError('down')],
+    )
+    async def test_store_is_asked_before_peers_are_believed(self, first):
+        """Guards against a withdrawn key or a server that left, used again.
+
+        A peer that is out of touch may tell an older state to a daemon that
+        was started again.
+        """
+        asked = []
+        store = ScriptedStore(first)
+        follower = make_follower(
+            store,
+            SharedDocuments(lambda *_: None),
+            is_watcher=True,
+            is_leader=True,
+            asked=asked,
+        )
+        assert not follower.was_asked
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.01)
+        assert follower.was_asked
+        assert asked == [1]
+        task.cancel()
--- a/packages/grants/src/oriolegauge/grants/teamgrants.py
+++ b/packages/grants/src/oriolegauge/grants/teamgrants.py
@@ -14,6 +14,7 @@
     StoreAnswerLostError,
     StoredObject,
     StoreError,
+    StoreUnavailableError,
     VersionConflictError,
 )
 
@@ -28,6 +29,8 @@
 # Races between daemons that write the same object; each retry costs a call.
 MAX_CONFLICTS = 8
 
+_UNFIT = (KeyError, TypeError, ValueError, AttributeError)
+
 log = structlog.get_logger()
 
 
@@ -140,8 +143,12 @@
 
         A write that is on its way is left to meet the newer version itself.
         """
-        if found.version > self._version and not self._lock.locked():
+        if found.version <= self._version or self._lock.locked():
+            return
+        try:
             self._adopt(found)
+        except StoreError as error:
+            log.warning('unfit grants', team=self._team, error=error.message)
 
     async def give_back(self) -> None:
         """Return all free tokens to the pool."""
@@ -228,12 +235,12 @@
 
     def _adopt(self, found: StoredObject | None) -> None:
         """Take over a version read and settle what it says of a lost write."""
-        self._is_known = True
-        self._book = GrantBook()
-        self._version = 0
+        book, version = GrantBook(), 0
         if found is not None:
-            self._book = GrantBook.from_value(found.value)
-            self._version = found.version
+            book, version = self._read(found), found.version
+        self._is_known = True
+        self._book = book
+        self._version = version
         lost = self._unresolved
         if lost is None:
             return
@@ -244,6 +251,14 @@
             # Its condition can't hold any more, so it will never be applied.
             self._drop_lost()
 
+    def _read(self, found: StoredObject) -> GrantBook:
+        try:
+            return GrantBook.from_value(found.value)
+        except _UNFIT as error:
+            raise StoreUnavailableError(
+                f'{self._key} holds no grants: {error!r}'
+            ) from error
+
     def _drop_lost(self) -> None:
         lost = self._unresolved
         self._unresolved = None
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -61,6 +61,7 @@
   watchesStore @10 :Bool;
   hostSigns @11 :HostSigns;
   strength @12 :Int64;
+  departures @13 :LeavingServers;
 }
 
 struct ConfigVersions {
@@ -74,6 +75,11 @@
   tokens @2 :List(Int64);
 }
 struct HostSigns { server @0 :List(Text); leaving @1 :List(Bool); }
+struct LeavingServers {
+  server @0 :List(Text);
+  startedMs @1 :List(Int64);
+  ageMs @2 :List(Int64);
+}
 struct ServerSuspects { server @0 :Text; fingerprints @1 :List(Text); }
 struct Heard {
   member @0 :List(Text);
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -69,6 +69,19 @@
     leaving: bool
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingServer:
+    """State that a backend server has said that it leaves.
+
+    `started_ms` (Unix time) tells its lives apart; the first sign of its
+    leaving is `age_ms` old.
+    """
+
+    server: str
+    started_ms: int
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Heartbeat:
     """Tell peers that a member lives, and what it holds and runs.
@@ -92,6 +105,7 @@
     watches_store: bool = False
     host_signs: tuple[HostSign, ...] = ()
     strength: int = 0
+    departures: tuple[LeavingServer, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/adapter/test_platformstore.py
+++ b/tests/adapter/test_platformstore.py
@@ -1,11 +1,16 @@
 """The adapter's client against a store with its faults."""
 
+import asyncio
+import contextlib
+import resource
+
 import pytest
-from oriolegauge_adapter.platformstore import PlatformStore
+from oriolegauge_adapter.platformstore import MAX_ANSWER_BYTES, PlatformStore
 
 from oriolegauge.objectstore import (
     HistoryLostError,
     StoreAnswerLostError,
+    StoreError,
     StoreRateLimitError,
     StoreUnavailableError,
     StoreUnreachableError,
@@ -95,3 +100,86 @@
         stand_in.forget_history()
         with pytest.raises(HistoryLostError):
             await client.changes('servers', start, 1)
+
+
+class RawStore:
+    """Answer every call with the same bytes."""
+
+    def __init__(self, body, head=b'', endless=False):
+        self._body = body
+        self._head = head
+        self._endless = endless
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._answer, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self._client = PlatformStore(f'127.0.0.1:{port}')
+        return self._client
+
+    async def __aexit__(self, *_):
+        await self._client.close()
+        self._server.close()
+
+    async def _answer(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        with contextlib.suppress(ConnectionError):
+            writer.write(b'HTTP/1.1 200 OK\r\n' + self._head)
+            if not self._endless:
+                writer.write(b'Content-Length: %d\r\n' % len(self._body))
+                writer.write(b'\r\n' + self._body)
+            while self._endless:
+                writer.write(self._body)
+                await writer.drain()
+        writer.close()
+
+
+class TestMalformedAnswers:
+    @pytest.mark.parametrize(
+        'body',
+        [
+            b'',
+            b'null',
+            b'[]',
+            b'{}',
+            b'{"items": 3}',
+            b'{"items": [{}], "hasMore": false, "asOf": 3}',
+            b'{"items": [], "hasMore": true, "asOf": 3}',
+            b'{"items": [{"metadata": {"name": "a", "revision": 1}}],'
+            b' "hasMore": true, "asOf": 3}',
+            b'{"events": [{"deleted": true}], "asOf": 3}',
+            b'\xff\xfe',
+            b'{"items"',
+        ],
+    )
+    async def test_is_an_error_of_the_store(self, body):
+        """Guards against a process that one odd answer takes down."""
+        async with RawStore(body) as client:
+            for call in (
+                client.snapshot('servers'),
+                client.changes('servers', 1, 0),
+                client.get('grants/a'),
+                client.put('grants/a', {}, 0),
+            ):
+                with pytest.raises(StoreError):
+                    await call
+
+    @pytest.mark.parametrize(
+        ('head', 'body'),
+        [
+            (b'X-Long: ', b'x' * 16_384),
+            (b'', b'X-A: b\r\n' * 1_000),
+            (b'Connection: close\r\n\r\n', b' ' * 16_384),
+            (
+                b'Transfer-Encoding: chunked\r\n\r\n',
+                b'4000\r\n' + b' ' * 16_384 + b'\r\n',
+            ),
+        ],
+    )
+    async def test_endless_answer_is_bounded(self, head, body):
+        """Guards against a store that fills the memory of the daemon."""
+        async with RawStore(body, head, endless=True) as client:
+            before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+            with pytest.raises(StoreError):
+                await client.snapshot('servers')
+            after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+            assert (after - before) * 1024 < 4 * MAX_ANSWER_BYTES
