--- a/packages/core/src/oriolegauge/core/taskset.py
+++ b/packages/core/src/oriolegauge/core/taskset.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
 import structlog
 
+Result = TypeVar('Result')
+
 log = structlog.get_logger()
 
 
@@ -20,11 +22,12 @@
         """Return the number of tasks that run."""
         return len(self._tasks)
 
-    def spawn(self, job: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, job: Coroutine[Any, Any, Result]) -> asyncio.Task[Result]:
         """Run the job in the background."""
         task = asyncio.create_task(job)
         self._tasks.add(task)
         task.add_done_callback(self._end)
+        return task
 
     def _end(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -52,8 +52,13 @@
 class TokenBudget(Protocol):
     """Reserve prepaid tokens before work starts and settle them after."""
 
-    async def reserve(self, team: str, tokens: int) -> Reservation | None:
-        """Set tokens aside; raise an OriolegaugeError if there are none."""
+    async def reserve(
+        self, team: str, tokens: int, until: float
+    ) -> Reservation | None:
+        """Set tokens aside; raise an OriolegaugeError if there are none.
+
+        Wait no longer than until the loop time.
+        """
 
     def settle(self, reservation: Reservation, used: int) -> None:
         """Charge the tokens used and free the rest."""
@@ -220,7 +225,9 @@
         reservation = None
         tokens = context.work.prompt_tokens + context.work.output_tokens
         if tokens and context.workspace is not None:
-            reservation = await self._budget.reserve(context.workspace, tokens)
+            reservation = await self._budget.reserve(
+                context.workspace, tokens, context.deadline
+            )
         is_stream = context.route.kind is RequestKind.STREAM
         exchange = self._streams if is_stream else self._whole
         try:
--- a/packages/gateway/src/oriolegauge/gateway/enrolment.py
+++ b/packages/gateway/src/oriolegauge/gateway/enrolment.py
@@ -37,12 +37,14 @@
         kind: str,
         own: FleetMember,
         meet: Callable[[FleetMember], None],
+        on_listed: Callable[[], None],
     ) -> None:
-        """Enter this daemon, and `meet` others."""
+        """Enter this daemon, and `meet` others; tell when all were met."""
         self._store = store
         self._kind = kind
         self._own = own
         self._meet = meet
+        self._on_listed = on_listed
 
     async def run(self) -> None:
         """Enrol, list the others a few times, then wait to be cancelled."""
@@ -64,6 +66,7 @@
                 listings += 1
                 for entry in found.objects:
                     self._meet_entry(entry)
+                self._on_listed()
             await asyncio.sleep(ENROL_RETRY_S)
         # The task stays, like those of the other parts.
         await asyncio.Event().wait()
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -1,5 +1,7 @@
 """What the daemons of a fleet tell each other."""
 
+import asyncio
+import contextlib
 import math
 from collections.abc import Awaitable, Callable, Collection, Iterator
 from dataclasses import dataclass
@@ -27,7 +29,6 @@
     in_flight_rows,
 )
 from oriolegauge.gateway.shareddocuments import SharedDocuments
-from oriolegauge.grants import MAX_HOME_HOSTS
 from oriolegauge.mesh import PeerMesh
 from oriolegauge.routing.loadboard import LoadBoard
 from oriolegauge.routing.serverchooser import PeerLoad, ServerChooser
@@ -44,16 +45,20 @@
 HEARD_WITHIN_S = 1.7
 # A peer without a link for this time has been replaced.
 FORGET_PEER_S = 60.0
-# Daemons that watch the store; the others hear of changes from them. As many as
-# are homes of teams, which need to know soon that the store is back.
-MAX_WATCHERS = MAX_HOME_HOSTS
-# A link to a home that was just added gets this time to open; a draw waits for
-# it, since the alternative is a write to the store.
+# Daemons that watch the store; the others hear of changes from them. The same
+# ones hold reserves of prepaid tokens and need to know soon that it is back.
+MAX_WATCHERS = 8
+# A daemon that can't list the others acts alone after this time.
+SETTLING_S = 1.0
+# A link to a leader that was just added gets this time to open; a draw waits
+# for it, since the alternative is a write to the store.
 OPENING_S = 1.0
 CONNECT_WAIT_S = 0.3
 # A peer that did not answer leads nobody for this time: it may be frozen, which
 # its open connection does not show.
 SILENT_PAUSE_S = 1.0
+# The same for one that said that it does not reach the store.
+STORE_LOST_PAUSE_S = 1.0
 # A slow host answers within this time; shorter waits say nothing of it.
 SILENCE_S = 0.2
 _MS_PER_S = 1000
@@ -68,12 +73,14 @@
 class _LinkTimes:
     """Keep loop times of a link.
 
-    Added, last seen open (or added), and last call without an answer.
+    Added, last seen open (or added), last call without an answer, and last
+    answer that told of a store out of reach.
     """
 
     added_at: float
     open_at: float
     silent_at: float = -math.inf
+    store_lost_at: float = -math.inf
 
 
 class FleetLinks:
@@ -115,6 +122,8 @@
         self._called: set[str] = set()
         self._times: dict[str, _LinkTimes] = {}
         self._tasks = TaskSet()
+        self._is_listed = asyncio.Event()
+        self._settled_at = asyncio.get_running_loop().time() + SETTLING_S
 
     @property
     def members(self) -> int:
@@ -126,6 +135,21 @@
         """Return the number of daemons that a link is open to."""
         return len(self.linked_peers())
 
+    def note_listed(self) -> None:
+        """Take note that the members in the store have been met."""
+        self._is_listed.set()
+
+    async def settled(self) -> None:
+        """Wait until the fleet is known, for a moment after the start.
+
+        Until then each daemon would take itself for the leader.
+        """
+        if self._is_listed.is_set():
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(self._settled_at):
+                await self._is_listed.wait()
+
     def tell_news(self) -> None:
         """Let the peers know of a new document at once."""
         if self._mesh:
@@ -254,15 +278,37 @@
                 await link.wait_connected(CONNECT_WAIT_S)
             return await link.call(message, timeout_s)
         except PeerTimeoutError:
-            if timeout_s >= SILENCE_S and peer in self._times:
-                self._times[peer].silent_at = self._clock()
+            if timeout_s >= SILENCE_S:
+                self.note_silent(peer)
             raise
 
-    def home_hosts(self) -> list[str]:
-        """Return the daemons that are homes of teams, this one included."""
-        # Those that lost the store stay homes: what they hold is all there is
-        # if the whole fleet lost it, and otherwise others draw for them.
-        return list(islice(self._leaders(), MAX_HOME_HOSTS))
+    def reserve_hosts(self) -> list[str]:
+        """Return the daemons that hold reserves of tokens, by rank."""
+        # Those that lost the store stay: what they hold is all there is if the
+        # whole fleet lost it.
+        return list(islice(self._leaders(), MAX_WATCHERS))
+
+    def treasurer(self) -> str:
+        """Return the first leader that may reach the store.
+
+        If nobody is known to reach it, the first leader stays what it was: what
+        it holds is all there is.
+        """
+        leaders = self.reserve_hosts()
+        if not (self._reaches_store() or self.reaching_store()):
+            return leaders[0] if leaders else self._name
+        reaching = filter(self._may_reach_store, leaders)
+        return next(reaching, leaders[0] if leaders else self._name)
+
+    def note_silent(self, peer: str) -> None:
+        """Take note that a peer has not answered in time; it may be frozen."""
+        if peer in self._times:
+            self._times[peer].silent_at = self._clock()
+
+    def note_store_lost(self, peer: str) -> None:
+        """Take note that a peer said that it does not reach the store."""
+        if peer in self._times:
+            self._times[peer].store_lost_at = self._clock()
 
     def open_link(self, name: str) -> None:
         """Keep a link to the peer from now on."""
@@ -309,6 +355,9 @@
     def _may_reach_store(self, name: str) -> bool:
         if name == self._name:
             return self._reaches_store()
+        times = self._times.get(name)
+        if times and self._clock() - times.store_lost_at < STORE_LOST_PAUSE_S:
+            return False
         heard = self._mesh.heartbeats.get(name) if self._mesh else None
         return heard is None or heard.heartbeat.watches_store
 
@@ -317,7 +366,7 @@
             return
         neighbours = ring_neighbours(self._name, self._roster.others)
         wanted = neighbours | self._called
-        self._mesh.mute(self._called - neighbours)
+        self._mesh.mute(self._called - neighbours - self._fellow_leaders())
         for name in wanted - set(self._mesh.names):
             now = self._clock()
             self._times[name] = _LinkTimes(added_at=now, open_at=now)
@@ -326,6 +375,13 @@
             del self._times[name]
             self._mesh.remove_peer(name)
 
+    def _fellow_leaders(self) -> set[str]:
+        """Return the leaders if this daemon is one; they hear of each other."""
+        first = {
+            member.name for member in islice(self._roster.ranked, MAX_WATCHERS)
+        }
+        return first if self._name in first else set()
+
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat to send now."""
         return Heartbeat(
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -41,7 +41,7 @@
 from oriolegauge.gateway.kindfollower import KindFollower
 from oriolegauge.gateway.lapsegrace import kept_until
 from oriolegauge.gateway.shareddocuments import Document, SharedDocuments
-from oriolegauge.grants import GrantKeeper
+from oriolegauge.grants import GrantKeeper, HostClocks
 from oriolegauge.mesh import PeerMesh
 from oriolegauge.mesh.lifecycle import Lifecycle
 from oriolegauge.routing.serverchooser import ServerChooser
@@ -93,6 +93,7 @@
         store: GatewayStore,
         decoder: Decoder,
         session: aiohttp.ClientSession,
+        host_clocks: HostClocks,
     ) -> None:
         """Talk to peers over the session and to the platform's store."""
         self._settings = settings
@@ -143,11 +144,13 @@
         self._keeper = GrantKeeper(
             store=store,
             kind=settings.grants_kind,
+            host=settings.name,
             holder=f'{settings.name}/{self._incarnation}',
             peers=self._grant_links,
             prepaid=self._prepaid,
-            reaches_store=self._reaches_store,
+            reaches_store=self._follows_store,
             clock=self._clock,
+            host_clocks=host_clocks,
             rng=self._rng,
         )
         self._followers = {
@@ -184,6 +187,7 @@
             kind=settings.member_kind,
             own=own,
             meet=self._links.meet,
+            on_listed=self._links.note_listed,
         )
         self._forwarder = Forwarder(
             names=names,
@@ -255,6 +259,7 @@
             self._run_links,
             self._enrolment.run,
             self._keeper.run,
+            self._keeper.run_reserve,
             self._links.loads.run,
             self._links.loads.run_sums,
             self._prune,
@@ -359,9 +364,12 @@
     def _beat_period_s(self) -> float:
         return beat_period_s(self._links.members)
 
-    def _reaches_store(self) -> bool:
+    def _follows_store(self) -> bool:
         return not all(one.is_lost for one in self._followers.values())
 
+    def _reaches_store(self) -> bool:
+        return self._follows_store() and not self._keeper.is_store_lost
+
     def _note_connected(self, instance: str, ok: bool) -> None:
         self._chooser.connected(instance, ok=ok, now=self._clock())
 
--- a/packages/gateway/src/oriolegauge/gateway/grantlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/grantlinks.py
@@ -1,8 +1,7 @@
 """Calls between daemons on prepaid grants."""
 
-import asyncio
+from collections.abc import Iterable, Mapping
 
-import orjson
 import structlog
 
 from oriolegauge.budget.messages import Ack
@@ -11,23 +10,35 @@
 from oriolegauge.core.runstate import RunState
 from oriolegauge.gateway.fleetlayout import FULL_MESH_MEMBERS
 from oriolegauge.gateway.fleetlinks import FleetLinks
-from oriolegauge.grants import Draw, Given, GrantKeeper, home_for, homes_of
-from oriolegauge.objectstore import StoredObject
+from oriolegauge.grants import (
+    Draw,
+    Given,
+    GrantKeeper,
+    Renewal,
+    Renewed,
+    ReservePart,
+)
 from oriolegauge.wire.messages import (
-    GrantBookWritten,
+    UNKNOWN_TOKENS,
     GrantDraw,
     GrantGiven,
     GrantHandOver,
     GrantLoan,
     Message,
+    ReserveRenewal,
+    ReserveRenewed,
+    TeamPart,
+    TeamTokens,
 )
 
-# A request waits this long for a peer that lends, and for a home that may
-# have to write to a slow store first.
-LOAN_TIMEOUT_S = 0.25
-DRAW_TIMEOUT_S = 0.5
-# Peers asked in turn if the home can't reach the store; each may take the time
-# of a draw.
+# Answers that bring tokens are taken for much longer than requests wait for
+# them: tokens of an answer that nobody takes are stranded.
+ANSWER_TIMEOUT_S = 3.0
+HAND_OVER_TIMEOUT_S = 0.5
+# A renewal waits for the next write, which may fail before it succeeds.
+RENEW_TIMEOUT_S = 1.5
+# Peers asked in turn if the treasurer can't reach the store; each may take the
+# time of a draw.
 MAX_SUBSTITUTES = 2
 
 log = structlog.get_logger()
@@ -61,47 +72,82 @@
                         spent=message.spent,
                     )
                 )
+                unspent = given.unspent
                 return GrantGiven(
                     team=team,
                     tokens=given.tokens,
                     reached_store=given.reached_store,
+                    unspent=UNKNOWN_TOKENS if unspent is None else unspent,
+                    opens_in_s=given.opens_in_s,
                 )
             case GrantLoan(team=team, tokens=tokens):
                 return GrantGiven(
                     team=team,
                     tokens=keeper.lend(team, tokens),
                 )
-            case GrantBookWritten(team=team, version=version):
-                keeper.learn_book(team, version, orjson.loads(message.value))
-                return None
             case GrantHandOver(team=team, tokens=tokens):
                 keeper.take_over(team, tokens)
                 return Ack(accepted=True)
+            case ReserveRenewal():
+                renewed = await keeper.renew(_renewal(message))
+                return _renewed(message.number, renewed)
             case _:
                 return Ack(accepted=False)
 
-    def home(self, team: str) -> str | None:
-        """Return the peer that draws for the team, None if it is this one."""
-        found = home_for(self._name, team, self._links.home_hosts())
+    async def settled(self) -> None:
+        """Wait until the fleet is known, for a moment after the start."""
+        await self._links.settled()
+
+    def treasurer(self) -> str | None:
+        """Return the peer that writes the ledger, None if it is this one."""
+        found = self._links.treasurer()
         if found == self._name:
             return None
-        if found:
-            self._links.open_link(found)
+        self._links.open_link(found)
         return found
 
-    def substitutes(self, team: str) -> list[str]:
-        """Return the other home, then peers that reach the store."""
-        homes = homes_of(team, self._links.home_hosts())
-        reaching = self._links.reaching_store()
-        skipped = {self._name, self.home(team)}
+    def substitutes(self) -> list[str]:
+        """Return other leaders, then peers that reach the store."""
+        skipped = {self._name, self._links.treasurer()}
+        leaders = self._links.reserve_hosts()
+        reaching = rank(self._name, self._links.reaching_store())
         return [
             name
-            for name in dict.fromkeys((*homes, *rank(team, reaching)))
+            for name in dict.fromkeys((*leaders, *reaching))
             if name not in skipped
         ][:MAX_SUBSTITUTES]
 
-    async def draw(self, home: str, draw: Draw) -> Given | None:
-        """Return the tokens given, or None if the home can't be reached.
+    def holds_reserve(self) -> bool:
+        """State whether this daemon is one of those that hold reserves."""
+        return self._name in self._links.reserve_hosts()
+
+    async def renew(self, peer: str, renewal: Renewal) -> Renewed | None:
+        """Have a reserve renewed; return None if that is not certain."""
+        message = ReserveRenewal(
+            host=renewal.host,
+            holder=renewal.holder,
+            started=renewal.started,
+            stamp=renewal.stamp,
+            number=renewal.number,
+            believed=_rows(renewal.believed),
+            opened=tuple(
+                TeamTokens(team, count)
+                for team, count in renewal.opened.items()
+            ),
+        )
+        try:
+            answer = await self._links.call(peer, message, RENEW_TIMEOUT_S)
+        except OriolegaugeError as error:
+            log.info('reserve not renewed', peer=peer, error=error.message)
+            return None
+        if not isinstance(answer, ReserveRenewed) or not answer.written:
+            return None
+        return Renewed(
+            answer.number, _parts(answer.held), _parts(answer.targets)
+        )
+
+    async def draw(self, peer: str, draw: Draw) -> Given | None:
+        """Return the tokens given, or None if the peer can't be reached.
 
         An answer that is lost strands its tokens, which never lets a team
         overspend.
@@ -110,66 +156,92 @@
             team=draw.team, need=draw.need, ahead=draw.ahead, spent=draw.spent
         )
         try:
-            answer = await self._links.call(home, message, DRAW_TIMEOUT_S)
+            answer = await self._links.call(peer, message, ANSWER_TIMEOUT_S)
         except OriolegaugeError as error:
             log.info(
-                'home not reached',
+                'treasurer not reached',
                 team=draw.team,
-                peer=home,
+                peer=peer,
                 error=error.message,
             )
             return None
         if not isinstance(answer, GrantGiven):
             return None
-        return Given(answer.tokens, reached_store=answer.reached_store)
-
-    async def lend(self, team: str, tokens: int) -> int:
-        """Take up to that many unspent tokens of a team from its lenders.
-
-        What is given beyond the need stays here.
-        """
-        answers = await asyncio.gather(
-            *(
-                self._links.call(
-                    name, GrantLoan(team=team, tokens=tokens), LOAN_TIMEOUT_S
-                )
-                for name in self._lenders(team)
+        if not answer.reached_store:
+            self._links.note_store_lost(peer)
+        return Given(
+            answer.tokens,
+            reached_store=answer.reached_store,
+            unspent=(
+                None if answer.unspent == UNKNOWN_TOKENS else answer.unspent
             ),
-            return_exceptions=True,
-        )
-        return sum(
-            answer.tokens
-            for answer in answers
-            if isinstance(answer, GrantGiven)
+            opens_in_s=answer.opens_in_s,
         )
 
-    def tell_book(self, team: str, book: StoredObject) -> None:
-        """Send the team's book to its homes, which then need not read it."""
-        message = GrantBookWritten(
-            team=team, version=book.version, value=orjson.dumps(book.value)
-        )
-        for home in set(homes_of(team, self._links.home_hosts())) - {
-            self._name
-        }:
-            self._links.open_link(home)
-            self._links.tell(home, message)
-
-    async def hand_over(self, home: str, team: str, tokens: int) -> bool:
-        """Give tokens to the home; False only if it can't have got them."""
+    def note_silent(self, peer: str) -> None:
+        """Take note that a peer has not answered in time."""
+        self._links.note_silent(peer)
+
+    async def borrow(self, peer: str, team: str, tokens: int) -> int:
+        """Take up to that many unspent tokens of a team from a peer."""
+        message = GrantLoan(team=team, tokens=tokens)
+        try:
+            answer = await self._links.call(peer, message, ANSWER_TIMEOUT_S)
+        except OriolegaugeError as error:
+            log.info('no loan', team=team, peer=peer, error=error.message)
+            return 0
+        return answer.tokens if isinstance(answer, GrantGiven) else 0
+
+    async def hand_over(self, peer: str, team: str, tokens: int) -> bool:
+        """Give tokens to the peer; False only if it can't have got them."""
         if not tokens:
             return True
         message = GrantHandOver(team=team, tokens=tokens)
         try:
-            await self._links.call(home, message, DRAW_TIMEOUT_S)
+            await self._links.call(peer, message, HAND_OVER_TIMEOUT_S)
         except OriolegaugeError as error:
             return error.run_state is not RunState.NOT_RUN
         return True
 
-    def _lenders(self, team: str) -> set[str]:
+    def lenders(self) -> set[str]:
         """Return the peers that may hold much: all of a small fleet."""
         if self._links.members <= FULL_MESH_MEMBERS:
             return self._links.linked_peers()
-        lenders = set(homes_of(team, self._links.home_hosts())) - {self._name}
+        lenders = {*self._links.reserve_hosts(), self._links.treasurer()}
+        lenders.discard(self._name)
         for name in lenders:
             self._links.open_link(name)
         return lenders
+
+
+def _rows(parts: Mapping[str, ReservePart]) -> tuple[TeamPart, ...]:
+    return tuple(
+        TeamPart(team, part.tokens, part.open_s) for team, part in parts.items()
+    )
+
+
+def _parts(rows: Iterable[TeamPart]) -> Mapping[str, ReservePart]:
+    return {row.team: ReservePart(row.tokens, row.open_s) for row in rows}
+
+
+def _renewal(message: ReserveRenewal) -> Renewal:
+    return Renewal(
+        host=message.host,
+        holder=message.holder,
+        started=message.started,
+        stamp=message.stamp,
+        number=message.number,
+        believed=_parts(message.believed),
+        opened={row.team: row.tokens for row in message.opened},
+    )
+
+
+def _renewed(number: int, renewed: Renewed | None) -> ReserveRenewed:
+    if renewed is None:
+        return ReserveRenewed(number=number, written=False)
+    return ReserveRenewed(
+        number=number,
+        written=True,
+        held=_rows(renewed.held),
+        targets=_rows(renewed.targets),
+    )
--- a/packages/grants/src/oriolegauge/grants/__init__.py
+++ b/packages/grants/src/oriolegauge/grants/__init__.py
@@ -9,19 +9,24 @@
     Given,
     GrantKeeper,
     GrantPeers,
+    HostClocks,
     Reservation,
 )
-from oriolegauge.grants.homes import MAX_HOME_HOSTS, home_for, homes_of
+from oriolegauge.grants.hosttimes import HostTimes
+from oriolegauge.grants.ledgerbook import Renewal, ReservePart
+from oriolegauge.grants.treasury import Renewed
 
 __all__ = (
-    'MAX_HOME_HOSTS',
     'Draw',
     'Given',
     'GrantKeeper',
     'GrantPeers',
     'GrantUnavailableError',
+    'HostClocks',
+    'HostTimes',
     'PrepaidExhaustedError',
+    'Renewal',
+    'Renewed',
     'Reservation',
-    'home_for',
-    'homes_of',
+    'ReservePart',
 )
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -1,15 +1,14 @@
-"""Grants of all teams: drawn through one home daemon per team.
+"""Grants of all teams: drawn through the treasurer of the fleet.
 
-Answers the load of many daemons that all draw on the same budgets: a daemon
-asks the team's home, which writes to the store for all of them, so that the
-calls to the store rise with the number of teams and not of daemons. Without
-its home a daemon asks others, and writes itself if none can; without the store
-peers lend to each other.
+A daemon draws what a request needs from the treasurer, or from another daemon
+that reaches the store if it can't be reached. Without the store, daemons lend
+to each other what they hold, and open their reserves.
 """
 
 import asyncio
+import math
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -20,35 +19,52 @@
     GrantUnavailableError,
     PrepaidExhaustedError,
 )
+from oriolegauge.grants.holdings import OWN_S, WRITE_PERIOD_S
+from oriolegauge.grants.hostreserve import HostReserve
+from oriolegauge.grants.hosttimes import HostTimes
+from oriolegauge.grants.ledgerbook import Renewal
 from oriolegauge.grants.teamaccount import TeamAccount
-from oriolegauge.grants.teamgrants import TeamGrants
-from oriolegauge.objectstore import ObjectStore, StoredObject
-
-TICK_S = 0.5
+from oriolegauge.grants.treasury import Renewed, Treasury
+from oriolegauge.objectstore import ObjectStore
+
+LEDGER = 'ledger'
+# A request waits this long for a peer that lends, and for a treasurer that may
+# have to write to a slow store first.
+LOAN_WAIT_S = 0.25
+DRAW_WAIT_S = 0.5
+# A request waits for reserves only for this share of its time, and those that
+# wait go on spread over this time.
+OPENING_WAIT_SHARE = 0.5
+OPENING_SPREAD_S = 0.6
+MAX_OPENING_WAITS = 4
+# A daemon that has not heard of closed reserves for this time waits no more.
+OPENED_S = 1.0
+TICK_S = 0.25
 # Below this part of its target an account is filled up before it runs dry.
-LOW_SHARE = 0.85
-# Above this multiple of its target an account hands tokens back to the home.
-HIGH_SHARE = 1.5
-# What a home holds lasts this long at the recent demand of the daemons that it
-# draws for: the longest partitions from the store seen (9 s) and one more. One
-# account for many daemons has less of the wrong team's tokens than many.
-HOME_HORIZON_S = 12.0
-# The same for a daemon that draws from a home, which answers in milliseconds.
-OWN_HORIZON_S = 1.0
-# Such a daemon holds nothing ahead of fewer requests than this: the sums of
-# many daemons that each hold a little would strand small budgets.
+LOW_SHARE = 0.5
+# Above this multiple of its target an account hands tokens back.
+HIGH_SHARE = 2.0
+# Tokens below this share of a budget are not worth a message.
+MIN_HAND_BACK_SHARE = 0.001
+# Tokens handed back follow one another at least this long.
+HAND_BACK_GAP_S = 1.0
+MIN_PAUSE_S = 0.05
+# Renewals that give a reserve up, when a daemon stops.
+GIVE_UP_TRIES = 3
+# In an outage the treasurer collects for this time of demand at once.
+COLLECT_S = 0.5
+# A daemon holds nothing ahead of fewer requests than this: the sums of many
+# daemons that each hold a little would strand small budgets.
 MIN_EXPECTED_REQUESTS = 1.0
-# Held by a home before much demand was seen, as a share of the budget.
-HOME_FIRST_SHARE = 0.05
-# No daemon holds more than this share of a budget ahead of its demand.
-MOST_SHARE = 0.3
+# Part of what the treasurer holds that one draw may get ahead of demand.
+AHEAD_SHARE = 0.2
 # Unspent tokens of others count for 3% of the prepaid amount at the end, so a
 # team is told that its budget is spent only when less than this is unspent.
 UNSPENT_SHARE = 0.03
 # Tokens that other requests hold are free again soon.
 RETRY_AFTER_S = 0.4
 # Without the store nothing is free before it is back: outages last 2 to 9 s.
-# Callers that return at different times meet homes that fill up in turn.
+# Callers that return at different times meet accounts that fill up in turn.
 OUTAGE_RETRY_AFTER_S = (1.5, 4.0)
 
 log = structlog.get_logger()
@@ -56,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Draw:
-    """Ask a home for tokens and tell it what was spent since."""
+    """Ask the treasurer for tokens and tell it what was spent since."""
 
     team: str
     need: int
@@ -66,32 +82,61 @@
 
 @dataclass(frozen=True, slots=True)
 class Given:
-    """Tell what a home gave, and whether it could ask the store for more."""
+    """Tell what was given, and whether the store could be asked for more.
+
+    `unspent` counts the team's tokens that are not known to be spent. Reserves
+    may be opened in `opens_in_s`, if there are any.
+    """
 
     tokens: int
     reached_store: bool
+    unspent: int | None = None
+    opens_in_s: float | None = None
 
 
 class GrantPeers(Protocol):
     """Reach the other daemons."""
 
-    def home(self, team: str) -> str | None:
-        """Return the peer that draws for the team, None if it is this one."""
+    async def settled(self) -> None:
+        """Wait until the fleet is known, for a moment after the start."""
+
+    def treasurer(self) -> str | None:
+        """Return the peer that writes the ledger, None if it is this one."""
+
+    def substitutes(self) -> Sequence[str]:
+        """Return peers to draw through if the treasurer can't, best first."""
+
+    def holds_reserve(self) -> bool:
+        """State whether this daemon is one of those that hold reserves."""
+
+    async def draw(self, peer: str, draw: Draw) -> Given | None:
+        """Return the tokens given, or None if the peer can't be reached."""
 
-    def substitutes(self, team: str) -> Sequence[str]:
-        """Return peers to draw through if the home can't, best ones first."""
+    def note_silent(self, peer: str) -> None:
+        """Take note that a peer has not answered in time."""
 
-    async def draw(self, home: str, draw: Draw) -> Given | None:
-        """Return the tokens given, or None if the home can't be reached."""
+    def lenders(self) -> Collection[str]:
+        """Return the peers that may hold much."""
 
-    async def lend(self, team: str, tokens: int) -> int:
-        """Take up to that many unspent tokens of a team from its lenders."""
+    async def borrow(self, peer: str, team: str, tokens: int) -> int:
+        """Take up to that many unspent tokens of a team from a peer."""
 
-    def tell_book(self, team: str, book: StoredObject) -> None:
-        """Send the team's book to its homes, which then need not read it."""
+    async def renew(self, peer: str, renewal: Renewal) -> Renewed | None:
+        """Have a reserve renewed; return None if that is not certain."""
 
-    async def hand_over(self, home: str, team: str, tokens: int) -> bool:
-        """Give tokens to the home; False only if it can't have got them."""
+    async def hand_over(self, peer: str, team: str, tokens: int) -> bool:
+        """Give tokens to the peer; False only if it can't have got them."""
+
+
+class HostClocks(Protocol):
+    """Read the clocks of this host."""
+
+    @property
+    def started(self) -> HostTimes:
+        """Return what they showed when the process began."""
+
+    def now(self) -> HostTimes:
+        """Return what they show."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,56 +155,78 @@
         *,
         store: ObjectStore,
         kind: str,
+        host: str,
         holder: str,
         peers: GrantPeers,
         prepaid: Callable[[str], int | None],
         reaches_store: Callable[[], bool],
         clock: Callable[[], float],
+        host_clocks: HostClocks,
         rng: random.Random,
     ) -> None:
         """Act as `holder`, a name that no other process start ever uses.
 
-        `prepaid` returns a team's prepaid tokens, None if it has no budget.
-        Each team has one object of the kind in the store, which is not called
-        while `reaches_store` is false; `store_regained` tells that it is back.
+        `host` names the place of the process; the next one there has the same
+        name and clocks. `prepaid` returns a team's prepaid tokens, None if it
+        has no budget. One object of the kind in the store holds all teams; the
+        store is not called while `reaches_store` is false.
         """
-        self._store = store
-        self._kind = kind
-        self._holder = holder
         self._peers = peers
         self._prepaid = prepaid
         self._reaches_store = reaches_store
         self._clock = clock
+        self._host_clocks = host_clocks
         self._rng = rng
-        self._teams: dict[str, TeamGrants] = {}
-        # Demand of other daemons on teams whose home this one is.
-        self._buffers: dict[str, TeamAccount] = {}
+        self._accounts: dict[str, TeamAccount] = {}
+        self._unspent: dict[str, int] = {}
+        self._handed_back_at: dict[str, float] = {}
+        # When the reserves of others may be opened, as the treasurer said.
+        self._opens_at = -math.inf
+        self._treasury = Treasury(
+            store=store,
+            key=f'{kind}/{LEDGER}',
+            holder=holder,
+            account=self._account,
+            prepaid=prepaid,
+            reaches_store=reaches_store,
+            clock=clock,
+        )
+        self._reserve = HostReserve(
+            host=host, holder=holder, started=host_clocks.started
+        )
         self._tasks = TaskSet()
 
     @property
     def free(self) -> Mapping[str, int]:
         """Return the unspent tokens held here per team."""
-        return {team: held.account.free for team, held in self._teams.items()}
+        return {team: held.free for team, held in self._accounts.items()}
+
+    @property
+    def is_store_lost(self) -> bool:
+        """State whether the ledger can't be written from here."""
+        return self._treasury.is_store_lost
 
-    async def reserve(self, team: str, tokens: int) -> Reservation | None:
+    async def reserve(
+        self, team: str, tokens: int, until: float = math.inf
+    ) -> Reservation | None:
         """Set tokens aside, or return None for a team without a budget.
 
-        Raise PrepaidExhaustedError or GrantUnavailableError.
+        Raise PrepaidExhaustedError or GrantUnavailableError. In an outage the
+        call waits for reserves that may be opened soon, if that leaves most of
+        the time until the loop time `until`.
         """
         prepaid = self._prepaid(team)
         if prepaid is None:
             return None
-        account = self._team(team).account
-        account.note_demand(tokens, self._clock())
-        reservation = Reservation(team, tokens)
-        if account.reserve(tokens):
-            return reservation
-        await self._obtain(team, tokens - account.free)
-        if account.reserve(tokens):
-            return reservation
-        account.credit(await self._peers.lend(team, tokens - account.free))
-        if account.reserve(tokens):
-            return reservation
+        self._account(team).note_demand(tokens, self._clock())
+        latest = self._clock() + (until - self._clock()) * OPENING_WAIT_SHARE
+        for _ in range(MAX_OPENING_WAITS):
+            if await self._meet(team, tokens):
+                return Reservation(team, tokens)
+            wait_s = self._opening_wait_s()
+            if wait_s is None or self._clock() + wait_s > latest:
+                break
+            await asyncio.sleep(wait_s)
         refusal = self._refusal(team, tokens, prepaid)
         # What was collected for this request may meet a smaller one elsewhere.
         self._adjust(team)
@@ -167,140 +234,253 @@
 
     def settle(self, reservation: Reservation, used: int) -> None:
         """Charge the tokens used and free the rest."""
-        account = self._team(reservation.team).account
+        account = self._account(reservation.team)
         account.settle(reservation.tokens, used)
 
     def lend(self, team: str, tokens: int) -> int:
         """Hand unspent tokens to a peer; they are the peer's afterwards."""
-        held = self._teams.get(team)
-        return held.account.take_free(tokens) if held else 0
+        held = self._accounts.get(team)
+        lent = held.take_free(tokens) if held else 0
+        return lent + self._open(team, tokens - lent)
 
     def take_over(self, team: str, tokens: int) -> None:
         """Add tokens that a peer has handed over."""
-        self._team(team).account.credit(tokens)
+        self._account(team).credit(tokens)
 
     async def serve(self, draw: Draw) -> Given:
-        """Give tokens to a peer whose home for the team is this daemon."""
-        if self._prepaid(draw.team) is None:
+        """Give tokens to a peer that takes this daemon for the treasurer."""
+        team = draw.team
+        if self._prepaid(team) is None:
             return Given(0, reached_store=True)
-        held = self._team(draw.team)
-        held.account.take_report(draw.spent)
-        wish = draw.need + draw.ahead
-        if held.account.free < wish:
-            need = max(0, draw.need - held.account.free)
-            ahead = wish + self._target(draw.team) - held.account.free
-            await held.draw(need, max(0, ahead - need))
-        asked = wish if held.can_draw_ahead else draw.need
-        given = held.account.take_free(asked)
-        self._buffer(draw.team).note_demand(given, self._clock())
+        account = self._account(team)
+        account.take_report(draw.spent)
+        if account.free < draw.need:
+            await self._treasury.draw(team, draw.need)
+        if account.free < draw.need:
+            more = int(account.rate(self._clock()) * COLLECT_S)
+            await self._collect(team, draw.need - account.free + more)
+        others_need = self._treasury.waiting(team)
+        spare = max(0, account.free - draw.need - others_need)
+        ahead = min(draw.ahead, int(spare * AHEAD_SHARE))
+        given = account.take_free(draw.need + ahead)
+        self._treasury.note_demand(team, given)
         if given < draw.need:
-            log.info('draw not met', given=given, **self._state(draw.team))
-        return Given(given, reached_store=not held.is_store_lost)
+            log.info('draw not met', given=given, **self._state(team))
+        is_lost = self._treasury.is_store_lost
+        now_s = self._host_clocks.now().boot_s
+        return Given(
+            given,
+            reached_store=not is_lost,
+            unspent=self._treasury.unspent(team),
+            opens_in_s=self._reserve.opens_in_s(now_s) if is_lost else None,
+        )
+
+    async def renew(self, renewal: Renewal) -> Renewed | None:
+        """Renew the reserve of a peer."""
+        return await self._treasury.renew(renewal)
 
     async def run(self) -> None:
         """Fill up and hand back accounts until cancelled."""
+        await self._peers.settled()
         while True:
             await asyncio.sleep(TICK_S)
-            for team in list(self._teams):
+            for team in list(self._accounts):
                 self._adjust(team)
+            if self._peers.treasurer() is None:
+                self._tasks.spawn(self._treasury.tick())
 
-    def learn_book(
-        self, team: str, version: int, value: Mapping[str, Any]
-    ) -> None:
-        """Take over the book that another daemon has written."""
-        if self._prepaid(team) is not None:
-            key = f'{self._kind}/{team}'
-            self._team(team).learn(StoredObject(key, version, value))
+    async def run_reserve(self) -> None:
+        """Keep the reserve of this host renewed until cancelled."""
+        await self._peers.settled()
+        while True:
+            began_at = self._clock()
+            if self._peers.holds_reserve() or not self._reserve.is_empty:
+                await self._renew_reserve()
+            # Those that were written together follow together.
+            passed_s = self._clock() - began_at
+            await asyncio.sleep(max(MIN_PAUSE_S, WRITE_PERIOD_S - passed_s))
 
     def store_regained(self) -> None:
         """Fill up the accounts that an outage has left low."""
-        for team, held in list(self._teams.items()):
-            held.end_pause()
+        self._treasury.end_pause()
+        for team in list(self._accounts):
             self._adjust(team)
 
     async def close(self) -> None:
         """Give up all unspent tokens; no request may be reserved after."""
         await asyncio.gather(
-            *(self._give_up(team, held) for team, held in self._teams.items())
+            self._give_up_reserve(),
+            *(self._give_up(team) for team in self._accounts),
         )
+        await self._treasury.give_back(self._accounts)
+
+    async def _give_up_reserve(self) -> None:
+        for _ in range(GIVE_UP_TRIES):
+            self._reserve.give_up()
+            if self._reserve.is_empty:
+                return
+            await self._renew_reserve()
 
-    async def _give_up(self, team: str, held: TeamGrants) -> None:
-        home = self._peers.home(team)
-        tokens = held.account.take_free(held.account.free)
-        if home and await self._peers.hand_over(home, team, tokens):
+    async def _give_up(self, team: str) -> None:
+        account = self._account(team)
+        tokens = account.take_free(account.free)
+        treasurer = self._peers.treasurer()
+        if treasurer and await self._peers.hand_over(treasurer, team, tokens):
             return
-        held.account.credit(tokens)
-        await held.give_back()
+        account.credit(tokens)
+
+    async def _renew_reserve(self) -> None:
+        renewal = self._reserve.renewal(self._host_clocks.now())
+        treasurer = self._peers.treasurer()
+        if treasurer is None:
+            renewed = await self._treasury.renew(renewal)
+        else:
+            renewed = await self._peers.renew(treasurer, renewal)
+        if renewed:
+            targets = renewed.targets if self._peers.holds_reserve() else {}
+            self._reserve.confirm(renewed.number, renewed.held, targets)
+
+    async def _meet(self, team: str, tokens: int) -> bool:
+        """Set tokens aside, from wherever they can be had; return success.
+
+        What was found so far belongs to this request, so that two of them don't
+        both count on it.
+        """
+        account = self._account(team)
+        found = account.take_free(tokens)
+        try:
+            for source in (self._obtain, self._collect):
+                if found == tokens:
+                    break
+                await self._peers.settled()
+                await source(team, tokens - found)
+                found += account.take_free(tokens - found)
+        finally:
+            if found < tokens:
+                account.credit(found)
+        return found == tokens
+
+    def _opening_wait_s(self) -> float | None:
+        """Return how long to wait for reserves to open, if at all."""
+        now = self._clock()
+        opens_at = self._opens_at
+        own_s = self._reserve.opens_in_s(self._host_clocks.now().boot_s)
+        if own_s is not None and self._treasury.is_store_lost:
+            opens_at = max(opens_at, now + own_s)
+        if opens_at < now - OPENED_S:
+            return None
+        # Callers that wait for the same moment don't all go on in it; what is
+        # open already grows with the time.
+        spread_s = self._rng.uniform(OPENING_SPREAD_S / 2, OPENING_SPREAD_S)
+        return max(0, opens_at - now) + spread_s
 
     def _adjust(self, team: str) -> None:
         prepaid = self._prepaid(team)
-        if prepaid is None:
+        treasurer = self._peers.treasurer()
+        if prepaid is None or treasurer is None:
             return
-        account = self._teams[team].account
+        account = self._account(team)
         target = self._target(team)
-        is_low = account.free < target * LOW_SHARE
-        if self._peers.home(team) is None:
-            if is_low and self._teams[team].can_draw_ahead:
-                self._tasks.spawn(self._obtain(team, 0))
-        elif account.free > target * HIGH_SHARE:
-            self._tasks.spawn(self._hand_back(team, account.free - target))
-        elif is_low or account.unreported:
-            # What is known to be spent need not be kept in the pool.
+        surplus = account.free - int(target * HIGH_SHARE)
+        if surplus > prepaid * MIN_HAND_BACK_SHARE:
+            self._tasks.spawn(self._hand_back(treasurer, team, surplus))
+        elif account.free < target * LOW_SHARE:
             self._tasks.spawn(self._obtain(team, 0))
 
-    async def _hand_back(self, team: str, tokens: int) -> None:
-        home = self._peers.home(team)
-        account = self._team(team).account
+    async def _hand_back(self, treasurer: str, team: str, tokens: int) -> None:
+        now = self._clock()
+        last = self._handed_back_at.get(team, -math.inf)
+        if now - last < HAND_BACK_GAP_S:
+            return
+        self._handed_back_at[team] = now
+        account = self._account(team)
         taken = account.take_free(tokens)
-        if not home or not await self._peers.hand_over(home, team, taken):
+        if not await self._peers.hand_over(treasurer, team, taken):
             account.credit(taken)
 
+    async def _collect(self, team: str, missing: int) -> None:
+        """Take what this host has in reserve, and what others can lend."""
+        account = self._account(team)
+        opened = self._open(team, missing)
+        account.credit(opened)
+        if opened >= missing:
+            return
+        loans = [
+            self._tasks.spawn(self._borrow(peer, team, missing - opened))
+            for peer in self._peers.lenders()
+        ]
+        if loans:
+            await asyncio.wait(loans, timeout=LOAN_WAIT_S)
+
+    async def _borrow(self, peer: str, team: str, tokens: int) -> None:
+        self._account(team).credit(await self._peers.borrow(peer, team, tokens))
+
+    def _open(self, team: str, tokens: int) -> int:
+        opened = self._reserve.open(
+            team, tokens, self._host_clocks.now().boot_s
+        )
+        if opened:
+            log.info('reserve opened', team=team, tokens=opened)
+        return opened
+
     async def _obtain(self, team: str, need: int) -> None:
         """Draw the need, and up to the target if there is plenty."""
-        held = self._team(team)
-        ahead = max(0, self._target(team) - held.account.free)
-        home = self._peers.home(team)
-        if home is None:
-            await held.draw(need, ahead)
-            missing = need if held.is_store_lost else 0
+        account = self._account(team)
+        ahead = max(0, self._target(team) - account.free - need)
+        treasurer = self._peers.treasurer()
+        if treasurer is None:
+            await self._treasury.draw(team, account.free + need)
+            missing = need if self._treasury.is_store_lost else 0
         else:
-            missing = await self._draw_from(home, team, need, ahead)
-        for peer in self._peers.substitutes(team):
+            missing = await self._draw_from(treasurer, team, need, ahead)
+        for peer in self._peers.substitutes():
             if not missing:
                 return
             missing = await self._draw_from(peer, team, missing, 0)
-        if missing and home is not None:
-            await held.draw(missing, 0)
+        if missing and treasurer is not None:
+            await self._treasury.draw(team, account.free + missing)
 
     async def _draw_from(
         self, peer: str, team: str, need: int, ahead: int
     ) -> int:
-        """Draw through a peer; return the need that others may still meet."""
-        account = self._team(team).account
-        spent = account.report()
-        given = await self._peers.draw(
-            peer, Draw(team=team, need=need, ahead=ahead, spent=spent)
-        )
+        """Draw through a peer; return the need that others may still meet.
+
+        An answer that comes late, or after its request has left, is credited
+        all the same: its tokens are nobody else's.
+        """
+        account = self._account(team)
+        draw = Draw(team=team, need=need, ahead=ahead, spent=account.report())
+        answer = self._tasks.spawn(self._draw(peer, draw))
+        done, _ = await asyncio.wait({answer}, timeout=DRAW_WAIT_S)
+        if not done:
+            self._peers.note_silent(peer)
+            return need
+        given = answer.result()
         if given is None:
-            account.take_report(spent)
             return need
-        account.credit(given.tokens)
         return 0 if given.reached_store else max(0, need - given.tokens)
 
+    async def _draw(self, peer: str, draw: Draw) -> Given | None:
+        account = self._account(draw.team)
+        given = await self._peers.draw(peer, draw)
+        if given is None:
+            account.take_report(draw.spent)
+            return None
+        account.credit(given.tokens)
+        if given.unspent is not None:
+            self._unspent[draw.team] = given.unspent
+        if given.opens_in_s is not None:
+            self._opens_at = self._clock() + given.opens_in_s
+        return given
+
     def _target(self, team: str) -> int:
-        """Return the tokens that this daemon should hold free."""
+        """Return the tokens that this daemon should hold free for itself."""
         now = self._clock()
-        prepaid = self._prepaid(team) or 0
-        account = self._team(team).account
-        own = account.rate(now)
-        if self._peers.home(team) is None:
-            rate = own + self._buffer(team).rate(now)
-            wish = max(rate * HOME_HORIZON_S, prepaid * HOME_FIRST_SHARE)
-            return int(min(wish, prepaid * MOST_SHARE))
-        expected = account.expected_requests(now, OWN_HORIZON_S)
+        account = self._account(team)
+        expected = account.expected_requests(now, OWN_S)
         if expected < MIN_EXPECTED_REQUESTS:
             return 0
-        return int(min(own * OWN_HORIZON_S, prepaid * MOST_SHARE))
+        return int(account.rate(now) * OWN_S)
 
     def _refusal(
         self, team: str, tokens: int, prepaid: int
@@ -308,7 +488,10 @@
         state = self._state(team)
         log.info('grant refused', tokens=tokens, **state)
         unspent = state['unspent']
-        if unspent < tokens + prepaid * UNSPENT_SHARE:
+        is_spent = unspent is not None and (
+            unspent < tokens + prepaid * UNSPENT_SHARE
+        )
+        if is_spent:
             return PrepaidExhaustedError(
                 f'{unspent} of {prepaid} prepaid tokens are unspent'
             )
@@ -324,38 +507,26 @@
 
     def _state(self, team: str) -> Mapping[str, Any]:
         """Return what a refusal rests on, for the logs."""
-        held = self._team(team)
         prepaid = self._prepaid(team) or 0
+        treasurer = self._peers.treasurer()
+        is_own = treasurer is None
+        unspent = self._treasury.unspent(team) if is_own else None
+        if unspent is None:
+            unspent = self._unspent.get(team)
         return {
             'team': team,
             'prepaid': prepaid,
-            'unspent': held.book.unspent(prepaid) - held.account.unreported,
-            'pool': held.book.free(prepaid),
-            'held': held.account.free,
-            'home': self._peers.home(team),
-            'version': held.version,
-            'store_lost': held.is_store_lost,
+            'unspent': unspent,
+            'pool': self._treasury.book.free(team, prepaid) if is_own else None,
+            'held': self._account(team).free,
+            'in_reserve': self._reserve.held(team),
+            'treasurer': treasurer,
+            'version': self._treasury.version,
+            'store_lost': self._treasury.is_store_lost,
         }
 
-    def _team(self, team: str) -> TeamGrants:
-        held = self._teams.get(team)
-        if held is None:
-            held = TeamGrants(
-                team=team,
-                store=self._store,
-                key=f'{self._kind}/{team}',
-                holder=self._holder,
-                prepaid=lambda: self._prepaid(team) or 0,
-                reaches_store=self._reaches_store,
-                on_written=lambda book: self._peers.tell_book(team, book),
-                clock=self._clock,
-            )
-            self._teams[team] = held
-        return held
-
-    def _buffer(self, team: str) -> TeamAccount:
-        found = self._buffers.get(team)
+    def _account(self, team: str) -> TeamAccount:
+        found = self._accounts.get(team)
         if found is None:
-            found = TeamAccount(self._clock())
-            self._buffers[team] = found
+            found = self._accounts[team] = TeamAccount(self._clock())
         return found
--- a/packages/grants/src/oriolegauge/grants/teamaccount.py
+++ b/packages/grants/src/oriolegauge/grants/teamaccount.py
@@ -42,10 +42,13 @@
         """Return the recent demand in tokens per second."""
         return self._rate * self._fade(now) / self._covered(now)
 
+    def request_rate(self, now: float) -> float:
+        """Return the recent requests per second."""
+        return self._request_rate * self._fade(now) / self._covered(now)
+
     def expected_requests(self, now: float, horizon_s: float) -> float:
         """Return how many requests the recent demand lets expect."""
-        rate = self._request_rate * self._fade(now) / self._covered(now)
-        return rate * horizon_s
+        return self.request_rate(now) * horizon_s
 
     def credit(self, tokens: int) -> None:
         """Add granted tokens."""
@@ -57,13 +60,6 @@
         self._free -= taken
         return taken
 
-    def reserve(self, tokens: int) -> bool:
-        """Set tokens aside for a request if there are enough."""
-        if tokens > self._free:
-            return False
-        self._free -= tokens
-        return True
-
     def settle(self, reserved: int, used: int) -> None:
         """Spend a part of a reservation and free the rest."""
         used = min(max(0, used), reserved)
--- /dev/null
+++ b/packages/grants/tests/test_ledgersafety.py
@@ -0,0 +1,437 @@
+"""No token is spent twice, whatever dies, stops, is cut off or set."""
+
+import asyncio
+import math
+import random
+from dataclasses import replace
+
+import pytest
+
+from oriolegauge.core.errors import OriolegaugeError
+from oriolegauge.grants import treasury
+from oriolegauge.grants.holdings import Holdings
+from oriolegauge.grants.hostreserve import HostReserve
+from oriolegauge.grants.hosttimes import HostTimes
+from oriolegauge.grants.ledgerbook import (
+    CLOSED_S,
+    LedgerBook,
+    LedgerEntry,
+    Renewal,
+    ReserveChange,
+    ReservePart,
+    ReserveRow,
+    TeamWish,
+    open_share,
+)
+from oriolegauge.grants.reserveproof import WALL_MARGIN_S, passed_times
+from oriolegauge.testkit import StoreFault
+from oriolegauge.testkit.grantfleet import Fleet, LateStore
+
+OPEN_S = 8.0
+PREPAID = 400_000
+SIZE = 6
+STEPS = 160
+SEEDS = range(24)
+
+
+async def send(fleet, name, most):
+    try:
+        await fleet.request(name, most, most, seconds=0.05)
+    except OriolegaugeError:
+        return
+
+
+def cut_store(fleet, rng):
+    is_away = rng.random() < 0.5
+    fleet.store.fault = StoreFault.OUTAGE if is_away else StoreFault.NONE
+    fleet.reaches_store = not is_away
+
+
+async def disturb(fleet, rng):
+    """Do one of the things that happen to fleets."""
+    match rng.randrange(9):
+        case 0 | 1:
+            cut_store(fleet, rng)
+        case 2:
+            name = rng.choice(fleet.names)
+            fleet.down.add(name)
+            await asyncio.sleep(rng.uniform(0, 2))
+            fleet.start(name)
+        case 3:
+            power = rng.random() < 0.6
+            await fleet.kill_all(rng.choice([0.5, 1, 1.6, 3, 8]), power=power)
+        case 4:
+            # A few clocks are set, as by a faulty time server.
+            for name in rng.sample(fleet.names, 2):
+                fleet.clocks[name].wall_offset += rng.choice([-3, -2, 2, 3])
+        case 5:
+            fleet.is_cut = rng.random() < 0.5
+        case 6:
+            fleet.treasurer = rng.choice(fleet.names)
+        case 7:
+            await fleet.store.apply_late()
+        case 8:
+            # Frozen: nobody reaches it and its jobs stand still.
+            name = rng.choice(fleet.names)
+            fleet.stop(name)
+            fleet.down.add(name)
+            await asyncio.sleep(rng.uniform(0, 6))
+            fleet.down.discard(name)
+            fleet.run(name)
+
+
+async def play(seed, steps=STEPS, lost_share=0.15):
+    """Return the tokens delivered beyond the prepaid ones."""
+    rng = random.Random(seed)
+    store = LateStore(random.Random(seed), lost_share)
+    fleet = Fleet(store=store, prepaid=PREPAID, size=SIZE)
+    fleet.run()
+    calls = []
+    for _ in range(steps):
+        for _ in range(rng.randint(0, 8)):
+            name = rng.choice(fleet.names)
+            if name not in fleet.down:
+                most = rng.randint(200, 4_000)
+                calls.append(asyncio.create_task(send(fleet, name, most)))
+        await asyncio.sleep(rng.uniform(0.05, 0.6))
+        if rng.random() < 0.25:
+            await disturb(fleet, rng)
+        assert fleet.delivered <= fleet.prepaid or lost_share < 0
+    # At the end everything is well, and what is left is asked for.
+    fleet.store.fault = StoreFault.NONE
+    fleet.store.lost_share = 0
+    fleet.reaches_store = True
+    fleet.is_cut = False
+    for _ in range(150):
+        await send(fleet, rng.choice(fleet.names), 3_000)
+        await asyncio.sleep(0.1)
+    fleet.stop(*fleet.names)
+    await asyncio.gather(*calls)
+    return fleet.delivered - fleet.prepaid
+
+
+@pytest.mark.looptime
+class TestSafety:
+    @pytest.mark.parametrize('seed', SEEDS)
+    async def test_never_overspends(self, seed):
+        """Guards against reserves that are used twice."""
+        assert await play(seed) <= 0
+
+
+async def outage_and_death(seed):
+    """Play an outage in which reserves are opened, and the death of all."""
+    rng = random.Random(seed)
+    store = LateStore(random.Random(seed), 0)
+    fleet = Fleet(store=store, prepaid=PREPAID, size=SIZE)
+    fleet.run()
+    calls = []
+    for tick in range(140):
+        is_away = 40 <= tick < 100
+        store.fault = StoreFault.OUTAGE if is_away else StoreFault.NONE
+        fleet.reaches_store = not is_away
+        name = rng.choice(fleet.names)
+        calls.append(asyncio.create_task(send(fleet, name, 3_000)))
+        await asyncio.sleep(0.1)
+        if tick == 95:
+            await fleet.kill_all(0.5, power=rng.random() < 0.5)
+    for _ in range(200):
+        await send(fleet, rng.choice(fleet.names), 2_000)
+        await asyncio.sleep(0.05)
+    fleet.stop(*fleet.names)
+    await asyncio.gather(*calls)
+    return fleet.delivered - fleet.prepaid
+
+
+class ForgetsOpenings(HostReserve):
+    """Put the time off without accounting for what was opened."""
+
+    def renewal(self, now):
+        self._opened.clear()
+        return super().renewal(now)
+
+
+@pytest.mark.looptime
+class TestOracle:
+    async def test_sound_fleet_keeps_the_budget(self):
+        assert max([await outage_and_death(seed) for seed in range(6)]) <= 0
+
+    async def test_sees_reserves_given_back_without_a_proof(self, monkeypatch):
+        """Guards against a test that is blind to a wrong proof."""
+        monkeypatch.setattr(
+            treasury, 'passed_times', lambda rows, *_: dict.fromkeys(rows, 0)
+        )
+        assert max([await outage_and_death(seed) for seed in range(6)]) > 0
+
+    async def test_sees_openings_that_are_forgotten(self, monkeypatch):
+        """Guards against a test that is blind to lost openings."""
+        from oriolegauge.grants import grantkeeper
+
+        monkeypatch.setattr(grantkeeper, 'HostReserve', ForgetsOpenings)
+        overspent = [await play(seed, 80, -1) for seed in range(8)]
+        assert max(overspent) > 0
+
+
+def times(boot_s, wall_s=None, boot_id='b'):
+    wall_s = boot_s + 1_000 if wall_s is None else wall_s
+    return HostTimes(boot_id, boot_s, wall_s)
+
+
+def row(stamp):
+    parts = {'t': ReservePart(1, OPEN_S)}
+    return ReserveRow(holder='old', stamp=stamp, number=1, parts=parts)
+
+
+class TestReserveProof:
+    @pytest.mark.parametrize(
+        ('started', 'passed_s'),
+        [
+            (times(100.5), 0.5),
+            (times(105), 5),
+            # The host has started anew, or its clock was set.
+            (times(101, boot_id='other'), None),
+            (times(101, wall_s=1_105), None),
+            (times(50), None),
+        ],
+    )
+    def test_new_process_on_the_same_boot(self, started, passed_s):
+        """Guards against a proof by a clock that says nothing."""
+        found = passed_times({'h': row(times(100))}, {'h': started}, {})
+        assert found.get('h') == passed_s
+
+    @staticmethod
+    def after_power_loss(passed_s, *, hosts=6):
+        """Return what is known if hosts are back after these times of day."""
+        rows = {f'h{n}': row(times(100 + n)) for n in range(hosts)}
+        starts = {
+            f'h{n}': HostTimes('new', 5 + n, 1_100 + n + passed)
+            for n, passed in enumerate(passed_s)
+        }
+        return passed_times(rows, starts, {})
+
+    @pytest.mark.parametrize('back', [4, 6])
+    def test_time_of_day_of_two_thirds(self, back):
+        """Guards against reserves that every loss of power takes along."""
+        found = self.after_power_loss([1.5] * back)
+        assert list(found.values()) == [1.5 + WALL_MARGIN_S] * back
+
+    @pytest.mark.parametrize('passed_s', [[1.5] * 3, []])
+    def test_too_few_hosts_can_not_tell(self, passed_s):
+        """Guards against a proof by clocks that may all be wrong."""
+        assert not self.after_power_loss(passed_s)
+        assert not self.after_power_loss([1.5] * 2, hosts=2)
+
+    @pytest.mark.parametrize('wrong', [1, 2])
+    def test_clocks_set_back_prove_nothing(self, wrong):
+        """Guards against tokens spent twice because clocks were set.
+
+        All hosts are back after 9 s, in which reserves were opened.
+        """
+        passed_s = [9.0 - 8.0 * (n < wrong) for n in range(6)]
+        assert min(self.after_power_loss(passed_s).values()) >= 9
+
+    @pytest.mark.parametrize('ahead_s', [8, 100])
+    def test_clock_set_ahead_costs_its_own_host(self, ahead_s):
+        """Guards against one clock that takes all reserves along.
+
+        The same holds for a host that was out of touch for longer.
+        """
+        found = self.after_power_loss([1.5] * 5 + [1.5 + ahead_s])
+        assert sorted(found.values())[:5] == [1.5 + WALL_MARGIN_S] * 5
+        assert found['h5'] > ahead_s
+
+    def test_hosts_that_come_back_after_the_others(self):
+        """Guards against the last reserves that are lost for want of others."""
+        rows = {'h': row(times(100))}
+        starts = {'h': HostTimes('new', 5, 1_101.5)}
+        known_s = {f'k{n}': 1.4 for n in range(5)}
+        assert passed_times(rows, starts, known_s) == {'h': 1.5 + WALL_MARGIN_S}
+        assert not passed_times(rows, starts, {'k0': 1.4})
+
+
+class TestOpenShare:
+    def test_opens_bit_by_bit(self):
+        """Guards against a reserve that is lost whole by a late death."""
+        assert open_share(CLOSED_S, OPEN_S) == 0
+        shares = [open_share(CLOSED_S + passed, OPEN_S) for passed in range(9)]
+        assert shares == sorted(shares)
+        assert 0 < shares[1] < 0.5
+        assert open_share(100, OPEN_S) == 1
+
+    def test_two_spans_open_no_more_than_one(self):
+        """Guards against renewals that open more than the ledger tells.
+
+        One that may not have been written starts a span of its own.
+        """
+        for first in (0.5, 2.7, 4, 6):
+            for second in (0.5, 2.7, 4, 6):
+                left = 1 - open_share(first, OPEN_S)
+                both = 1 - left * (1 - open_share(second, OPEN_S))
+                assert both <= open_share(first + second, OPEN_S) + 1e-9
+
+
+def parts(tokens, open_s=OPEN_S):
+    return {'t': ReservePart(tokens, open_s)} if tokens else {}
+
+
+def renewal(number, *, believed=0, opened=0, holder='x', boot_s=10):
+    return Renewal(
+        host='h',
+        holder=holder,
+        started=times(1),
+        stamp=times(boot_s),
+        number=number,
+        believed=parts(believed),
+        opened={'t': opened} if opened else {},
+    )
+
+
+def entry(change, position=1, prepaid=1_000):
+    return LedgerEntry(
+        holder='w',
+        position=position,
+        wishes={'t': TeamWish(prepaid=prepaid)},
+        reserves=(change,),
+    )
+
+
+def renewed(book, sent, target, open_s=OPEN_S, **options):
+    change = ReserveChange(
+        renewal=sent, targets=parts(target, open_s), **options
+    )
+    return book.apply(entry(change))[0]
+
+
+class TestReservesInTheLedger:
+    def test_openings_count_once(self):
+        """Guards against a renewal that is written twice."""
+        book = renewed(LedgerBook(), renewal(1), 300)
+        again = renewal(2, believed=200, opened=100, boot_s=20)
+        for _ in range(2):
+            book = renewed(book, again, 200)
+        assert book.team('t').charged == 100
+        assert book.reserved('t') == 200
+
+    def test_renewal_that_was_overtaken_changes_nothing(self):
+        """Guards against a reserve cut below what its host may open."""
+        book = renewed(LedgerBook(), renewal(1), 300)
+        book = renewed(book, renewal(3, believed=300, boot_s=30), 300)
+        assert renewed(book, renewal(2, believed=10), 0) == LedgerBook(
+            book.teams, book.reserves, book.last
+        )
+
+    def test_never_falls_below_what_the_host_may_open(self):
+        """Guards against tokens that are free and in reserve at once."""
+        book = renewed(LedgerBook(), renewal(1), 300)
+        book = renewed(book, renewal(2, believed=250), 0)
+        assert book.reserved('t') == 250
+        assert book.free('t', 1_000) == 750
+
+    def test_opens_no_slower_than_its_host_believes(self):
+        """Guards against a host that opens faster than the ledger tells."""
+        book = renewed(LedgerBook(), renewal(1), 300, open_s=4)
+        book = renewed(
+            book, replace(renewal(2), believed=parts(300, 4)), 300, open_s=9
+        )
+        assert book.reserves['h'].parts['t'].open_s == 4
+        book = renewed(
+            book, replace(renewal(3), believed=parts(300, 9)), 300, open_s=9
+        )
+        assert book.reserves['h'].parts['t'].open_s == 9
+
+    @pytest.mark.parametrize(
+        ('passed_s', 'charged'),
+        [(0, 0), (CLOSED_S, 0), (CLOSED_S + 1, 120), (math.inf, 300)],
+    )
+    def test_reserve_of_a_process_that_died(self, passed_s, charged):
+        """Guards against a reserve that is lost, or given back unproven."""
+        book = renewed(LedgerBook(), renewal(1), 300)
+        book = renewed(book, renewal(1, holder='y'), 0, passed_s=passed_s)
+        assert book.team('t').charged == charged
+        assert book.reserved('t') == 0
+
+    def test_stored_form_is_read_back(self):
+        """Guards against a ledger that another daemon reads differently."""
+        book = renewed(LedgerBook(), renewal(1, opened=5), 300)
+        assert LedgerBook.from_value(book.to_value()) == book
+
+
+class TestHostReserve:
+    @pytest.fixture
+    def reserve(self):
+        return HostReserve(host='h', holder='x', started=times(1))
+
+    @staticmethod
+    def renew(reserve, now_s, held):
+        sent = reserve.renewal(times(now_s))
+        reserve.confirm(sent.number, parts(held), parts(held))
+
+    def test_stays_closed_while_it_is_renewed(self, reserve):
+        """Guards against a reserve that is spent in calm times."""
+        for now_s in range(10, 20):
+            self.renew(reserve, now_s, 100)
+            assert not reserve.open('t', 50, now_s + CLOSED_S - 0.01)
+
+    def test_opens_when_the_time_has_passed(self, reserve):
+        """Guards against an outage that finds the reserve closed."""
+        self.renew(reserve, 10, 1_000)
+        now_s = 10 + CLOSED_S + 0.01
+        first = int(1_000 * open_share(CLOSED_S + 0.01, OPEN_S))
+        assert reserve.open('t', 50, now_s) == 50
+        assert reserve.open('t', 2_000, now_s) == first - 50
+        assert reserve.open('t', 2_000, 30) == 1_000 - first
+
+    def test_renewal_without_an_answer_puts_nothing_off(self, reserve):
+        """Guards against a reserve that never opens, or too early.
+
+        The renewal may have been written, so the time counts from it.
+        """
+        self.renew(reserve, 10, 100)
+        first = reserve.renewal(times(11))
+        assert reserve.renewal(times(13)) == first
+        assert not reserve.open('t', 10, 11 + CLOSED_S - 0.01)
+        assert reserve.open('t', 10, 11 + CLOSED_S + 0.01) == 10
+
+    def test_is_given_up_in_the_ledger_too(self, reserve):
+        """Guards against a reserve that a planned stop leaves behind."""
+        self.renew(reserve, 10, 100)
+        reserve.give_up()
+        assert not reserve.is_empty
+        sent = reserve.renewal(times(11))
+        assert not sent.believed
+        reserve.confirm(sent.number, {}, {})
+        assert reserve.is_empty
+
+    def test_openings_of_several_stamps_stay_within_the_first(self, reserve):
+        """Guards against more open than the stamp in the ledger tells.
+
+        The second renewal may never have been written.
+        """
+        self.renew(reserve, 10, 1_000)
+        opened = reserve.open('t', 1_000, 14)
+        reserve.renewal(times(14))
+        for now_s in (16, 17, 19, 25):
+            opened += reserve.open('t', 1_000, now_s)
+            assert opened <= 1_000 * open_share(now_s - 10, OPEN_S)
+
+    def test_openings_after_a_renewal_are_told_by_the_next(self, reserve):
+        """Guards against openings that nobody accounts for."""
+        self.renew(reserve, 10, 100)
+        sent = reserve.renewal(times(11))
+        assert reserve.open('t', 30, 15) == 30
+        reserve.confirm(sent.number, parts(100), parts(100))
+        assert reserve.held('t') == 70
+        assert reserve.renewal(times(16)).opened == {'t': 30}
+
+
+def test_holdings_leave_half_of_what_is_left():
+    """Guards against tokens that are held back at the end of a budget."""
+    from oriolegauge.grants.holdings import holdings
+
+    for reach in (1_000, 50_000, 900_000):
+        held = holdings(
+            rate=40_000, request_tokens=2_000, reach=reach, prepaid=1_000_000
+        )
+        assert held.working + held.reserve <= reach / 2
+    assert holdings(
+        rate=0, request_tokens=0, reach=500, prepaid=1_000
+    ) == Holdings(15)
--- a/packages/wire/src/oriolegauge/wire/codec.py
+++ b/packages/wire/src/oriolegauge/wire/codec.py
@@ -36,7 +36,7 @@
 _ENCODE_ERRORS = (capnp.KjException, OverflowError, ValueError, TypeError)
 
 _DECODE_ERRORS = (capnp.KjException, ValueError, KeyError, zlib.error)
-_SCALARS = {int, str, bytes, bool}
+_SCALARS = {int, str, bytes, bool, float}
 
 _Encoder = Callable[[Any, str, Any], None]
 _Decoder = Callable[[Any], Any]
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -43,7 +43,9 @@
     grantHandOver @34 :GrantHandOver;
     loadReport @35 :LoadReport;
     loadTable @36 :LoadTable;
-    grantBookWritten @37 :GrantBookWritten;
+    grantBookWritten @37 :GrantBookWritten;  # no longer sent
+    reserveRenewal @38 :ReserveRenewal;
+    reserveRenewed @39 :ReserveRenewed;
   }
 }
 
@@ -210,6 +212,30 @@
   team @0 :Text;
   tokens @1 :Int64;
   reachedStore @2 :Bool;
+  unspent @3 :Int64;
+  opensInS @4 :Float64;
+}
+struct TeamsTokens { team @0 :List(Text); tokens @1 :List(Int64); }
+struct TeamsParts {
+  team @0 :List(Text);
+  tokens @1 :List(Int64);
+  openS @2 :List(Float64);
+}
+struct HostTimes { bootId @0 :Text; bootS @1 :Float64; wallS @2 :Float64; }
+struct ReserveRenewal {
+  host @0 :Text;
+  holder @1 :Text;
+  started @2 :HostTimes;
+  stamp @3 :HostTimes;
+  number @4 :Int64;
+  believed @5 :TeamsParts;
+  opened @6 :TeamsTokens;
+}
+struct ReserveRenewed {
+  number @0 :Int64;
+  written @1 :Bool;
+  held @2 :TeamsParts;
+  targets @3 :TeamsParts;
 }
 
 struct PartsRead { part @0 :List(Text); server @1 :List(Text); }
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -16,10 +16,12 @@
     SettleAnswer,
 )
 from oriolegauge.core.runstate import RunState
+from oriolegauge.grants.hosttimes import HostTimes
 from oriolegauge.routing.crashquarantine import CrashReport
 from oriolegauge.routing.partindex import PartHeld
 
 NEVER_MS = -1
+UNKNOWN_TOKENS = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,7 +213,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GrantDraw:
-    """Ask a team's home to draw tokens, and report what was spent."""
+    """Ask the treasurer for tokens, and report what was spent."""
 
     team: str
     need: int
@@ -229,7 +231,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GrantHandOver:
-    """Give unspent prepaid tokens to a team's home."""
+    """Give unspent prepaid tokens to the treasurer."""
 
     team: str
     tokens: int
@@ -239,21 +241,59 @@
 class GrantGiven:
     """Answer with unspent prepaid tokens; they are the asker's from now on.
 
-    `reached_store` is false if a home could not ask the store for more.
+    `reached_store` is false if the peer could not ask the store for more.
+    `unspent` counts the team's tokens that are not known to be spent, or is
+    UNKNOWN_TOKENS. Reserves may be opened in `opens_in_s`, if there are any.
     """
 
     team: str
     tokens: int
     reached_store: bool = True
+    unspent: int = UNKNOWN_TOKENS
+    opens_in_s: float | None = None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GrantBookWritten:
-    """Tell the other home of a team what the store holds now, as JSON."""
+@dataclass(frozen=True, slots=True)
+class TeamTokens:
+    """Count tokens of a team."""
 
     team: str
-    version: int
-    value: bytes
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class TeamPart:
+    """Hold a team's part of a reserve; see `grants.ReservePart`."""
+
+    team: str
+    tokens: int
+    open_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReserveRenewal:
+    """Ask the treasurer to renew the reserve of a process.
+
+    See `grants.Renewal` for the fields.
+    """
+
+    host: str
+    holder: str
+    started: HostTimes
+    stamp: HostTimes
+    number: int
+    believed: tuple[TeamPart, ...] = ()
+    opened: tuple[TeamTokens, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReserveRenewed:
+    """Tell what a reserve holds and should hold; `written` if that is sure."""
+
+    number: int
+    written: bool
+    held: tuple[TeamPart, ...] = ()
+    targets: tuple[TeamPart, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -322,7 +362,8 @@
     'grantGiven': GrantGiven,
     'loadReport': LoadReport,
     'loadTable': LoadTable,
-    'grantBookWritten': GrantBookWritten,
+    'reserveRenewal': ReserveRenewal,
+    'reserveRenewed': ReserveRenewed,
 }
 
 Message = (
@@ -357,5 +398,6 @@
     | GrantGiven
     | LoadReport
     | LoadTable
-    | GrantBookWritten
+    | ReserveRenewal
+    | ReserveRenewed
 )
