Read and log the request rate that a server names

Nothing acts on it yet.

Ruled out: reading the header only from replies that match a request, since rejections and late copies name the rate too. An end of the limit needs a reply to a request that was sent after the last reply that named it.

--- a/packages/forwarding/src/oriolegauge/forwarding/headernames.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/headernames.py
@@ -14,6 +14,7 @@
     `not_run` marks a reply of a server that did not run the request.
     `signature` marks a reply that a server itself has made.
     `leaving` is 1 in the replies of a leaving server.
+    `rate_limit` holds the requests per second that a server in need takes.
     `callers_never_set` are removed from the requests of callers.
     """
 
@@ -28,4 +29,5 @@
     not_run: str = 'X-Not-Run'
     signature: str = 'X-Server-Signature'
     leaving: str = 'X-Server-Leaving'
+    rate_limit: str = 'X-Server-Rate-Limit'
     callers_never_set: frozenset[str] = frozenset()
--- a/packages/forwarding/src/oriolegauge/forwarding/serversignals.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serversignals.py
@@ -1,7 +1,7 @@
 """State of a server as reported in the headers of its replies.
 
-A shutdown or overload is known from the first reply that reports it, before the
-store lists it.
+A shutdown, an overload or a limited rate is known from the first reply that
+reports it, before the store lists it.
 """
 
 from collections.abc import Callable
@@ -14,10 +14,12 @@
     LeavingInstances,
     ServerInstance,
 )
+from oriolegauge.forwarding.serverlimits import ServerLimits, parse_rate
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.routing.serverpauses import ServerPauses, parse_retry_after
 
 MISDIRECTED = 421
+MAX_LOGGED_CHARS = 32
 _LEAVES = '1'
 _FULL = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
@@ -27,7 +29,7 @@
 
 
 class ServerSignals:
-    """Record servers that are leaving and servers that are full.
+    """Record servers that are leaving, full or limited to a rate.
 
     Every reply counts, also one that matches no request.
     """
@@ -38,12 +40,14 @@
         names: HeaderNames,
         leaving_instances: LeavingInstances,
         pauses: ServerPauses,
+        limits: ServerLimits,
         clock: Callable[[], float],
     ) -> None:
-        """Record the state in `leaving_instances` and `pauses`."""
+        """Record the state in `leaving_instances`, `pauses` and `limits`."""
         self._names = names
         self._leaving_instances = leaving_instances
         self._pauses = pauses
+        self._limits = limits
         self._clock = clock
 
     def observe(
@@ -57,6 +61,20 @@
             self._leaving_instances.note(server_instance)
         if reply.status in _FULL:
             self._note_full(server_instance, reply)
+        rate_text = reply.header(self._names.rate_limit)
+        if rate_text:
+            self._note_rate(server_instance, rate_text)
+
+    def _note_rate(self, server_instance: ServerInstance, text: str) -> None:
+        per_s = parse_rate(text)
+        if per_s is None:
+            log.info(
+                'malformed server limit',
+                server=server_instance.instance,
+                limit=text[:MAX_LOGGED_CHARS],
+            )
+            return
+        self._limits.note(server_instance, per_s)
 
     def _note_full(
         self, server_instance: ServerInstance, reply: ServerReply
@@ -69,7 +87,7 @@
             'server is full',
             server=server_instance.instance,
             status=reply.status,
-            retry_after=text[:32],
+            retry_after=text[:MAX_LOGGED_CHARS],
             pause_s=seconds,
         )
         if seconds is not None:
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -30,6 +30,7 @@
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.leavinginstances import LeavingInstances
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
+from oriolegauge.forwarding.serverlimits import ServerLimits
 from oriolegauge.forwarding.serversignals import ServerSignals
 from oriolegauge.grants import Reservation
 from oriolegauge.routing.serverchooser import ServerChooser
@@ -238,6 +239,7 @@
         )
         self.directory = ServerDirectory(clock, self.leaving_instances)
         self.pauses = ServerPauses(random.Random(1))
+        self.limits_named = ServerLimits(clock, on_change=lambda _: None)
         self.list_servers()
         self.chooser = ServerChooser(zone='z1', rng=random.Random(1))
         self.pool = ConnectionPool(
@@ -250,6 +252,7 @@
                 names=NAMES,
                 leaving_instances=self.leaving_instances,
                 pauses=self.pauses,
+                limits=self.limits_named,
                 clock=clock,
             ),
         )
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -30,6 +30,7 @@
 from oriolegauge.forwarding.leavinginstances import LeavingInstances
 from oriolegauge.forwarding.routetable import RouteTable
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
+from oriolegauge.forwarding.serverlimits import ServerLimits
 from oriolegauge.forwarding.serversignals import ServerSignals
 from oriolegauge.gateway.fleetlayout import heartbeat_period_s
 from oriolegauge.gateway.fleetlinks import FleetLinks
@@ -114,6 +115,9 @@
         )
         self._directory = ServerDirectory(self._clock, self._leaving_instances)
         self._pauses = ServerPauses(self._rng)
+        self._limits = ServerLimits(
+            lambda: host_clocks.now().boot_s, on_change=lambda _: None
+        )
         self._chooser = ServerChooser(zone=settings.zone, rng=self._rng)
         self._pool = ConnectionPool(
             request_id_header=names.request_id,
@@ -123,6 +127,7 @@
                 names=names,
                 leaving_instances=self._leaving_instances,
                 pauses=self._pauses,
+                limits=self._limits,
                 clock=self._clock,
             ),
         )
