tests: close the connections of scripted servers when a test ends

Cause: scripted servers were cancelled with open StreamWriters. The garbage collector closed these later, on an event loop that was closed, and the report of that error parses source. When it happened while hypothesis parsed source, Python 3.11 raised 'SystemError: AST constructor recursion depth mismatch', and TestBudgetMachine.test_no_overspend_and_no_lost_or_double_bill failed; in the first run pytest itself ended with INTERNALERROR in the same way.

Change: the handlers of ScriptedServer and of the soak's Backend close their writer in every case.

Evidence: seen in two of two whole runs of the tests, the second with --tb=native, which named the test and the line in ast.parse.

Ruled out: a fault of the budget machine; no code under test was running.

--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -144,8 +144,12 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
-        with contextlib.suppress(
-            asyncio.IncompleteReadError, ConnectionError, OSError
+        # A writer left to the garbage collector fails if its loop has closed.
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(
+                asyncio.IncompleteReadError, ConnectionError, OSError
+            ),
         ):
             while True:
                 seen = await read_message(reader)
@@ -155,7 +159,6 @@
                 await writer.drain()
                 if writer.is_closing():
                     break
-        writer.close()
 
 
 @dataclass
--- a/tests/adapter/soakfleet.py
+++ b/tests/adapter/soakfleet.py
@@ -62,12 +62,15 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(
-            asyncio.IncompleteReadError, ConnectionError, OSError
+        # A writer left to the garbage collector fails if its loop has closed.
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(
+                asyncio.IncompleteReadError, ConnectionError, OSError
+            ),
         ):
             while True:
                 await self._answer(reader, writer)
-        writer.close()
 
     async def _answer(self, reader, writer):
         head = await reader.readuntil(b'\r\n\r\n')
