Keep all daemons together to the request rate that a server names

Cause: daemons did not read the rate. A bound of the whole fleet needs more than that: applied by each daemon alone it would be exceeded by as many times as there are daemons.

Change: the first leader hands out permits, one for each request to a limited server. Each daemon owns an equal share of every limit and lends it to that leader for 1.5 s (4.5 s above 16 daemons); a leader hands out only the part of the rate whose shares it holds. A lease starts at the lender's echo of the leader's own clock, which also counts suspension, so it ends there first. A new process waits one lease, a stopping one takes no part, a lost one keeps its share reserved for 300 s, as it may serve others behind a partition. Heartbeats carry the rates, and the latest reply counts. Without a permit another server is chosen; with none left the caller is refused at once, and told when the servers' rate reaches its turn. Links agree by WebSocket protocol whether the peer understands the new messages; earlier builds get none.

Why it works: a share is in use at one daemon at a time, so the parts in use never sum up to more than the rate, whoever is cut off.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -17,10 +17,14 @@
 )
 from oriolegauge.forwarding.headernames import HeaderNames
 from oriolegauge.forwarding.headers import end_to_end
+from oriolegauge.forwarding.leavinginstances import ServerInstance
 from oriolegauge.forwarding.requestcontext import RequestContext, RequestTrace
 from oriolegauge.forwarding.serverconnection import ServerConnection
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
+from oriolegauge.forwarding.serverlimits import ServerLimits
 from oriolegauge.forwarding.serverreply import ServerReply
+from oriolegauge.forwarding.serversignals import MISDIRECTED
+from oriolegauge.routing.retryschedule import RetrySchedule
 from oriolegauge.routing.serverchooser import Candidate, ServerChooser
 from oriolegauge.routing.serverpauses import ServerPauses
 
@@ -53,14 +57,31 @@
         """Schedule a report of this daemon's load to the others."""
 
 
+class FleetPermits(Protocol):
+    """Keep the requests of all daemons to the rates that servers take."""
+
+    async def acquire(self, server_instance: ServerInstance) -> float:
+        """Return 0 if a request may be sent, else the seconds to wait."""
+
+    def give_back(self, server_instance: ServerInstance) -> None:
+        """Return the permit of a request that was not sent."""
+
+    def own_per_s(self, server_instance: ServerInstance) -> float:
+        """Return this daemon's equal part of the rate of a limited server."""
+
+
 @dataclass(slots=True)
 class Attempt:
-    """Hold one send to a server until `Dispatcher.close`."""
+    """Hold one send to a server until `Dispatcher.close`.
+
+    `limit_mark` tells what was known of the server's limit when it was sent.
+    """
 
     server: BackendServer
     connection: ServerConnection
     unread_tokens: int
     sent_at: float
+    limit_mark: int = 0
     was_answered: bool = False
     ok: bool = True
 
@@ -77,6 +98,8 @@
         names: HeaderNames,
         loads: FleetLoads,
         pauses: ServerPauses,
+        limits: ServerLimits,
+        permits: FleetPermits,
         connection_limit: Callable[[str], int],
         clock: Clock,
     ) -> None:
@@ -87,6 +110,9 @@
         self._names = names
         self._loads = loads
         self._pauses = pauses
+        self._limits = limits
+        self._permits = permits
+        self._retry_schedule = RetrySchedule()
         self._connection_limit = connection_limit
         self._clock = clock
 
@@ -119,13 +145,14 @@
                 [part.name for part in context.work.shared_parts]
             )
         for _ in range(MAX_CONNECTS):
-            server = self._choose(
+            server = await self._choose_permitted(
                 context, excluded, is_index_current=is_index_current
             )
             try:
                 connection = await self._connect(context, server)
             except ServerUnreachableError as error:
                 trace.note(server.instance, f'unreachable ({error.message})')
+                self._permits.give_back(server.server_instance)
                 excluded.add(server.instance)
                 continue
             try:
@@ -134,6 +161,7 @@
                 )
             except ServerUnreachableError as error:
                 trace.note(server.instance, f'not sent ({error.message})')
+                self._permits.give_back(server.server_instance)
                 self._pool.give_back(server, connection)
         raise self._no_server(
             context.service,
@@ -157,6 +185,7 @@
         except ReplyBrokenError:
             attempt.ok = False
             raise
+        self._note_limit(attempt, reply)
         return reply
 
     def record_reply(self, attempt: Attempt, reply: ServerReply) -> None:
@@ -193,6 +222,31 @@
         )
         self._loads.changed()
 
+    async def _choose_permitted(
+        self,
+        context: RequestContext,
+        excluded: Collection[str],
+        *,
+        is_index_current: bool,
+    ) -> BackendServer:
+        """Return the best server to which a request may be sent now."""
+        while True:
+            server = self._choose(
+                context, excluded, is_index_current=is_index_current
+            )
+            wait_s = await self._permits.acquire(server.server_instance)
+            if wait_s <= 0:
+                return server
+            self._pauses.hold(server.instance, wait_s, self._clock())
+
+    def _note_limit(self, attempt: Attempt, reply: ServerReply) -> None:
+        """End the limit of a server that names none any more."""
+        is_named = bool(reply.header(self._names.rate_limit))
+        if not is_named and reply.status != MISDIRECTED:
+            self._limits.note_unlimited(
+                attempt.server.server_instance, attempt.limit_mark
+            )
+
     def _choose(
         self,
         context: RequestContext,
@@ -224,10 +278,23 @@
         self, service: str, reason: str, default_s: float
     ) -> NoServerError:
         """Return the error with the time until the first pause ends, if any."""
-        names = [
-            server.instance for server in self._directory.of_service(service)
+        servers = self._directory.of_service(service)
+        names = [server.instance for server in servers]
+        now = self._clock()
+        wait_s = self._pauses.retry_after_s(names, now)
+        held = [
+            one for one in servers if self._pauses.is_held(one.instance, now)
         ]
-        wait_s = self._pauses.retry_after_s(names, self._clock())
+        if wait_s is not None and held:
+            wait_s = self._retry_schedule.wait_s(
+                service,
+                earliest_s=self._pauses.wait_s(names, now),
+                per_s=sum(
+                    self._permits.own_per_s(server.server_instance)
+                    for server in held
+                ),
+                now=now,
+            )
         return NoServerError(reason, retry_after_s=wait_s or default_s)
 
     def _candidates(
@@ -266,6 +333,7 @@
             self._pool.give_back(server, connection)
             raise NoServerError('no time is left')
         data = self._encode(context, server, extra_headers, now)
+        limit_mark = self._limits.mark(server.server_instance)
         await connection.send(data, context.request_id)
         trace.note_sent(
             server.instance, self._clock() - context.request.received_at
@@ -277,6 +345,7 @@
             connection=connection,
             unread_tokens=unread,
             sent_at=now,
+            limit_mark=limit_mark,
         )
 
     def _encode(
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -33,6 +33,7 @@
 from oriolegauge.forwarding.serverlimits import ServerLimits
 from oriolegauge.forwarding.serversignals import ServerSignals
 from oriolegauge.grants import Reservation
+from oriolegauge.routing.ratepermits import RatePermits
 from oriolegauge.routing.serverchooser import ServerChooser
 from oriolegauge.routing.serverpauses import ServerPauses
 
@@ -222,6 +223,30 @@
         """Ignore the change: there is no other daemon."""
 
 
+class LoneDaemonPermits:
+    """Permits of a fleet with one daemon."""
+
+    def __init__(self, limits, clock):
+        self.limits = limits
+        self.clock = clock
+        self.permits = RatePermits(random.Random(1))
+
+    async def acquire(self, server_instance):
+        await asyncio.sleep(0)
+        per_s = self.limits.per_s(server_instance)
+        if per_s is None:
+            return 0
+        return self.permits.take(
+            server_instance, per_s=per_s, wanted=1, now=self.clock()
+        ).wait_s
+
+    def give_back(self, server_instance):
+        """Drop the permit."""
+
+    def own_per_s(self, server_instance):
+        return self.limits.per_s(server_instance)
+
+
 class World:
     """Run a forwarder in front of scripted servers."""
 
@@ -242,7 +267,7 @@
         )
         self.directory = ServerDirectory(clock, self.leaving_instances)
         self.pauses = ServerPauses(random.Random(1))
-        self.limits_named = ServerLimits(clock, on_change=lambda _: None)
+        self.limits_named = ServerLimits(clock, on_change=self.pauses.release)
         self.list_servers()
         self.chooser = ServerChooser(zone='z1', rng=random.Random(1))
         self.pool = ConnectionPool(
@@ -266,6 +291,8 @@
             dispatcher=Dispatcher(
                 loads=NoOtherDaemons(),
                 pauses=self.pauses,
+                limits=self.limits_named,
+                permits=LoneDaemonPermits(self.limits_named, clock),
                 directory=self.directory,
                 chooser=self.chooser,
                 pool=self.pool,
--- a/packages/gateway/src/oriolegauge/gateway/fleetlayout.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlayout.py
@@ -1,4 +1,4 @@
-"""Topology of links between daemons, and the heartbeat period.
+"""Topology of links between daemons, and the periods of their messages.
 
 Both depend on the size of the fleet. Daemons of a large fleet link only some
 peers, so that the messages of one daemon don't grow with the fleet.
@@ -15,6 +15,16 @@
 # cost. Two heartbeats fit into the time after which a silent peer becomes
 # suspect.
 RING_BEAT_PERIOD_S = 0.75
+# Time for which a daemon lends its share in the limits of servers. No permits
+# are handed out for so long after the loss of the daemon that does it; in a
+# large fleet it gets a renewal from each daemon.
+FULL_MESH_LEASE_S = 1.5
+RING_LEASE_S = 4.5
+
+
+def lease_s(members: int) -> float:
+    """Return for how many seconds a share of the limits is lent."""
+    return FULL_MESH_LEASE_S if members <= FULL_MESH_MEMBERS else RING_LEASE_S
 
 
 def heartbeat_period_s(members: int) -> float:
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -1,4 +1,4 @@
-"""Links of a daemon to its peers: heartbeats, documents and loads.
+"""Links of a daemon to its peers: heartbeats, documents, loads and limits.
 
 Selects the peers to link and the leaders, which serve the whole fleet. Matters
 when peers freeze, restart or lose the store.
@@ -7,7 +7,13 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Awaitable, Callable, Collection, Iterator
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+)
 from dataclasses import dataclass
 from itertools import islice
 
@@ -21,11 +27,13 @@
     LeavingInstances,
     ServerInstance,
 )
+from oriolegauge.forwarding.serverlimits import ReportedLimit, ServerLimits
 from oriolegauge.gateway.documentexchange import DocumentExchange
 from oriolegauge.gateway.fleetlayout import (
     has_zone_aggregators,
     ring_neighbours,
 )
+from oriolegauge.gateway.limitexchange import LimitExchange
 from oriolegauge.gateway.loadexchange import (
     LoadExchange,
     in_flight_loads,
@@ -38,17 +46,25 @@
 from oriolegauge.routing.serverchooser import PeerLoad, ServerChooser
 from oriolegauge.wire import PeerTimeoutError, PeerUnreachableError, Sender
 from oriolegauge.wire.messages import (
+    UNLIMITED_PER_S,
     ConfigFetch,
     Heartbeat,
     LeavingServer,
     LoadReport,
     Message,
+    PermitRequest,
+    ServerLimit,
 )
 
 # Loads in an older heartbeat are ignored.
 LOAD_REPORT_MAX_AGE_S = 1.7
 # A peer that was unreachable for this time counts as replaced.
 FORGET_PEER_S = 60.0
+# A lost peer may serve others behind a partition, and still owns its share of
+# the limits of servers for this time.
+SHARE_RETENTION_S = 300.0
+# A peer that did not answer as the limiter is passed over for this time.
+LIMITER_PAUSE_S = 3.0
 # Number of leaders. They watch the store, and the others get changes from them.
 # They also hold reserves of prepaid tokens, so they have to notice a recovery
 # of the store soon.
@@ -81,17 +97,24 @@
 
     `open_at` is when the link was last seen open, or added if never.
     `unresponsive_at` is the last timeout, and `store_unavailable_at` the last
-    reply that reported the store unreachable.
+    reply that reported the store unreachable. `limiter_failed_at` is the last
+    call for permits without an answer.
     """
 
     added_at: float
     open_at: float
     unresponsive_at: float = -math.inf
     store_unavailable_at: float = -math.inf
+    limiter_failed_at: float = -math.inf
+
+    @property
+    def was_open(self) -> bool:
+        """State whether the link has ever been open."""
+        return self.open_at > self.added_at
 
 
 class FleetLinks:
-    """Share documents and loads with the other daemons.
+    """Share documents, loads and limits with the other daemons.
 
     A daemon's name is the address of its peer port, so a heartbeat from an
     unknown daemon contains the address to connect to.
@@ -104,6 +127,7 @@
         incarnation: str,
         documents: SharedDocuments,
         leaving_instances: LeavingInstances,
+        server_limits: ServerLimits,
         chooser: ServerChooser,
         state: Callable[[], str],
         reaches_store: Callable[[], bool],
@@ -121,6 +145,7 @@
             documents, self._call_without_penalty
         )
         self._leaving_instances = leaving_instances
+        self._server_limits = server_limits
         self._chooser = chooser
         self._state = state
         self._reaches_store = reaches_store
@@ -128,12 +153,15 @@
         self.loads = LoadExchange(
             name=own.name, links=self, chooser=chooser, clock=clock
         )
+        self._limits: LimitExchange | None = None
         self._mesh: PeerMesh | None = None
         self._answer_other: MessageHandler | None = None
         self._ranked_members = RankedMembers(own)
         # Peers that are linked for calls although they are no ring neighbours.
         self._extra_links: set[str] = set()
         self._times: dict[str, _LinkTimes] = {}
+        # Loop times at which peers were forgotten that own a share.
+        self._lost_at: dict[str, float] = {}
         self._tasks = TaskSet()
         self._is_listed = asyncio.Event()
         self._listing_deadline = (
@@ -150,6 +178,22 @@
         """Return the number of peers with an open link."""
         return len(self.linked_peers())
 
+    @property
+    def share_holders(self) -> int:
+        """Return the number of daemons that own a share of each limit.
+
+        A daemon that has announced its shutdown does not use its share.
+        """
+        oldest = self._clock() - SHARE_RETENTION_S
+        lost = {name for name, at in self._lost_at.items() if at > oldest}
+        owners = lost | set(self._ranked_members.others)
+        return 1 + sum(not self.has_announced_shutdown(name) for name in owners)
+
+    @property
+    def is_serving(self) -> bool:
+        """State whether this daemon has not announced its shutdown."""
+        return self._state() in _SERVING
+
     def note_listed(self) -> None:
         """Note that the members in the store have been listed."""
         self._is_listed.set()
@@ -175,6 +219,10 @@
         self._mesh = mesh
         self._answer_other = answer_other
 
+    def attach_limits(self, limits: LimitExchange) -> None:
+        """Answer requests of peers for permits."""
+        self._limits = limits
+
     def add_member(self, member: FleetMember) -> None:
         """Add a daemon, or update what is known of it."""
         if not member.name or not self._ranked_members.add(member):
@@ -208,11 +256,16 @@
                     ],
                     peer=sender.name,
                 )
+                self._server_limits.learn(
+                    _reported_limits(message.server_limits), peer=sender.name
+                )
                 return None
             case ConfigFetch(keys=keys):
                 return self._documents.answer(keys)
             case LoadReport():
                 return self.loads.answer(sender.name, message)
+            case PermitRequest() if self._limits:
+                return self._limits.answer(sender.name, message)
             case _:
                 if self._answer_other is None:
                     return Ack(accepted=False)
@@ -318,6 +371,24 @@
         reaching = filter(self._may_reach_store, leaders)
         return next(reaching, leaders[0] if leaders else self._name)
 
+    def limiter(self) -> str | None:
+        """Return the peer that hands out permits, None if it is this one."""
+        found = next(filter(self._may_limit, self._leaders()), self._name)
+        if found == self._name:
+            return None
+        self.open_link(found)
+        return found
+
+    def note_limiter_failed(self, peer: str) -> None:
+        """Note that the peer did not answer a call for permits."""
+        if peer in self._times:
+            self._times[peer].limiter_failed_at = self._clock()
+
+    def has_announced_shutdown(self, peer: str) -> bool:
+        """State whether the peer has said that it stops."""
+        received = self._mesh.heartbeats.get(peer) if self._mesh else None
+        return received is not None and received.heartbeat.state not in _SERVING
+
     def note_unresponsive(self, peer: str) -> None:
         """Note that a peer timed out; it may be frozen."""
         if peer in self._times:
@@ -370,6 +441,16 @@
         received = mesh.heartbeats.get(name)
         return received is None or received.heartbeat.state in _SERVING
 
+    def _may_limit(self, name: str) -> bool:
+        mesh = self._mesh
+        if mesh is None or name not in mesh.names:
+            return True
+        link = mesh.link(name)
+        if link.connected and not link.supports_permits:
+            return False
+        failed_at = self._times[name].limiter_failed_at
+        return self._clock() - failed_at >= LIMITER_PAUSE_S
+
     def _is_opening(self, name: str) -> bool:
         return self._clock() - self._times[name].added_at < LINK_OPENING_S
 
@@ -432,6 +513,15 @@
                 )
                 for reported in self._leaving_instances.all()
             ),
+            server_limits=tuple(
+                ServerLimit(
+                    limit.server_instance.instance,
+                    limit.server_instance.started_ms,
+                    UNLIMITED_PER_S if limit.per_s is None else limit.per_s,
+                    int(limit.age_s * _MS_PER_S),
+                )
+                for limit in self._server_limits.all()
+            ),
         )
 
     def apply_heartbeats(self) -> None:
@@ -481,6 +571,22 @@
         if not forgotten:
             return
         log.info('peers forgotten', peers=sorted(forgotten))
+        for name in forgotten:
+            if self._times[name].was_open and not self.has_announced_shutdown(
+                name
+            ):
+                self._lost_at[name] = now
         self._ranked_members.remove(forgotten)
         self._extra_links -= forgotten
         self._update_links()
+
+
+def _reported_limits(rows: Iterable[ServerLimit]) -> Iterator[ReportedLimit]:
+    for row in rows:
+        is_unlimited = row.per_s == UNLIMITED_PER_S
+        if is_unlimited or (row.per_s >= 0 and math.isfinite(row.per_s)):
+            yield ReportedLimit(
+                ServerInstance(row.server, row.started_ms),
+                None if is_unlimited else row.per_s,
+                max(0, row.age_ms) / _MS_PER_S,
+            )
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -38,6 +38,7 @@
 from oriolegauge.gateway.grantlinks import GrantLinks
 from oriolegauge.gateway.httpchecks import HttpChecks
 from oriolegauge.gateway.kindfollower import KindFollower
+from oriolegauge.gateway.limitexchange import LimitExchange
 from oriolegauge.gateway.memberregistration import (
     GatewayStore,
     MemberRegistration,
@@ -116,7 +117,7 @@
         self._directory = ServerDirectory(self._clock, self._leaving_instances)
         self._pauses = ServerPauses(self._rng)
         self._limits = ServerLimits(
-            lambda: host_clocks.now().boot_s, on_change=lambda _: None
+            _boot_clock(host_clocks), on_change=self._note_limit
         )
         self._chooser = ServerChooser(zone=settings.zone, rng=self._rng)
         self._pool = ConnectionPool(
@@ -144,11 +145,19 @@
             incarnation=self._incarnation,
             documents=self._documents,
             leaving_instances=self._leaving_instances,
+            server_limits=self._limits,
             chooser=self._chooser,
             state=lambda: self.lifecycle.state,
             reaches_store=self._reaches_store,
             clock=self._clock,
         )
+        self._permits = LimitExchange(
+            links=self._links,
+            limits=self._limits,
+            rng=self._rng,
+            clock=_boot_clock(host_clocks),
+        )
+        self._links.attach_limits(self._permits)
         self._grant_links = GrantLinks(name=settings.name, links=self._links)
         self._keeper = GrantKeeper(
             store=store,
@@ -207,6 +216,8 @@
                 names=names,
                 loads=self._links.loads,
                 pauses=self._pauses,
+                limits=self._limits,
+                permits=self._permits,
                 connection_limit=self._connection_limit,
                 clock=self._clock,
             ),
@@ -271,6 +282,7 @@
             self._keeper.run_reserve,
             self._links.loads.run,
             self._links.loads.run_sums,
+            self._permits.run,
             self._prune_connections,
             *(follower.run for follower in self._followers.values()),
         ]
@@ -357,6 +369,9 @@
             self._links.loads.restarted(name)
             self._pauses.forget(name)
         self._pauses.keep_only(self._directory.instances)
+        self._limits.keep(
+            {server.server_instance for server in self._directory.servers}
+        )
         self._links.loads.keep_only(self._directory.instances)
         self._pool.prune(self._directory.servers)
         log.info(
@@ -389,6 +404,11 @@
     def _note_connected(self, instance: str, ok: bool) -> None:
         self._chooser.connected(instance, ok=ok, now=self._clock())
 
+    def _note_limit(self, instance: str) -> None:
+        self._pauses.release(instance)
+        self._permits.changed()
+        self._links.announce_change()
+
     def _caller_limits(self) -> CallerLimits:
         route_table = self._forwarder.route_table
         return route_table.config.limits if route_table else CallerLimits()
@@ -437,6 +457,10 @@
         }
 
 
+def _boot_clock(host_clocks: HostClocks) -> Callable[[], float]:
+    return lambda: host_clocks.now().boot_s
+
+
 def _is_peer_name(name: str) -> bool:
     host, _, port = name.rpartition(':')
     return bool(host) and port.isdigit()
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -7,6 +7,7 @@
 import pytest
 
 from oriolegauge.forwarding.leavinginstances import LeavingInstances
+from oriolegauge.forwarding.serverlimits import ServerLimits
 from oriolegauge.gateway.fleetlayout import (
     FULL_MESH_MEMBERS,
     heartbeat_period_s,
@@ -128,6 +129,7 @@
         leaving_instances=LeavingInstances(
             clock, on_leaving_instance=lambda: None
         ),
+        server_limits=ServerLimits(clock, on_change=lambda _: None),
         chooser=ServerChooser(zone='z', rng=random.Random(1)),
         state=lambda: 'serving',
         reaches_store=lambda: reaches_store,
--- /dev/null
+++ b/packages/routing/src/oriolegauge/routing/ratepermits.py
@@ -0,0 +1,97 @@
+"""Permits to send requests to servers that take a limited rate.
+
+One daemon hands out permits for many others, each for one request. A token
+bucket per server keeps their number to the rate.
+"""
+
+import math
+import random
+from collections import deque
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass
+
+# Seconds of the rate that an unused bucket saves up, besides one permit.
+BURST_S = 0.25
+# A server that takes nothing gets a request at this rate, since only a reply
+# can tell that it takes requests again.
+TRIAL_PER_S = 0.1
+# Bounds of the wait after a refusal.
+MIN_WAIT_S = 0.02
+MAX_WAIT_S = 5.0
+# Wait of a daemon that has no part of the rate at the moment.
+NO_RATE_WAIT_S = 0.3
+# Daemons that wait for permits are slowed down to this many requests a second.
+MAX_REFUSALS_PER_S = 200
+# Waiting daemons don't ask at the same time: their waits are spread over this
+# time for each of them.
+SPREAD_S = 0.005
+
+
+@dataclass(frozen=True, slots=True)
+class Permits:
+    """Hold permits for `count` requests, or the time (s) to the next try."""
+
+    count: int
+    wait_s: float = 0
+
+
+@dataclass(slots=True)
+class _Bucket:
+    level: float
+    filled_at: float
+
+
+class RatePermits:
+    """Hand out permits at the rate of each server."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Spread the waits of refused daemons by `rng`."""
+        self._rng = rng
+        self._buckets: dict[Hashable, _Bucket] = {}
+        self._refused_at: deque[float] = deque()
+
+    def take(
+        self, server: Hashable, *, per_s: float, wanted: int, now: float
+    ) -> Permits:
+        """Return up to `wanted` permits for a server that takes `per_s`."""
+        if per_s <= 0:
+            return Permits(0, NO_RATE_WAIT_S)
+        bucket = self._filled(server, per_s, now)
+        count = min(wanted, math.floor(bucket.level))
+        if count > 0:
+            bucket.level -= count
+            return Permits(count)
+        return Permits(0, self._wait_s((1 - bucket.level) / per_s, now))
+
+    def keep_only(self, is_limited: Callable[[Hashable], bool]) -> None:
+        """Forget the servers that are not limited any more."""
+        self._buckets = {
+            server: bucket
+            for server, bucket in self._buckets.items()
+            if is_limited(server)
+        }
+
+    def _filled(self, server: Hashable, per_s: float, now: float) -> _Bucket:
+        bucket = self._buckets.get(server)
+        if bucket is None:
+            # Daemons that lose each other at the same moment each begin to
+            # hand out their part; their first permits must not coincide.
+            bucket = _Bucket(self._rng.random(), now)
+            self._buckets[server] = bucket
+        most = 1 + per_s * BURST_S
+        gained = max(0, now - bucket.filled_at) * per_s
+        bucket.level = min(most, bucket.level + gained)
+        bucket.filled_at = now
+        return bucket
+
+    def _wait_s(self, until_next_s: float, now: float) -> float:
+        while self._refused_at and now - self._refused_at[0] > 1:
+            self._refused_at.popleft()
+        self._refused_at.append(now)
+        wait_s = max(
+            MIN_WAIT_S,
+            until_next_s,
+            len(self._refused_at) / MAX_REFUSALS_PER_S,
+        )
+        spread_s = SPREAD_S * len(self._refused_at) * self._rng.random()
+        return min(MAX_WAIT_S, wait_s + spread_s)
--- a/packages/routing/src/oriolegauge/routing/serverpauses.py
+++ b/packages/routing/src/oriolegauge/routing/serverpauses.py
@@ -1,8 +1,9 @@
-"""Pauses that overloaded backend servers asked for by `Retry-After`.
+"""Times before which backend servers take no requests of this daemon.
 
-Requests sent to such a server before the end of the pause would be rejected and
-only cost attempts and time. The pause applies to this daemon, so peers are not
-told: the server may still accept their requests.
+Requests sent to a server before the end of a pause that it asked for by
+`Retry-After` would be rejected and only cost attempts and time. Peers are not
+told of it: the server may still accept their requests. A server that takes a
+limited rate is held until this daemon may get a permit for it.
 """
 
 import math
@@ -26,26 +27,37 @@
         """Spread the retries of callers by `rng`."""
         self._rng = rng
         self._until: dict[str, float] = {}
+        self._held_until: dict[str, float] = {}
 
     def note(self, server: str, seconds: float, now: float) -> None:
         """Pause the server for that long, within bounds."""
         until = now + min(seconds, MAX_PAUSE_S)
         self._until[server] = max(until, self._until.get(server, until))
 
+    def hold(self, server: str, seconds: float, now: float) -> None:
+        """Hold the server until a permit for it may be had."""
+        self._held_until[server] = now + seconds
+
+    def release(self, server: str) -> None:
+        """End the hold of a server whose limit has changed."""
+        self._held_until.pop(server, None)
+
+    def is_held(self, server: str, now: float) -> bool:
+        """State whether no permit for the server may be had yet."""
+        return self._held_until.get(server, now) > now
+
     def is_paused(self, server: str, now: float) -> bool:
-        """State whether the pause of the server is still running."""
-        until = self._until.get(server)
-        if until is None:
-            return False
-        if until <= now:
-            del self._until[server]
-            return False
-        return True
+        """State whether the server takes no requests of this daemon."""
+        return self._end(server, now) > now
+
+    def wait_s(self, servers: Iterable[str], now: float) -> float:
+        """Return the seconds until the first server takes requests."""
+        ends = [self._end(server, now) for server in servers]
+        return min(ends, default=now) - now
 
     def retry_after_s(self, servers: Iterable[str], now: float) -> float | None:
         """Return the seconds until a retry; None unless all are paused."""
-        ends = [self._until.get(server, now) for server in servers]
-        wait_s = min(ends, default=now) - now
+        wait_s = self.wait_s(servers, now)
         if wait_s <= 0:
             return None
         spread_s = max(MIN_RETRY_SPREAD_S, wait_s * RETRY_SPREAD_SHARE)
@@ -54,11 +66,18 @@
     def forget(self, server: str) -> None:
         """Drop the pause of a server that was restarted."""
         self._until.pop(server, None)
+        self.release(server)
 
     def keep_only(self, servers: Collection[str]) -> None:
         """Forget servers that no longer exist."""
-        for server in self._until.keys() - set(servers):
-            del self._until[server]
+        for known in (self._until, self._held_until):
+            for server in known.keys() - set(servers):
+                del known[server]
+
+    def _end(self, server: str, now: float) -> float:
+        return max(
+            self._until.get(server, now), self._held_until.get(server, now)
+        )
 
 
 def parse_retry_after(text: str) -> float | None:
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -47,6 +47,8 @@
     grantBookWritten @37 :GrantBookWritten;  # no longer sent
     reserveRenewal @38 :ReserveRenewal;
     reserveRenewed @39 :ReserveRenewed;
+    permitRequest @40 :PermitRequest;
+    permitsGiven @41 :PermitsGiven;
   }
 }
 
@@ -65,6 +67,7 @@
   hostSigns @11 :HostSigns;
   strength @12 :Int64;
   departures @13 :LeavingServers;
+  serverLimits @14 :ServerLimits;
 }
 
 struct ConfigVersions {
@@ -83,6 +86,12 @@
   startedMs @1 :List(Int64);
   ageMs @2 :List(Int64);
 }
+struct ServerLimits {
+  server @0 :List(Text);
+  startedMs @1 :List(Int64);
+  perS @2 :List(Float64);
+  ageMs @3 :List(Int64);
+}
 struct ServerSuspects { server @0 :Text; fingerprints @1 :List(Text); }
 struct Heard {
   member @0 :List(Text);
@@ -249,6 +258,16 @@
 }
 struct LoadTable { inFlight @0 :ServersInFlight; read @1 :PartsRead; }
 
+struct PermitRequest {
+  server @0 :Text;
+  startedMs @1 :Int64;
+  perS @2 :Float64;
+  wanted @3 :Int64;
+  stampS @4 :Float64;
+  leaseS @5 :Float64;
+}
+struct PermitsGiven { count @0 :Int64; waitS @1 :Float64; stampS @2 :Float64; }
+
 struct Ack { accepted @0 :Bool; }
 struct Failure {
   code @0 :UInt16;
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -22,6 +22,8 @@
 
 NEVER_MS = -1
 UNKNOWN_TOKENS = -1
+NO_STAMP_S = -1.0
+UNLIMITED_PER_S = -1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +86,20 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLimit:
+    """State the requests per second that a backend server last named.
+
+    `per_s` is UNLIMITED_PER_S if it names none any more. The reply is `age_ms`
+    old.
+    """
+
+    server: str
+    started_ms: int
+    per_s: float
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Heartbeat:
     """Tell peers that a member is alive, and what it holds and runs.
@@ -108,6 +124,7 @@
     host_signs: tuple[HostSign, ...] = ()
     strength: int = 0
     departures: tuple[LeavingServer, ...] = ()
+    server_limits: tuple[ServerLimit, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -321,6 +338,34 @@
     read: tuple[PartHeld, ...] = ()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PermitRequest:
+    """Ask for permits to send `wanted` requests to a limited server.
+
+    With a `stamp_s` that the peer told in its last answer the sender lends its
+    share of all limits: for `lease_s` from that time of the peer's clock.
+    """
+
+    server: str = ''
+    started_ms: int = 0
+    per_s: float = 0
+    wanted: int = 0
+    stamp_s: float = NO_STAMP_S
+    lease_s: float = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PermitsGiven:
+    """Give permits, or tell after which time to ask again.
+
+    `stamp_s` is the clock of the sender.
+    """
+
+    count: int
+    wait_s: float
+    stamp_s: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Failure:
     """Report why a call failed and whether its work ran."""
@@ -365,6 +410,8 @@
     'loadTable': LoadTable,
     'reserveRenewal': ReserveRenewal,
     'reserveRenewed': ReserveRenewed,
+    'permitRequest': PermitRequest,
+    'permitsGiven': PermitsGiven,
 }
 
 Message = (
@@ -401,4 +448,6 @@
     | LoadTable
     | ReserveRenewal
     | ReserveRenewed
+    | PermitRequest
+    | PermitsGiven
 )
--- a/packages/wire/src/oriolegauge/wire/peerlink.py
+++ b/packages/wire/src/oriolegauge/wire/peerlink.py
@@ -39,6 +39,9 @@
 
 MEMBER_HEADER = 'X-Oriolegauge-Member'
 LINK_PATH = '/link'
+# Agreed on when a link opens if the peer understands requests for permits.
+# Earlier builds close a link on which they get such a message.
+PERMITS_PROTOCOL = 'oriolegauge.permits'
 # Message ids start at a random number, so that an answer to an earlier process
 # never matches a call of this one.
 _FIRST_ID_BITS = 62
@@ -92,6 +95,7 @@
         self._on_answered = on_answered
         self._frames: FrameSender | None = None
         self._open = asyncio.Event()
+        self._protocol: str | None = None
         self._pending: dict[int, _Pending] = {}
         self._last_id = secrets.randbits(_FIRST_ID_BITS)
 
@@ -100,6 +104,11 @@
         """Return whether the link is open."""
         return self._open.is_set()
 
+    @property
+    def supports_permits(self) -> bool:
+        """Return whether the peer of the open link understands permits."""
+        return self._protocol == PERMITS_PROTOCOL
+
     async def run(self) -> None:
         """Keep the link open, reconnecting as needed, until cancelled."""
         loop = asyncio.get_running_loop()
@@ -110,6 +119,7 @@
                 socket, max_bytes=self._limits.max_unsent_bytes
             )
             self._frames = frames
+            self._protocol = socket.protocol
             self._open.set()
             try:
                 await self._read(socket)
@@ -210,6 +220,7 @@
                 return await self._session.ws_connect(
                     self._url,
                     headers={MEMBER_HEADER: self._sender().name},
+                    protocols=(PERMITS_PROTOCOL,),
                     max_msg_size=self._limits.max_message_bytes,
                     heartbeat=self._limits.ping_period_s,
                     timeout=aiohttp.ClientWSTimeout(
--- a/packages/wire/src/oriolegauge/wire/peerserver.py
+++ b/packages/wire/src/oriolegauge/wire/peerserver.py
@@ -10,7 +10,11 @@
 from oriolegauge.wire.envelope import Sender
 from oriolegauge.wire.linklimits import LinkLimits
 from oriolegauge.wire.peerconnection import Handler, PeerConnection
-from oriolegauge.wire.peerlink import LINK_PATH, MEMBER_HEADER
+from oriolegauge.wire.peerlink import (
+    LINK_PATH,
+    MEMBER_HEADER,
+    PERMITS_PROTOCOL,
+)
 
 log = structlog.get_logger()
 
@@ -83,6 +87,7 @@
             heartbeat=self._limits.ping_period_s,
             timeout=self._limits.close_timeout_s,
             compress=False,
+            protocols=(PERMITS_PROTOCOL,),
         )
         try:
             await socket.prepare(request)
