Give daemons and callers turns at a limited server

Callers for whom no server was left were told when the next permit is due.

Cause: one time for all; a place in the queue for callers that can't return; one call for each request of a burst, whose refusals take all turns.

Change: the limiter gives refused daemons turns at the rate of the server, at most 1 s ahead. Requests of a daemon for the same server ask one after the other, so that a refusal serves all of them.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -120,10 +120,10 @@
         """State whether a server outside `excluded` can take a request."""
         return bool(self._candidates(service, excluded))
 
-    def rejection(self, service: str) -> NoServerError:
+    def rejection(self, context: RequestContext) -> NoServerError:
         """Return the error for a request that full servers have rejected."""
         return self._no_server(
-            service, 'the servers are full', RETRY_AFTER_REJECTED_S
+            context, 'the servers are full', RETRY_AFTER_REJECTED_S
         )
 
     async def send(
@@ -164,7 +164,7 @@
                 self._permits.give_back(server.server_instance)
                 self._pool.give_back(server, connection)
         raise self._no_server(
-            context.service,
+            context,
             'no server accepts a connection',
             RETRY_AFTER_NO_SERVER_S,
         )
@@ -268,17 +268,17 @@
         )
         if name is None:
             raise self._no_server(
-                context.service,
+                context,
                 f'no server of {context.service} takes work',
                 RETRY_AFTER_NO_SERVER_S,
             )
         return servers[name]
 
     def _no_server(
-        self, service: str, reason: str, default_s: float
+        self, context: RequestContext, reason: str, default_s: float
     ) -> NoServerError:
         """Return the error with the time until the first pause ends, if any."""
-        servers = self._directory.of_service(service)
+        servers = self._directory.of_service(context.service)
         names = [server.instance for server in servers]
         now = self._clock()
         wait_s = self._pauses.retry_after_s(names, now)
@@ -287,12 +287,13 @@
         ]
         if wait_s is not None and held:
             wait_s = self._retry_schedule.wait_s(
-                service,
+                context.service,
                 earliest_s=self._pauses.wait_s(names, now),
                 per_s=sum(
                     self._permits.own_per_s(server.server_instance)
                     for server in held
                 ),
+                left_s=context.caller_deadline - now,
                 now=now,
             )
         return NoServerError(reason, retry_after_s=wait_s or default_s)
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -1,6 +1,7 @@
 """Admit, bill and log requests that are routed to backend servers."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -173,6 +174,7 @@
         workspace = self._authenticate(route_table, route, request)
         service = route_table.pick_service(route, self._rng)
         service_config = route_table.service(service)
+        caller_deadline = self._caller_deadline(request)
         priority = route.priority
         if workspace and workspace.priority is not None:
             priority = workspace.priority
@@ -183,7 +185,10 @@
             service=service,
             workspace=workspace.name if workspace else None,
             priority=priority,
-            deadline=self._deadline(request, route),
+            deadline=min(
+                request.received_at + route.timeout_s, caller_deadline
+            ),
+            caller_deadline=caller_deadline,
             work=self._work(request, route),
             tokens_per_event=(
                 service_config and service_config.tokens_per_event
@@ -203,16 +208,14 @@
             raise UnauthenticatedError('the caller key is unknown')
         return workspace
 
-    def _deadline(self, request: CallerRequest, route: Route) -> float:
-        wait_s = route.timeout_s
+    def _caller_deadline(self, request: CallerRequest) -> float:
         deadline_text = request.header(self._names.deadline_ms)
-        if deadline_text:
-            try:
-                wait_s = min(wait_s, float(deadline_text) / MS_PER_S)
-            except ValueError:
-                raise InvalidRequestError(
-                    'the deadline is not a number'
-                ) from None
+        if not deadline_text:
+            return math.inf
+        try:
+            wait_s = float(deadline_text) / MS_PER_S
+        except ValueError:
+            raise InvalidRequestError('the deadline is not a number') from None
         return request.received_at + wait_s
 
     def _work(self, request: CallerRequest, route: Route) -> Work:
--- a/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
@@ -14,7 +14,8 @@
 class RequestContext:
     """Hold the decisions that apply to all attempts of a request.
 
-    `deadline` is loop time in seconds.
+    `deadline` is loop time in seconds; `caller_deadline` that until which the
+    caller waits, also for a repeated request.
     """
 
     request: CallerRequest
@@ -24,6 +25,7 @@
     workspace: str | None
     priority: int
     deadline: float
+    caller_deadline: float
     work: Work
     tokens_per_event: int
 
--- a/packages/forwarding/src/oriolegauge/forwarding/streamexchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/streamexchange.py
@@ -176,7 +176,7 @@
                 return False
             if state.attempt_may_have_run:
                 raise ServerFailedError('the stream can not be resumed')
-            raise self._dependencies.dispatcher.rejection(state.context.service)
+            raise self._dependencies.dispatcher.rejection(state.context)
         state.attempt_may_have_run = True
         is_failure = reply.status >= FIRST_SERVER_ERROR
         if is_failure and self._may_repeat(state):
--- a/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
@@ -150,7 +150,7 @@
                 return False
             await self._finish_without_server(
                 state,
-                self._dependencies.dispatcher.rejection(state.context.service),
+                self._dependencies.dispatcher.rejection(state.context),
             )
             return True
         state.attempt_may_have_run = True
--- a/packages/gateway/src/oriolegauge/gateway/limitexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/limitexchange.py
@@ -10,7 +10,8 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from itertools import repeat
 from typing import Protocol
 
 import structlog
@@ -78,9 +79,42 @@
 
 
 @dataclass(slots=True)
-class _Demand:
-    permits: float
-    at: float
+class _ServerState:
+    """Hold the permits and the demand of this daemon for one server.
+
+    `spares` are the expiry times of permits; times are of the boot clock.
+    """
+
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    spares: list[float] = field(default_factory=list)
+    refused_until: float = -math.inf
+    demand: float = 0
+    demand_at: float = 0
+
+    def take_spare(self, now: float) -> bool:
+        """Take a permit that has not expired, if there is one."""
+        while self.spares:
+            if self.spares.pop() > now:
+                return True
+        return False
+
+    def add_spares(self, count: int, now: float) -> None:
+        """Keep permits for the next requests."""
+        self.spares.extend(repeat(now + SPARE_PERMIT_S, count))
+
+    def note(self, permits: Permits, now: float) -> None:
+        """Record the permits for this request and the next ones."""
+        if permits.count:
+            self.add_spares(permits.count - 1, now)
+        else:
+            self.refused_until = now + permits.wait_s
+
+    def wanted(self, now: float) -> int:
+        """Return the permits to ask for, more than one at a high demand."""
+        self.demand *= math.exp((self.demand_at - now) / DEMAND_S)
+        self.demand += 1
+        self.demand_at = now
+        return 1 + int(self.demand * AHEAD_SHARE)
 
 
 class LimitExchange:
@@ -103,26 +137,39 @@
         self._clock = clock
         self._permits = RatePermits(rng)
         self._shares = LimitShares(clock())
-        self._spares: dict[ServerInstance, list[float]] = {}
-        self._demands: dict[ServerInstance, _Demand] = {}
+        self._states: dict[ServerInstance, _ServerState] = {}
         # Time of the other daemon's clock in its last answer.
         self._stamps: dict[str, float] = {}
         self._failed_until = -math.inf
         self._changed = asyncio.Event()
 
     def changed(self) -> None:
-        """Lend the share soon, since a server has named a limit."""
+        """Lend the share and ask for permits soon: a limit has changed."""
+        for state in self._states.values():
+            state.refused_until = -math.inf
         self._changed.set()
 
     async def acquire(self, server_instance: ServerInstance) -> float:
         """Return 0 if a request may be sent, else the seconds to wait."""
         per_s = self._limits.per_s(server_instance)
-        if per_s is None or self._take_spare(server_instance):
+        if per_s is None:
             return 0
-        now = self._clock()
-        if now < self._failed_until:
-            return self._failed_until - now
-        wanted = self._wanted(server_instance, now)
+        state = self._states.setdefault(server_instance, _ServerState())
+        # The requests of a burst would all be refused, one call each.
+        async with state.lock:
+            if state.take_spare(self._clock()):
+                return 0
+            until = max(self._failed_until, state.refused_until)
+            wait_s = until - self._clock()
+            if wait_s <= 0:
+                wait_s = await self._ask(server_instance, state, per_s)
+            return wait_s
+
+    async def _ask(
+        self, server_instance: ServerInstance, state: _ServerState, per_s: float
+    ) -> float:
+        """Ask for permits; return 0 if there are some, else the wait (s)."""
+        wanted = state.wanted(self._clock())
         limiter = self._links.limiter()
         if limiter is None:
             permits = self._hand_out(server_instance, per_s, wanted)
@@ -142,17 +189,14 @@
             count=permits.count,
             wait_s=round(permits.wait_s, 3),
         )
-        if not permits.count:
-            return permits.wait_s
-        for _ in range(permits.count - 1):
-            self.give_back(server_instance)
-        return 0
+        state.note(permits, self._clock())
+        return 0 if permits.count else permits.wait_s
 
     def give_back(self, server_instance: ServerInstance) -> None:
         """Keep a permit that was not used for the next request."""
-        if self._limits.per_s(server_instance) is not None:
-            spares = self._spares.setdefault(server_instance, [])
-            spares.append(self._clock() + SPARE_PERMIT_S)
+        state = self._states.get(server_instance)
+        if state:
+            state.add_spares(1, self._clock())
 
     def own_per_s(self, server_instance: ServerInstance) -> float:
         """Return this daemon's equal part of the rate of a limited server."""
@@ -183,8 +227,7 @@
             if self._limits.is_any_limited:
                 await self._lend(lease)
             else:
-                self._spares.clear()
-                self._demands.clear()
+                self._states.clear()
             self._permits.keep_only(self._is_limited)
             self._changed.clear()
             with contextlib.suppress(TimeoutError):
@@ -254,22 +297,6 @@
             now=now,
         )
 
-    def _take_spare(self, server_instance: ServerInstance) -> bool:
-        spares = self._spares.get(server_instance, [])
-        now = self._clock()
-        while spares:
-            if spares.pop() > now:
-                return True
-        return False
-
-    def _wanted(self, server_instance: ServerInstance, now: float) -> int:
-        """Return the permits to ask for, more than one at a high demand."""
-        demand = self._demands.setdefault(server_instance, _Demand(0, now))
-        demand.permits *= math.exp((demand.at - now) / DEMAND_S)
-        demand.permits += 1
-        demand.at = now
-        return 1 + int(demand.permits * AHEAD_SHARE)
-
     def _is_limited(self, server_instance: object) -> bool:
         return (
             isinstance(server_instance, ServerInstance)
--- a/packages/routing/src/oriolegauge/routing/ratepermits.py
+++ b/packages/routing/src/oriolegauge/routing/ratepermits.py
@@ -22,9 +22,9 @@
 NO_RATE_WAIT_S = 0.3
 # Daemons that wait for permits are slowed down to this many requests a second.
 MAX_REFUSALS_PER_S = 200
-# Waiting daemons don't ask at the same time: their waits are spread over this
-# time for each of them.
-SPREAD_S = 0.005
+# Refused daemons get turns at the rate of the server, but no later than this: a
+# daemon may have no request left when its turn comes.
+MAX_TURN_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +39,7 @@
 class _Bucket:
     level: float
     filled_at: float
+    last_turn_at: float
 
 
 class RatePermits:
@@ -61,7 +62,7 @@
         if count > 0:
             bucket.level -= count
             return Permits(count)
-        return Permits(0, self._wait_s((1 - bucket.level) / per_s, now))
+        return Permits(0, self._wait_s(bucket, per_s, now))
 
     def keep_only(self, is_limited: Callable[[Hashable], bool]) -> None:
         """Forget the servers that are not limited any more."""
@@ -76,7 +77,7 @@
         if bucket is None:
             # Daemons that lose each other at the same moment each begin to
             # hand out their part; their first permits must not coincide.
-            bucket = _Bucket(self._rng.random(), now)
+            bucket = _Bucket(self._rng.random(), now, now)
             self._buckets[server] = bucket
         most = 1 + per_s * BURST_S
         gained = max(0, now - bucket.filled_at) * per_s
@@ -84,14 +85,23 @@
         bucket.filled_at = now
         return bucket
 
-    def _wait_s(self, until_next_s: float, now: float) -> float:
+    def _wait_s(self, bucket: _Bucket, per_s: float, now: float) -> float:
+        """Return the time to the turn of a daemon that is refused."""
+        until_next_s = (1 - bucket.level) / per_s
+        turn_at = max(now + until_next_s, bucket.last_turn_at + 1 / per_s)
+        longest_s = max(until_next_s, MAX_TURN_S, self._pace_s(now))
+        if turn_at > now + longest_s:
+            # Not all at the end of the longest wait.
+            wait_s = longest_s * (1 + self._rng.random()) / 2
+            wait_s = max(wait_s, until_next_s)
+        else:
+            bucket.last_turn_at = turn_at
+            wait_s = turn_at - now
+        return min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s))
+
+    def _pace_s(self, now: float) -> float:
+        """Return the wait that keeps the refusals to MAX_REFUSALS_PER_S."""
         while self._refused_at and now - self._refused_at[0] > 1:
             self._refused_at.popleft()
         self._refused_at.append(now)
-        wait_s = max(
-            MIN_WAIT_S,
-            until_next_s,
-            len(self._refused_at) / MAX_REFUSALS_PER_S,
-        )
-        spread_s = SPREAD_S * len(self._refused_at) * self._rng.random()
-        return min(MAX_WAIT_S, wait_s + spread_s)
+        return len(self._refused_at) / MAX_REFUSALS_PER_S
