Keep the rates of limited servers in the store for daemons that start

A server that had named 2 requests a second got 30 and 34 in 4 s (17 allowed) after all four daemons were killed and started, with answers that take 1 s and 100 calls a second: each daemon sent requests as to a server without a limit until its first answer.

Cause: the rates lived only in the memory of running daemons.

Change: the daemon that hands out permits writes the rates to one object of the store when they change, at most once a second; each daemon reads it once when it starts. The record counts as older than any reply, so the first answer without a rate ends it.

Ruled out: few requests at a time to servers that a new daemon has not heard from, which slows every restart; a record per daemon (writes with the fleet).

--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -39,6 +39,7 @@
 from oriolegauge.gateway.httpchecks import HttpChecks
 from oriolegauge.gateway.kindfollower import KindFollower
 from oriolegauge.gateway.limitexchange import LimitExchange
+from oriolegauge.gateway.limitrecord import LimitRecord
 from oriolegauge.gateway.memberregistration import (
     GatewayStore,
     MemberRegistration,
@@ -158,6 +159,12 @@
             clock=_boot_clock(host_clocks),
         )
         self._links.attach_limits(self._permits)
+        self._limit_record = LimitRecord(
+            store=store,
+            kind=settings.limits_kind,
+            limits=self._limits,
+            is_writer=lambda: self._links.limiter() is None,
+        )
         self._grant_links = GrantLinks(name=settings.name, links=self._links)
         self._keeper = GrantKeeper(
             store=store,
@@ -283,6 +290,7 @@
             self._links.loads.run,
             self._links.loads.run_sums,
             self._permits.run,
+            self._limit_record.run,
             self._prune_connections,
             *(follower.run for follower in self._followers.values()),
         ]
--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -35,6 +35,7 @@
     server_kind: str
     member_kind: str
     grants_kind: str
+    limits_kind: str
     retry_share: float
     retry_slack: float
     grace_s: float
--- a/tests/adapter/soakfleet.py
+++ b/tests/adapter/soakfleet.py
@@ -44,13 +44,14 @@
     """Answer requests and count the runs of each attempt.
 
     `limit_per_s` is the rate that its replies name, if there is one; `arrivals`
-    are the loop times of all requests.
+    are the loop times of all requests. Answers take `answer_s`.
     """
 
     def __init__(self, run_counts: Counter[str]) -> None:
         self.run_counts = run_counts
         self.limit_per_s: float | None = None
         self.arrivals: list[float] = []
+        self.answer_s: float = 0
         self.port = 0
         self._server = None
 
@@ -81,6 +82,7 @@
         attempt = lower['x-oriolegauge-attempt-id']
         self.run_counts[attempt] += 1
         self.arrivals.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(self.answer_s)
         limit = '' if self.limit_per_s is None else self._limit_header()
         base = (
             'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n'
--- a/tests/adapter/test_serverlimit.py
+++ b/tests/adapter/test_serverlimit.py
@@ -22,6 +22,8 @@
 WINDOW_S = 4.0
 TOLERATED = 1.5
 ALLOWANCE = 5
+# Several requests are sent before the first answer.
+SLOW_ANSWER_S = 1.0
 # Part of its limit that a server gets at least while callers want more.
 USED_SHARE = 0.8
 # A refusal that takes longer was held.
@@ -44,15 +46,15 @@
     return TOLERATED * per_s * WINDOW_S + ALLOWANCE
 
 
-async def call_until(fleet, until, seed=1):
-    """Send CALLS_PER_S calls to random daemons; return what was observed."""
+async def call_until(fleet, until, *, seed=1, per_s=CALLS_PER_S):
+    """Send calls to random daemons; return what was observed."""
     rng = random.Random(seed)
     seen = soak.Observed()
     loop = asyncio.get_running_loop()
     calls = []
     while loop.time() < until:
         calls.append(asyncio.create_task(soak.call(fleet, rng, seen, 'safe')))
-        await asyncio.sleep(rng.expovariate(CALLS_PER_S))
+        await asyncio.sleep(rng.expovariate(per_s))
     await asyncio.gather(*calls)
     return seen
 
@@ -181,6 +183,26 @@
         served = sum(one.last_status == 200 for one in refused)
         assert served >= len(refused) - 1, outcomes
 
+    async def test_rate_holds_after_a_restart_of_all_daemons(self, fleet):
+        """Guards against a limit that is known only to running daemons."""
+        loop = asyncio.get_running_loop()
+        limited = fleet.backends[0]
+        limited.limit_per_s = LIMIT_PER_S
+        for backend in fleet.backends:
+            backend.answer_s = SLOW_ANSWER_S
+        began = loop.time()
+        calls = asyncio.create_task(
+            call_until(
+                fleet, began + LEARNING_S + 3 * WINDOW_S, per_s=2 * CALLS_PER_S
+            )
+        )
+        await asyncio.sleep(LEARNING_S + WINDOW_S)
+        await asyncio.gather(*map(fleet.kill, range(fleet.size)))
+        await asyncio.gather(*map(fleet.start, range(fleet.size)))
+        await calls
+        most = most_in_a_window(limited.arrivals, began + LEARNING_S)
+        assert most <= allowed_in_a_window(LIMIT_PER_S), most
+
     @pytest.mark.parametrize('seed', [1])
     async def test_rate_holds_while_daemons_start_stop_and_freeze(
         self, fleet, seed
@@ -193,7 +215,7 @@
         began = loop.time()
         until = began + LEARNING_S + 3 * WINDOW_S
         await asyncio.gather(
-            call_until(fleet, until, seed), disturb(fleet, rng, until)
+            call_until(fleet, until, seed=seed), disturb(fleet, rng, until)
         )
         most = most_in_a_window(limited.arrivals, began + LEARNING_S)
         assert most <= allowed_in_a_window(LIMIT_PER_S), most
