Keep the retries of all daemons to one budget over restarts and reloads

The part of a daemon was fixed at the first request of a service, and its state was dropped on a reload.

Change: RetryBudgets, one class for what stood in the forwarder. A reload keeps the credit; a process starts without credit and earns it by requests; the part follows the size of the fleet, and a part below one retry gives one with that probability.

Ruled out: giving the slack after the window has passed, which only moves the start; storing the credit, a write for each retry.

--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -39,7 +39,7 @@
 from oriolegauge.forwarding.streamexchange import StreamExchange
 from oriolegauge.forwarding.wholeexchange import WholeExchange
 from oriolegauge.grants import Reservation
-from oriolegauge.routing.retrybudget import RetryBudget
+from oriolegauge.routing.retrybudgets import RetryBudgets
 from oriolegauge.routing.serverchooser import Work
 
 STARTING_RETRY_AFTER_S = 0.5
@@ -87,13 +87,11 @@
         link: HostLink,
         metrics: ForwardMetrics,
         state_versions: Callable[[], StateVersions],
-        retry_share: float,
-        retry_credit: Callable[[], float],
+        retries: RetryBudgets,
         rng: random.Random,
     ) -> None:
-        """Limit the retries of a service to a share of its requests.
+        """Serve with the dependencies.
 
-        `retry_credit` returns how many unused retries a service may save up.
         `buffers` bounds the bytes of servers' replies that are held in memory.
         """
         self._names = names
@@ -101,16 +99,14 @@
         self._link = link
         self._metrics = metrics
         self._state_versions = state_versions
-        self._retry_share = retry_share
-        self._retry_credit = retry_credit
+        self._retries = retries
         self._rng = rng
         self._clock = asyncio.get_running_loop().time
         self._route_table: RouteTable | None = None
-        self._retries: dict[str, RetryBudget] = {}
         dependencies = ExchangeDependencies(
             dispatcher=dispatcher,
             names=names,
-            may_retry=self._may_retry,
+            may_retry=retries.may_retry,
             buffers=buffers,
             clock=self._clock,
         )
@@ -127,11 +123,6 @@
         """Apply a version of the configuration to new requests."""
         self._route_table = route_table
 
-    def limit_retries(self, share: float) -> None:
-        """Limit retries to this share of the requests from now on."""
-        self._retry_share = share
-        self._retries.clear()
-
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
         """Answer the request; bind its id to the log events meanwhile."""
         request_id = request.header(self._names.request_id)
@@ -228,7 +219,7 @@
     async def _serve(
         self, context: RequestContext, trace: RequestTrace, answer: Answer
     ) -> None:
-        self._retry_budget(context.service).request()
+        self._retries.request(context.service)
         body_bytes = len(context.request.body)
         self._link.check(body_bytes, context.route.objective_s)
         self._link.sent(body_bytes)
@@ -275,22 +266,6 @@
         except CallerDisconnectedError:
             trace.outcome = 'caller left'
 
-    def _may_retry(self, service: str) -> bool:
-        return self._retry_budget(service).retry(1) is not None
-
-    def _retry_budget(self, service: str) -> RetryBudget:
-        found = self._retries.get(service)
-        if found is None:
-            credit = self._retry_credit()
-            found = RetryBudget(
-                rng=self._rng,
-                share=self._retry_share,
-                initial_credit=credit,
-                max_credit=credit,
-            )
-            self._retries[service] = found
-        return found
-
     def _report(
         self,
         request: CallerRequest,
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -34,6 +34,7 @@
 from oriolegauge.forwarding.serversignals import ServerSignals
 from oriolegauge.grants import Reservation
 from oriolegauge.routing.ratepermits import RatePermits
+from oriolegauge.routing.retrybudgets import RetryBudgets
 from oriolegauge.routing.serverchooser import ServerChooser
 from oriolegauge.routing.serverpauses import ServerPauses
 
@@ -307,8 +308,12 @@
             state_versions=lambda: StateVersions(
                 config_version=1, servers_revision=1, store_age_s=0
             ),
-            retry_share=0.2,
-            retry_credit=lambda: self.credit,
+            retries=RetryBudgets(
+                rng=random.Random(1),
+                share=0.2,
+                max_credit=lambda: self.credit,
+                initial_credit=self.credit,
+            ),
             rng=random.Random(1),
         )
         self.forwarder.set_route_table(
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -16,19 +16,20 @@
 from oriolegauge.admission import HostLink
 from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.core.supervisor import Job, run_supervised
-from oriolegauge.forwarding.backendserver import BackendServer
-from oriolegauge.forwarding.callerlistener import CallerListener
-from oriolegauge.forwarding.connectionpool import ConnectionPool
-from oriolegauge.forwarding.dispatcher import Dispatcher
-from oriolegauge.forwarding.forwarder import Forwarder, StateVersions
-from oriolegauge.forwarding.forwardingconfig import (
+from oriolegauge.forwarding import (
+    BackendServer,
     CallerLimits,
+    Forwarder,
     ForwardingConfig,
+    HeaderNames,
+    RouteTable,
+    StateVersions,
 )
+from oriolegauge.forwarding.callerlistener import CallerListener
+from oriolegauge.forwarding.connectionpool import ConnectionPool
+from oriolegauge.forwarding.dispatcher import Dispatcher
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
-from oriolegauge.forwarding.headernames import HeaderNames
 from oriolegauge.forwarding.leavinginstances import LeavingInstances
-from oriolegauge.forwarding.routetable import RouteTable
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
 from oriolegauge.forwarding.serverlimits import ServerLimits
 from oriolegauge.forwarding.serversignals import ServerSignals
@@ -50,6 +51,7 @@
 from oriolegauge.grants import GrantKeeper, HostClocks
 from oriolegauge.mesh import PeerMesh
 from oriolegauge.mesh.lifecycle import Lifecycle
+from oriolegauge.routing.retrybudgets import RetryBudgets
 from oriolegauge.routing.serverchooser import ServerChooser
 from oriolegauge.routing.serverpauses import ServerPauses
 
@@ -214,6 +216,11 @@
             on_member=self._links.add_member,
             on_listed=self._links.note_listed,
         )
+        self._retries = RetryBudgets(
+            rng=self._rng,
+            share=settings.retry_share,
+            max_credit=self._retry_credit,
+        )
         self._forwarder = Forwarder(
             names=names,
             dispatcher=Dispatcher(
@@ -233,8 +240,7 @@
             link=self._link,
             metrics=self._metrics,
             state_versions=self._state_versions,
-            retry_share=settings.retry_share,
-            retry_credit=self._retry_credit,
+            retries=self._retries,
             rng=self._rng,
         )
         self._listener = CallerListener(
@@ -256,7 +262,7 @@
             if getattr(settings, name) != getattr(self._settings, name)
         }
         self._settings = replace(self._settings, **changed)
-        self._forwarder.limit_retries(self._settings.retry_share)
+        self._retries.share = self._settings.retry_share
         log.info('reload', changed=changed)
 
     async def run(self) -> None:
@@ -436,7 +442,7 @@
 
     def _retry_credit(self) -> float:
         slack = self._settings.retry_slack * RETRY_SLACK_SHARE
-        return max(1.0, slack / self._links.members)
+        return slack / self._links.members
 
     def _state_versions(self) -> StateVersions:
         route_table = self._forwarder.route_table
--- a/packages/routing/src/oriolegauge/routing/retrybudget.py
+++ b/packages/routing/src/oriolegauge/routing/retrybudget.py
@@ -31,6 +31,12 @@
         self._max_credit = max_credit
         self.share = share
 
+    def limit(self, *, share: float, max_credit: float) -> None:
+        """Change the limits; the credit that was saved up stays, if it fits."""
+        self.share = share
+        self._max_credit = max_credit
+        self._credit = min(max_credit, self._credit)
+
     def request(self) -> None:
         """Count a request that is not a retry."""
         self._credit = min(self._max_credit, self._credit + self.share)
@@ -41,8 +47,19 @@
         `attempt` is 1 for the first retry of a request. None is allowed while
         all servers fail, since it can't help.
         """
-        if all_failing or self._credit < 1:
+        if all_failing or not self._spend():
             return None
-        self._credit -= 1
         longest = min(MAX_BACKOFF_S, BASE_BACKOFF_S * 2**attempt)
         return longest * (0.5 + self._rng.random() / 2)
+
+    def _spend(self) -> bool:
+        if self._credit >= 1:
+            self._credit -= 1
+            return True
+        if self._max_credit >= 1:
+            return False
+        # A part of less than one retry gives one with that probability, else
+        # the parts of a large fleet would be rounded up.
+        is_given = self._rng.random() < self._credit
+        self._credit = 0
+        return is_given
--- a/packages/routing/tests/test_routing.py
+++ b/packages/routing/tests/test_routing.py
@@ -2,7 +2,10 @@
 
 import random
 
+import pytest
+
 from oriolegauge.routing import HedgePolicy, RetryBudget, Router, ServerView
+from oriolegauge.routing.retrybudgets import RetryBudgets
 
 ZONE = 'z1'
 
@@ -41,6 +44,42 @@
             granted += budget.retry(1) is not None
         assert 95 <= granted <= 101
 
+    @pytest.mark.parametrize('size', [1, 8, 195])
+    @pytest.mark.parametrize('restarts', [0, 3])
+    def test_retries_of_a_fleet_stay_within_share_and_slack(
+        self, size, restarts
+    ):
+        """Guards against a part of the slack for each process or rounded up."""
+        share, slack, requests = 0.2, 42, 2_000
+        rng = random.Random(1)
+        retries = 0
+        for _ in range(restarts + 1):
+            budgets = [
+                RetryBudgets(
+                    rng=rng, share=share, max_credit=lambda: slack / size
+                )
+                for _ in range(size)
+            ]
+            for _ in range(requests // (restarts + 1)):
+                budget = rng.choice(budgets)
+                budget.request('svc')
+                retries += budget.may_retry('svc')
+        assert 0.8 * share * requests <= retries <= share * requests + slack
+
+    def test_changed_limits_give_no_new_credit(self):
+        """Guards against retries that each reload of the settings renews."""
+        budgets = RetryBudgets(
+            rng=random.Random(1),
+            share=0.2,
+            max_credit=lambda: 3,
+            initial_credit=3,
+        )
+        granted = 0
+        for _ in range(10):
+            granted += budgets.may_retry('svc')
+            budgets.share = 0.2
+        assert granted == 3
+
     def test_no_retry_while_all_servers_fail(self):
         budget = RetryBudget(rng=random.Random(1))
         assert budget.retry(1, all_failing=True) is None
