Say in refusals that servers have no permit left

Cause: a caller refused since all servers are limited read 'no server takes work', and a limit beyond the bound on limited servers was dropped without a line.

Change: the reason counts the servers without a permit; a warning tells of a limit that is not recorded. No decision changes; packages/forwarding passed.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -286,6 +286,7 @@
             one for one in servers if self._pauses.is_held(one.instance, now)
         ]
         if wait_s is not None and held:
+            reason = f'{reason}; {len(held)} have no permit left'
             wait_s = self._retry_schedule.wait_s(
                 context.service,
                 earliest_s=self._pauses.wait_s(names, now),
--- a/packages/forwarding/src/oriolegauge/forwarding/serverlimits.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverlimits.py
@@ -126,9 +126,13 @@
         source: str,
     ) -> None:
         found = self._replies.get(server_instance)
-        if found is None and (
-            per_s is None or len(self._replies) >= MAX_LIMITED_SERVERS
-        ):
+        if found is None and per_s is None:
+            return
+        if found is None and len(self._replies) >= MAX_LIMITED_SERVERS:
+            log.warning(
+                'server limit not recorded: too many limited servers',
+                server=server_instance.instance,
+            )
             return
         number = found.number if found else 0
         self._replies[server_instance] = _Reply(
