Log the requests that a server had not begun to answer when it crashed

Cause: no log line told which requests, and which prompt parts, ran on a server when it crashed, so the hypotheses on the deadly prompt part could not be told apart. Change: CrashDetector. A closed connection counts as a crash if the server then refuses a connection; requests with two parts of a stream or a whole reply are no suspects. No decision uses it yet. Dispatcher takes the loop's clock itself.

--- a/packages/forwarding/src/oriolegauge/forwarding/connectionpool.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/connectionpool.py
@@ -60,23 +60,13 @@
                 self._lent[server.address] += 1
                 return connection
             connection.abort()
-        self._lent[server.address] += 1
-        try:
-            connection = await ServerConnection.open(
-                server.address,
-                self._id_header,
-                self._connect_timeout_s,
-                partial(self._signals.observe, server.server_instance),
-            )
-        except ServerUnreachableError:
-            self._lent[server.address] -= 1
-            self._on_connected(server.instance, False)
-            raise
-        except asyncio.CancelledError:
-            self._lent[server.address] -= 1
-            raise
-        self._on_connected(server.instance, True)
-        return connection
+        return await self._open(server)
+
+    async def probe(self, server: BackendServer) -> None:
+        """Open a connection and close it; raise ServerUnreachableError."""
+        connection = await self._open(server)
+        self._lent[server.address] -= 1
+        connection.abort()
 
     def give_back(
         self, server: BackendServer, connection: ServerConnection
@@ -112,6 +102,25 @@
         """Close all idle connections."""
         self.prune(())
 
+    async def _open(self, server: BackendServer) -> ServerConnection:
+        self._lent[server.address] += 1
+        try:
+            connection = await ServerConnection.open(
+                server.address,
+                self._id_header,
+                self._connect_timeout_s,
+                partial(self._signals.observe, server.server_instance),
+            )
+        except ServerUnreachableError:
+            self._lent[server.address] -= 1
+            self._on_connected(server.instance, False)
+            raise
+        except asyncio.CancelledError:
+            self._lent[server.address] -= 1
+            raise
+        self._on_connected(server.instance, True)
+        return connection
+
 
 def _instance_address(server: BackendServer) -> _InstanceAddress:
     return server.server_instance, server.address
--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -11,10 +11,12 @@
 from oriolegauge.core.errors import NoServerError
 from oriolegauge.forwarding.backendserver import BackendServer
 from oriolegauge.forwarding.connectionpool import ConnectionPool
+from oriolegauge.forwarding.crashdetector import CrashDetector
 from oriolegauge.forwarding.errors import (
     ReplyBrokenError,
     ServerUnreachableError,
 )
+from oriolegauge.forwarding.fingerprints import fingerprints
 from oriolegauge.forwarding.headernames import HeaderNames
 from oriolegauge.forwarding.headers import end_to_end
 from oriolegauge.forwarding.leavinginstances import ServerInstance
@@ -40,8 +42,9 @@
 RETRY_AFTER_REJECTED_S = 0.15
 MS_PER_S = 1000
 FIRST_SERVER_ERROR = 500
-
-Clock = Callable[[], float]
+# A server that has sent this many parts of a stream has not crashed by
+# beginning to write it.
+HARMLESS_PARTS = 2
 
 
 class FleetLoads(Protocol):
@@ -75,14 +78,18 @@
     """Hold one send to a server until `Dispatcher.close`.
 
     `limit_mark` tells what was known of the server's limit when it was sent.
+    `is_harmless` states that the server has survived the start of its answer.
     """
 
+    context: RequestContext
     server: BackendServer
     connection: ServerConnection
     unread_tokens: int
     sent_at: float
     limit_mark: int = 0
     was_answered: bool = False
+    parts: int = 0
+    is_harmless: bool = False
     ok: bool = True
 
 
@@ -100,8 +107,8 @@
         pauses: ServerPauses,
         limits: ServerLimits,
         permits: FleetPermits,
+        crashes: CrashDetector,
         connection_limit: Callable[[str], int],
-        clock: Clock,
     ) -> None:
         """Keep at most `connection_limit(service)` connections per server."""
         self._directory = directory
@@ -112,9 +119,10 @@
         self._pauses = pauses
         self._limits = limits
         self._permits = permits
+        self._crashes = crashes
         self._retry_schedule = RetrySchedule()
         self._connection_limit = connection_limit
-        self._clock = clock
+        self._clock = asyncio.get_running_loop().time
 
     def has_server(self, service: str, excluded: Collection[str]) -> bool:
         """State whether a server outside `excluded` can take a request."""
@@ -210,8 +218,22 @@
         )
         self._loads.changed()
 
+    def record_part(self, attempt: Attempt) -> None:
+        """Record a part of a stream with at least one event."""
+        self.record_first_part(attempt)
+        attempt.parts += 1
+        if attempt.parts >= HARMLESS_PARTS:
+            self.record_harmless(attempt)
+
+    def record_harmless(self, attempt: Attempt) -> None:
+        """Record that the server has survived the start of the answer."""
+        attempt.is_harmless = True
+
     def close(self, attempt: Attempt) -> None:
         """End the attempt; close its connection if the reply is incomplete."""
+        may_be_crash = not self._directory.is_leaving(attempt.server.instance)
+        if attempt.connection.is_lost and may_be_crash:
+            self._note_lost(attempt)
         self._pool.give_back(attempt.server, attempt.connection)
         self._chooser.ended(
             attempt.server.instance,
@@ -222,6 +244,12 @@
         )
         self._loads.changed()
 
+    def _note_lost(self, attempt: Attempt) -> None:
+        if not attempt.is_harmless:
+            self._crashes.note_lost(
+                attempt.server, fingerprints(attempt.context)
+            )
+
     async def _choose_permitted(
         self,
         context: RequestContext,
@@ -343,6 +371,7 @@
         unread = self._chooser.started(server.instance, context.work)
         self._loads.changed()
         return Attempt(
+            context=context,
             server=server,
             connection=connection,
             unread_tokens=unread,
--- a/packages/forwarding/src/oriolegauge/forwarding/errors.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/errors.py
@@ -27,10 +27,18 @@
 
 
 class ServerUnreachableError(OriolegaugeError):
-    """Report that no byte of the request was sent to the server."""
+    """Report that no byte of the request was sent to the server.
+
+    `is_refused` is true if its host answered that nothing listens there.
+    """
 
     code = ResultCode.NO_SERVER
 
+    def __init__(self, message: str, *, is_refused: bool = False) -> None:
+        """Describe why the server can't be reached."""
+        super().__init__(message)
+        self.is_refused = is_refused
+
 
 class ReplyBrokenError(OriolegaugeError):
     """Report a reply that is missing, malformed or incomplete."""
--- a/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
@@ -100,6 +100,7 @@
         self._is_in_head = False
         self._has_unexpected_bytes = False
         self._is_eof = False
+        self._is_lost = False
         self._failure: str | None = None
         self._headers: list[tuple[bytes, bytes]] = []
         self._counts = _Counts()
@@ -125,7 +126,9 @@
         except TimeoutError as error:
             raise ServerUnreachableError('no connection in time') from error
         except OSError as error:
-            raise ServerUnreachableError(str(error)) from error
+            raise ServerUnreachableError(
+                str(error), is_refused=isinstance(error, ConnectionRefusedError)
+            ) from error
         return connection
 
     @property
@@ -140,6 +143,11 @@
             and self._loop.time() < self._reusable_until
         )
 
+    @property
+    def is_lost(self) -> bool:
+        """State whether the server closed it before the reply was complete."""
+        return self._is_lost
+
     @property
     def idle_s(self) -> float:
         """Return the seconds since the last reply ended."""
@@ -186,6 +194,7 @@
         if ends_here and self._is_eof and exc is None and not self._failure:
             self._is_complete = True
         elif not self._is_complete:
+            self._is_lost = self._failure is None
             self._fail('the server closed the connection')
         self._writable.set()
         self._changed.set()
--- a/packages/forwarding/src/oriolegauge/forwarding/serverdirectory.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverdirectory.py
@@ -46,6 +46,15 @@
             and self._missing_until.get(server.instance, math.inf) > now
         ]
 
+    def is_leaving(self, instance: str) -> bool:
+        """State whether the server takes no new work, or is not listed."""
+        server = self._servers.get(instance)
+        return (
+            server is None
+            or server.is_leaving
+            or self._announced_leaving(server)
+        )
+
     def replace(
         self, servers: Iterable[BackendServer], *, keep_missing_until: float
     ) -> list[str]:
--- a/packages/forwarding/src/oriolegauge/forwarding/streamexchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/streamexchange.py
@@ -114,6 +114,7 @@
         state.attempt_may_have_run = True
         with self._dependencies.buffers.lease() as buffer_lease:
             await self._relay(state, attempt, reply, buffer_lease)
+        self._dependencies.dispatcher.record_harmless(attempt)
         state.trace.note(attempt.server.instance, 'whole')
         state.trace.outcome = 'answered'
         return True
@@ -134,7 +135,7 @@
             now = self._dependencies.clock()
             step = relay.add(part, now)
             if step.has_message:
-                self._dependencies.dispatcher.record_first_part(attempt)
+                self._dependencies.dispatcher.record_part(attempt)
                 received_at = state.context.request.received_at
                 state.trace.note_event(now, received_at)
             if step.ready_bytes:
--- a/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
@@ -190,6 +190,8 @@
             attempt.ok = False
             raise
         else:
+            if not reply.header(self._dependencies.names.not_run):
+                dispatcher.record_harmless(attempt)
             return WholeReply(reply, body)
         finally:
             dispatcher.close(attempt)
--- /dev/null
+++ b/packages/forwarding/tests/test_crashdetector.py
@@ -0,0 +1,105 @@
+"""Detection of servers that crash while they run requests."""
+
+import asyncio
+
+from .world import (
+    ScriptedServer,
+    World,
+    chunk,
+    event,
+    reset_connection,
+    stream_head,
+)
+
+PARTS = 'first:40,deadly:30,own:30'
+SHARED = {'part:first', 'part:deadly'}
+
+
+async def lost_answer(seen, writer):
+    reset_connection(writer)
+
+
+class CrashingServer(ScriptedServer):
+    """Stop listening and reset all connections when a request starts."""
+
+    def __init__(self, *script):
+        super().__init__(*script, self.crash)
+        self.writers = []
+
+    async def crash(self, seen, writer):
+        await self.stop()
+        for one in (*self.writers, writer):
+            reset_connection(one)
+
+    async def two_events(self, seen, writer):
+        self.writers.append(writer)
+        writer.write(stream_head(seen) + chunk(event(1)))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(chunk(event(2)))
+        await writer.drain()
+        await asyncio.sleep(2)
+
+
+async def review(world, request_id, parts=PARTS):
+    return await world.call(
+        '/review/x', request_id=request_id, X_Prompt_Parts=parts
+    )
+
+
+async def wait_for_crash(world):
+    async with asyncio.timeout(2):
+        while not world.crashes:
+            await asyncio.sleep(0.01)
+
+
+class TestCrashDetector:
+    async def test_request_without_answer_at_a_crash_is_reported(self):
+        """Guards against crashes that no request is connected with."""
+        async with World(CrashingServer()) as world:
+            answer = await review(world, 'r1')
+            await wait_for_crash(world)
+        assert ' 502 ' in answer.first_line
+        [(server_instance, suspects)] = world.crashes
+        assert server_instance.instance == 's0'
+        assert suspects >= SHARED
+        [whole] = suspects - SHARED
+        assert whole.startswith('request:')
+
+    async def test_lost_answer_of_a_running_server_is_no_crash(self):
+        """Guards against suspects of answers that were lost on the way."""
+        async with World(ScriptedServer(lost_answer)) as world:
+            answer = await review(world, 'r1')
+            await asyncio.sleep(0.1)
+        assert ' 502 ' in answer.first_line
+        assert not world.crashes
+
+    async def test_stream_that_has_begun_is_no_suspect(self):
+        """Guards against blaming sound streams of a crashed server."""
+        server = CrashingServer()
+        server.script.insert(0, server.two_events)
+        async with World(server) as world:
+            sound = asyncio.create_task(
+                review(world, 'r1', 'first:40,sound:30,own:30')
+            )
+            await asyncio.sleep(0.2)
+            await review(world, 'r2')
+            await wait_for_crash(world)
+            await asyncio.gather(sound, return_exceptions=True)
+        [(_, suspects)] = world.crashes
+        assert 'part:sound' not in suspects
+        assert 'part:deadly' in suspects
+
+    async def test_leaving_server_that_stops_is_no_crash(self):
+        """Guards against suspects of a planned stop."""
+        server = CrashingServer()
+        async with World(server) as world:
+
+            async def leave_and_crash(seen, writer):
+                world.list_servers(leaving=('s0',))
+                await server.crash(seen, writer)
+
+            server.script = [leave_and_crash]
+            await review(world, 'r1')
+            await asyncio.sleep(0.1)
+        assert not world.crashes
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -26,6 +26,7 @@
 )
 from oriolegauge.forwarding.callerlistener import CallerListener
 from oriolegauge.forwarding.connectionpool import ConnectionPool
+from oriolegauge.forwarding.crashdetector import CrashDetector
 from oriolegauge.forwarding.dispatcher import Dispatcher
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.leavinginstances import LeavingInstances
@@ -285,6 +286,7 @@
                 clock=clock,
             ),
         )
+        self.crashes = []
         self.buffers = ByteBudget(12 * 1024 * 1024)
         self.link = HostLink(mbps=1_000, clock=clock)
         self.forwarder = Forwarder(
@@ -298,8 +300,11 @@
                 chooser=self.chooser,
                 pool=self.pool,
                 names=NAMES,
+                crashes=CrashDetector(
+                    probe=self.pool,
+                    on_crash=lambda *crash: self.crashes.append(crash),
+                ),
                 connection_limit=lambda _: 50,
-                clock=clock,
             ),
             budget=self.budget,
             buffers=self.buffers,
@@ -394,7 +399,8 @@
         lines.append(f'Content-Length: {len(body)}')
     if path.startswith(('/chat/', '/review/')):
         lines.append('X-Token-Bounds: 100,60')
-        lines.append('X-Prompt-Parts: a:60,b:40')
+        if 'X_Prompt_Parts' not in headers:
+            lines.append('X-Prompt-Parts: a:60,b:40')
     lines += [
         f'{name.replace("_", "-")}: {text}' for name, text in headers.items()
     ]
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -27,6 +27,7 @@
 )
 from oriolegauge.forwarding.callerlistener import CallerListener
 from oriolegauge.forwarding.connectionpool import ConnectionPool
+from oriolegauge.forwarding.crashdetector import CrashDetector
 from oriolegauge.forwarding.dispatcher import Dispatcher
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.leavinginstances import LeavingInstances
@@ -232,8 +233,10 @@
                 pauses=self._pauses,
                 limits=self._limits,
                 permits=self._permits,
+                crashes=CrashDetector(
+                    probe=self._pool, on_crash=lambda *_: None
+                ),
                 connection_limit=self._connection_limit,
-                clock=self._clock,
             ),
             budget=self._keeper,
             buffers=ByteBudget(int(settings.memory_bytes * REPLY_BUFFER_SHARE)),
