Let one daemon at a time try held requests

Cause: after a hold each daemon tried a request by itself. Change: daemons take turns of 2 s, in the order of their names. Crashes of one moment lengthen the hold up to that of four, so that a storm is not tried soon. Ruled out: trials by the leader alone, which rarely sees a request of a rare part and none of the callers of other zones.

--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -288,7 +288,7 @@
             ),
         )
         self.suspects = CrashSuspects(
-            clock=clock, rng=random.Random(1), on_change=lambda: None
+            clock=clock, has_turn=lambda _: True, on_change=lambda: None
         )
         self.buffers = ByteBudget(12 * 1024 * 1024)
         self.link = HostLink(mbps=1_000, clock=clock)
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -383,6 +383,11 @@
         self.open_link(found)
         return found
 
+    def has_turn(self, number: int) -> bool:
+        """State whether the turn of that number is this daemon's."""
+        names = sorted((self._name, *self._ranked_members.others))
+        return names[number % len(names)] == self._name
+
     def note_limiter_failed(self, peer: str) -> None:
         """Note that the peer did not answer a call for permits."""
         if peer in self._times:
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -127,7 +127,7 @@
         )
         self._crash_suspects = CrashSuspects(
             clock=_boot_clock(host_clocks),
-            rng=self._rng,
+            has_turn=lambda number: self._links.has_turn(number),
             on_change=lambda: self._links.announce_change(),
         )
         self._chooser = ServerChooser(zone=settings.zone, rng=self._rng)
--- a/packages/gateway/tests/test_crashrecord.py
+++ b/packages/gateway/tests/test_crashrecord.py
@@ -1,7 +1,6 @@
 """Record of explained crashes in the store."""
 
 import asyncio
-import random
 
 import pytest
 
@@ -18,7 +17,7 @@
     def __init__(self, store, is_writer=True):
         clock = asyncio.get_running_loop().time
         self.suspects = CrashSuspects(
-            clock=clock, rng=random.Random(1), on_change=lambda: None
+            clock=clock, has_turn=lambda _: True, on_change=lambda: None
         )
         record = CrashRecord(
             store=store,
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -132,7 +132,7 @@
         ),
         server_limits=ServerLimits(clock, on_change=lambda _: None),
         crash_suspects=CrashSuspects(
-            clock=clock, rng=random.Random(1), on_change=lambda: None
+            clock=clock, has_turn=lambda _: True, on_change=lambda: None
         ),
         chooser=ServerChooser(zone='z', rng=random.Random(1)),
         state=lambda: 'serving',
--- a/packages/routing/src/oriolegauge/routing/crashsuspects.py
+++ b/packages/routing/src/oriolegauge/routing/crashsuspects.py
@@ -8,7 +8,6 @@
 them is harmful.
 """
 
-import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -23,13 +22,12 @@
 # unless the same request was sent to both.
 SAME_CAUSE_S = 0.2
 MIN_CRASHES = 2
-# How long requests are held after the last of so many crashes. Then each daemon
-# tries one now and then; after more crashes none is tried.
+# How long requests are held after the last of so many crashes. Then the daemons
+# take turns to try one; after more crashes none is tried.
 HOLD_S: Mapping[int, float] = {2: 4.0, 3: 12.0, 4: 60.0}
-# Each daemon extends the hold by a random share of up to this, so that a trial
-# of one tells the others.
-HOLD_SPREAD_SHARE = 0.5
-TRIAL_PERIOD_S = 2.0
+MAX_TRIED_CRASHES = max(HOLD_S)
+# Long enough for the outcome of a trial to reach the daemon with the next turn.
+TURN_S = 2.0
 # Crashes that nothing explains are reported to peers for this time.
 UNEXPLAINED_REPORT_S = 60.0
 # A report that arrives later than another one has a time later by its transit.
@@ -103,6 +101,13 @@
     moments: int
     last_at: float
 
+    @property
+    def severity(self) -> int:
+        """Return the crashes that decide on the length of the hold."""
+        if self.moments > MAX_TRIED_CRASHES:
+            return self.moments
+        return min(MAX_TRIED_CRASHES, max(self.moments, len(self.keys)))
+
 
 class CrashSuspects:
     """Derive the requests to hold from the crashes that all daemons report.
@@ -115,19 +120,21 @@
         self,
         *,
         clock: Callable[[], float],
-        rng: random.Random,
+        has_turn: Callable[[int], bool],
         on_change: Callable[[], None],
     ) -> None:
         """Call `on_change` when there is something new to tell the peers.
 
         `clock` must also count the time in which the process is suspended.
+        `has_turn(number)` is true on one daemon of the fleet for each number.
         """
         self._clock = clock
+        self._has_turn = has_turn
         self._on_change = on_change
         self._crashes: dict[CrashKey, _Crash] = {}
         self._explanations: tuple[_Explanation, ...] = ()
-        self._hold_factor = 1 + HOLD_SPREAD_SHARE * rng.random()
-        self._tried_at: dict[frozenset[str], float] = {}
+        # Number of the last turn that was used, by explanation.
+        self._turns: dict[frozenset[str], int] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -174,12 +181,11 @@
             if one.fingerprints <= fingerprints:
                 wait_s = self._wait_s(one, now)
                 if wait_s > 0:
-                    return Held(wait_s, one.moments, one.fingerprints)
-                self._tried_at[one.fingerprints] = now
+                    return Held(wait_s, len(one.keys), one.fingerprints)
                 log.info(
                     'held request tried',
                     fingerprints=sorted(one.fingerprints),
-                    crashes=one.moments,
+                    crashes=len(one.keys),
                 )
         return None
 
@@ -220,14 +226,17 @@
         return ServerCrash(*key, age_s, suspects, frozenset(cleared))
 
     def _wait_s(self, explanation: _Explanation, now: float) -> float:
-        hold_s = HOLD_S.get(explanation.moments)
-        if hold_s is None:
-            return explanation.last_at + CRASH_MEMORY_S - now
-        free_at = explanation.last_at + hold_s * self._hold_factor
-        tried_at = self._tried_at.get(explanation.fingerprints)
-        if tried_at is not None:
-            free_at = max(free_at, tried_at + TRIAL_PERIOD_S)
-        return free_at - now
+        """Return the seconds until a trial, 0 if this daemon makes one now."""
+        hold_s = HOLD_S.get(explanation.severity, CRASH_MEMORY_S)
+        passed_s = now - explanation.last_at - hold_s
+        if passed_s < 0:
+            return -passed_s
+        turn = int(passed_s / TURN_S)
+        is_used = self._turns.get(explanation.fingerprints) == turn
+        if is_used or not self._has_turn(turn):
+            return TURN_S
+        self._turns[explanation.fingerprints] = turn
+        return 0
 
     def _merge(self, reported: ServerCrash) -> None:
         key = (reported.server, reported.started_ms)
@@ -265,17 +274,17 @@
         known = {one.fingerprints: one for one in self._explanations}
         for one in found:
             before = known.pop(one.fingerprints, None)
-            if before is None or before.moments != one.moments:
+            if before is None or before.keys != one.keys:
                 log.warning(
                     'requests held',
                     fingerprints=sorted(one.fingerprints),
-                    crashes=one.moments,
+                    crashes=len(one.keys),
                     servers=sorted(server for server, _ in one.keys),
-                    hold_s=HOLD_S.get(one.moments, CRASH_MEMORY_S),
+                    hold_s=HOLD_S.get(one.severity, CRASH_MEMORY_S),
                 )
         for ended in known:
             log.info('requests held no more', fingerprints=sorted(ended))
-            self._tried_at.pop(ended, None)
+            self._turns.pop(ended, None)
         self._explanations = found
 
 
--- a/packages/routing/tests/test_crashsuspects.py
+++ b/packages/routing/tests/test_crashsuspects.py
@@ -8,11 +8,10 @@
 from oriolegauge.routing.crashquarantine import CRASH_MEMORY_S
 from oriolegauge.routing.crashsuspects import (
     HOLD_S,
-    HOLD_SPREAD_SHARE,
     MAX_CRASHES,
     MAX_SUSPECTS,
     SAME_CAUSE_S,
-    TRIAL_PERIOD_S,
+    TURN_S,
     CrashSuspects,
     ServerCrash,
 )
@@ -21,12 +20,12 @@
 class Daemon:
     """One daemon with a clock that tests advance."""
 
-    def __init__(self, seed=1):
+    def __init__(self, rank=0, fleet=1):
         self.now = 100.0
         self.changes = 0
         self.suspects = CrashSuspects(
             clock=lambda: self.now,
-            rng=random.Random(seed),
+            has_turn=lambda number: number % fleet == rank,
             on_change=self._count_change,
         )
 
@@ -44,10 +43,6 @@
         self.suspects.note_harmless(frozenset(fingerprints))
 
 
-def longest_hold(moments):
-    return HOLD_S[moments] * (1 + HOLD_SPREAD_SHARE)
-
-
 class TestCrashSuspects:
     def test_part_of_two_crashes_is_held(self):
         """Guards against requests that crash server after server."""
@@ -113,14 +108,36 @@
         daemon.crash('s1', 'part')
         daemon.crash('s2', 'part')
         assert daemon.is_held('part')
-        daemon.now += longest_hold(2)
+        daemon.now += HOLD_S[2]
         assert not daemon.is_held('part')
         assert daemon.is_held('part')
-        daemon.now += TRIAL_PERIOD_S
+        daemon.now += TURN_S
         assert not daemon.is_held('part')
         daemon.answered('part')
         assert not daemon.is_held('part')
 
+    def test_daemons_of_a_fleet_take_turns(self):
+        """Guards against a trial of each daemon at the same time."""
+        fleet = [Daemon(rank, fleet=100) for rank in range(100)]
+        tried = []
+        for daemon in fleet:
+            daemon.crash('s1', 'deadly')
+            daemon.crash('s2', 'deadly')
+            daemon.now += HOLD_S[2]
+            tried.append(not daemon.is_held('deadly'))
+        assert sum(tried) == 1
+
+    def test_five_crashes_at_few_moments_are_held_longest_before_a_trial(self):
+        """Guards against trials soon after a storm of crashes."""
+        daemon = Daemon()
+        for number in range(3):
+            daemon.crash(f's{number}', 'deadly', after=1)
+            daemon.crash(f't{number}', 'deadly', after=SAME_CAUSE_S / 10)
+        daemon.now += HOLD_S[4] - 0.1
+        assert daemon.is_held('deadly')
+        daemon.now += 0.2
+        assert not daemon.is_held('deadly')
+
     def test_part_is_not_tried_after_five_crashes(self):
         """Guards against trials that crash servers without end."""
         daemon = Daemon()
@@ -134,7 +151,7 @@
 
     def test_hold_ends_with_an_answer_on_another_daemon(self):
         """Guards against a hold that one daemon keeps up by itself."""
-        here, there = Daemon(1), Daemon(2)
+        here, there = Daemon(), Daemon()
         for daemon in (here, there):
             daemon.crash('s1', 'part')
             daemon.crash('s2', 'part')
@@ -145,7 +162,7 @@
 
     def test_new_daemon_learns_from_a_report(self):
         """Guards against a restarted daemon that sends the part again."""
-        old, new = Daemon(1), Daemon(2)
+        old, new = Daemon(), Daemon()
         old.crash('s1', 'deadly', 'x')
         old.crash('s2', 'deadly', 'y')
         new.suspects.learn(old.suspects.all())
@@ -154,7 +171,7 @@
 
     def test_known_report_changes_nothing(self):
         """Guards against heartbeats that answer each other without end."""
-        one, other = Daemon(1), Daemon(2)
+        one, other = Daemon(), Daemon()
         one.crash('s1', 'deadly', 'x')
         other.suspects.learn(one.suspects.all())
         changes = other.changes
@@ -197,7 +214,7 @@
     @settings(max_examples=60, deadline=None)
     def test_daemons_with_the_same_reports_agree(self, crashes, seed):
         """Guards against verdicts that depend on the order of the news."""
-        one, other = Daemon(1), Daemon(1)
+        one, other = Daemon(), Daemon()
         one.suspects.learn(crashes)
         shuffled = crashes * 2
         random.Random(seed).shuffle(shuffled)
