Reproduce the store that comes back older, failing

Teams got up to 5% more than they prepaid; changes of the configuration were late. Change: tests; MemoryObjectStore and the stand-in can be restored and count eras; versions that hold era and revision.

--- a/packages/grants/tests/test_ledgersafety.py
+++ b/packages/grants/tests/test_ledgersafety.py
@@ -110,6 +110,44 @@
     return fleet.delivered - fleet.prepaid
 
 
+async def play_with_restores(seed, steps=60):
+    """Return the tokens delivered beyond the prepaid ones.
+
+    The store comes back from copies of up to 9 s ago; single daemons die.
+    """
+    rng = random.Random(seed)
+    store = LateStore(random.Random(seed), 0.1)
+    fleet = Fleet(store=store, prepaid=PREPAID, size=SIZE)
+    fleet.run()
+    calls = []
+    copies = []
+    for step in range(steps):
+        copies.append(store.copy())
+        for _ in range(rng.randint(0, 8)):
+            name = rng.choice(fleet.names)
+            if name not in fleet.down:
+                most = rng.randint(200, 4_000)
+                calls.append(asyncio.create_task(send(fleet, name, most)))
+        await asyncio.sleep(0.3)
+        if step % 20 == 19:
+            fleet.reaches_store = False
+            store.fault = StoreFault.OUTAGE
+            await asyncio.sleep(rng.uniform(0.1, 2))
+            store.restore(copies[-rng.randint(2, 15)])
+            store.late.clear()
+            store.fault = StoreFault.NONE
+            fleet.reaches_store = True
+        elif step % 20 == 9:
+            fleet.allocator = rng.choice(fleet.names)
+            fleet.start(rng.choice(fleet.names))
+    for _ in range(150):
+        await send(fleet, rng.choice(fleet.names), 3_000)
+        await asyncio.sleep(0.1)
+    fleet.stop(*fleet.names)
+    await asyncio.gather(*calls)
+    return fleet.delivered - fleet.prepaid
+
+
 @pytest.mark.looptime
 class TestSafety:
     @pytest.mark.parametrize('seed', SEEDS)
@@ -117,6 +155,11 @@
         """Guards against tokens of reserves that are spent twice."""
         assert await play(seed) <= 0
 
+    @pytest.mark.parametrize('seed', SEEDS)
+    async def test_store_that_comes_back_older_grants_nothing_twice(self, seed):
+        """Guards against tokens of grants that the store has forgotten."""
+        assert await play_with_restores(seed) <= 0
+
 
 async def outage_and_crash(seed):
     """Play an outage in which reserves are opened, and a crash of all."""
--- a/packages/objectstore/src/oriolegauge/objectstore/__init__.py
+++ b/packages/objectstore/src/oriolegauge/objectstore/__init__.py
@@ -20,6 +20,11 @@
     StoreRelay,
     answer_relay_call,
 )
+from oriolegauge.objectstore.storeversion import (
+    era_of,
+    revision_of,
+    store_version,
+)
 
 __all__ = (
     'Changes',
@@ -40,4 +45,7 @@
     'StoredObject',
     'VersionConflictError',
     'answer_relay_call',
+    'era_of',
+    'revision_of',
+    'store_version',
 )
--- a/packages/testkit/src/oriolegauge/testkit/memoryobjectstore.py
+++ b/packages/testkit/src/oriolegauge/testkit/memoryobjectstore.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 from collections.abc import AsyncIterator, Mapping
+from dataclasses import replace
 from enum import StrEnum
 from typing import Any
 
@@ -13,6 +14,8 @@
     StoreRateLimitError,
     StoreUnavailableError,
     VersionConflictError,
+    revision_of,
+    store_version,
 )
 
 
@@ -42,9 +45,26 @@
         self.reads = 0
         self.writes = 0
         self.watches = 0
+        self.era = 0
         self._revision = 0
         self._changed = asyncio.Condition()
 
+    def copy(self) -> tuple[dict[str, StoredObject], int]:
+        """Return a copy to pass to `restore`."""
+        return copy.deepcopy(self.objects), self._revision
+
+    def restore(self, kept: tuple[dict[str, StoredObject], int]) -> None:
+        """Come back from a copy; later changes and revisions are lost."""
+        self.era += 1
+        objects, self._revision = copy.deepcopy(kept)
+        self.objects = {
+            key: replace(
+                found,
+                version=store_version(self.era, revision_of(found.version)),
+            )
+            for key, found in objects.items()
+        }
+
     async def get(self, key: str) -> StoredObject | None:
         self.reads += 1
         self._fail_read()
@@ -125,7 +145,11 @@
                 f'{key}: version {current}, expected {expected_version}'
             )
         self._revision += 1
-        stored = StoredObject(key, self._revision, copy.deepcopy(dict(value)))
+        stored = StoredObject(
+            key,
+            store_version(self.era, self._revision),
+            copy.deepcopy(dict(value)),
+        )
         self.objects[key] = stored
         async with self._changed:
             self._changed.notify_all()
--- a/tests/adapter/soakfleet.py
+++ b/tests/adapter/soakfleet.py
@@ -123,6 +123,8 @@
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.proxies: list[LoopbackProxy] = []
         self.version = 0
+        # Further routes of the configuration, without repeats.
+        self.added: list[str] = []
 
     async def __aenter__(self):
         await self.store.start()
@@ -181,6 +183,7 @@
             _route('once', 'non_idempotent', maxAttempts=1),
             _route('safe', 'idempotent'),
             _route('stream', 'streaming', sticky=True, canResume=True),
+            *(_route(name, 'idempotent') for name in self.added),
         ]
         await self.store.write(
             'config',
--- a/tests/adapter/standinstore.py
+++ b/tests/adapter/standinstore.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's store that can be made to fail."""
 
 import asyncio
+import copy
 from collections import Counter
 from typing import Any
 
@@ -21,6 +22,7 @@
         self.events: list[tuple[int, str, bool, dict[str, Any]]] = []
         self.revision = 0
         self.oldest_revision = 0
+        self.era = 0
         self.status = 200
         self.silent = False
         self.lose_writes = False
@@ -63,6 +65,18 @@
     def forget_history(self) -> None:
         self.oldest_revision = self.revision
 
+    def copy(self) -> tuple[dict[tuple[str, str], dict[str, Any]], int]:
+        """Return a copy to pass to `restore`."""
+        return copy.deepcopy(self.objects), self.revision
+
+    async def restore(self, kept) -> None:
+        """Come back from a copy, as after a loss of all later writes."""
+        self.objects, self.revision = copy.deepcopy(kept)
+        self.events = [one for one in self.events if one[0] <= self.revision]
+        self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     async def _store(self, kind, name, spec, created):
         self.revision += 1
         entry = {
@@ -93,6 +107,7 @@
         if self.status != 200:
             return web.json_response({}, status=self.status)
         answer = await handler(request)
+        answer.headers['Store-Era'] = str(self.era)
         if self.lose_writes and request.method in {'PUT', 'POST'}:
             request.transport.abort()
         return answer
@@ -117,7 +132,7 @@
 
     async def _watch(self, kind, query):
         after = int(query['watch'])
-        if after < self.oldest_revision:
+        if not self.oldest_revision <= after <= self.revision:
             return web.json_response({}, status=410)
         try:
             async with asyncio.timeout(int(query['waitMs']) / 1000):
