--- a/packages/gateway/src/oriolegauge/gateway/documentexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/documentexchange.py
@@ -54,8 +54,8 @@
         for row in versions:
             self._documents.advance_revision(row.key, row.version, row.digest)
             is_unrequested = row.key not in self._fetching
-            if is_unrequested and self._documents.is_newer(
-                row.key, row.version
+            if is_unrequested and self._documents.is_wanted(
+                row.key, row.version, row.digest
             ):
                 self._fetching.add(row.key)
                 self._tasks.spawn(self._fetch(peer, row.key))
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -143,7 +143,9 @@
                 clock=self._clock,
             ),
         )
-        self._documents = SharedDocuments(self._apply_document)
+        self._documents = SharedDocuments(
+            self._apply_document, rank=self._document_rank
+        )
         own = FleetMember(
             name=settings.name,
             zone=settings.zone,
@@ -368,6 +370,16 @@
         if self._forwarder.route_table is not None and self._directory.is_known:
             self.lifecycle.serve()
 
+    def _document_rank(self, key: str, document: Document) -> int | None:
+        """Return the version of a configuration, None if it is invalid."""
+        if key != self._settings.config_kind:
+            return 0
+        try:
+            return self._decoder.config(orjson.loads(document.payload)).version
+        except ValueError as error:
+            log.warning('configuration rejected', error=str(error))
+            return None
+
     def _apply_config(
         self, objects: list[Mapping[str, Any]], document: Document
     ) -> None:
--- a/packages/gateway/src/oriolegauge/gateway/shareddocuments.py
+++ b/packages/gateway/src/oriolegauge/gateway/shareddocuments.py
@@ -1,19 +1,27 @@
 """Documents that all daemons share, such as configuration and servers.
 
-Keeps the newest revision of each, whether it came from the store or a peer.
+Keeps the newest revision of each, whether it came from the store or a peer. A
+store that comes back from an older copy shows older content at a newer
+revision, so the rank that the content itself states goes before the revision.
 """
 
 import zlib
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import cached_property
 
+import structlog
 import xxhash
 
 # Limit for a decompressed document: ten times the largest object of the store.
 MAX_DOCUMENT_BYTES = 10 * 1024 * 1024
 # Digests are sent as signed 64-bit numbers.
 _DIGEST_MASK = 2**63 - 1
+# Digests of refused documents kept of each key, which are not fetched again.
+MAX_REFUSED = 16
+
+log = structlog.get_logger()
 
 
 class DamagedDocumentError(Exception):
@@ -60,12 +68,28 @@
         return xxhash.xxh3_64_intdigest(self.payload) & _DIGEST_MASK
 
 
+def unranked(key: str, document: Document) -> int:
+    """Return the same rank for all documents."""
+    return 0
+
+
 class SharedDocuments:
     """Keep the newest revision of each document; ignore older ones."""
 
-    def __init__(self, on_change: Callable[[str, Document], None]) -> None:
-        """Call `on_change(key, document)` for each new content."""
+    def __init__(
+        self,
+        on_change: Callable[[str, Document], None],
+        rank: Callable[[str, Document], int | None] = unranked,
+    ) -> None:
+        """Call `on_change(key, document)` for each new content.
+
+        `rank(key, document)` rises with the versions of the content; None if
+        it is invalid.
+        """
         self._on_change = on_change
+        self._rank = rank
+        self._ranks: dict[str, int] = {}
+        self._refused: dict[str, deque[int]] = {}
         self._documents: dict[str, Document] = {}
         # May be newer than the revision in the document, if its content has not
         # changed since.
@@ -88,6 +112,17 @@
         """State whether the revision is newer than the latest known one."""
         return revision > self._revisions.get(key, -1)
 
+    def is_wanted(self, key: str, revision: int, digest: int) -> bool:
+        """State whether a peer's document may have to replace the held one."""
+        if self.is_newer(key, revision):
+            return True
+        held = self._documents.get(key)
+        return (
+            revision == self._revisions.get(key)
+            and held is not None
+            and digest not in {0, held.digest, *self._refused.get(key, ())}
+        )
+
     def advance_revision(self, key: str, revision: int, digest: int) -> None:
         """Note a newer revision if its digest is that of the present content.
 
@@ -99,11 +134,36 @@
 
     def offer(self, key: str, document: Document) -> bool:
         """Accept the document if it is newer; return whether it was."""
-        if not self.is_newer(key, document.revision):
+        newest = self._revisions.get(key, -1)
+        if document.revision < newest:
             return False
         held = self._documents.get(key)
+        if held and held.payload == document.payload:
+            self._revisions[key] = document.revision
+            return document.revision > newest
+        rank = self._rank(key, document)
+        held_rank = self._ranks.get(key, -1)
+        is_equal = document.revision == newest and rank == held_rank
+        if rank is None or rank < held_rank or is_equal:
+            self._refuse(key, document, rank)
+            return False
         self._revisions[key] = document.revision
-        if held is None or held.payload != document.payload:
-            self._documents[key] = document
-            self._on_change(key, document)
+        self._ranks[key] = rank
+        self._documents[key] = document
+        self._on_change(key, document)
         return True
+
+    def _refuse(self, key: str, document: Document, rank: int | None) -> None:
+        """Keep the held content, also at the newer revision."""
+        if key in self._documents:
+            self._revisions[key] = document.revision
+        refused = self._refused.setdefault(key, deque(maxlen=MAX_REFUSED))
+        refused.append(document.digest)
+        log.warning(
+            'document refused',
+            key=key,
+            revision=document.revision,
+            source=document.source,
+            rank=rank,
+            held_rank=self._ranks.get(key),
+        )
--- a/packages/gateway/tests/test_shareddocuments.py
+++ b/packages/gateway/tests/test_shareddocuments.py
@@ -83,3 +83,42 @@
             damage = zlib.compress(bytes(MAX_DOCUMENT_BYTES + 1))
         with pytest.raises(DamagedDocumentError):
             Document.unpack(1, damage, 'peer')
+
+
+def content_version(key, document):
+    """Return the number in the payload, None if there is none."""
+    return int(document.payload) if document.payload.isdigit() else None
+
+
+class TestRankedDocuments:
+    def test_older_content_at_a_newer_revision_is_refused(self):
+        """Guards against a confirmed version that a restored store reverts."""
+        taken = []
+        documents = SharedDocuments(
+            lambda _, found: taken.append(found.payload), content_version
+        )
+        documents.offer('config', Document(5, b'7', 'store'))
+        assert not documents.offer('config', Document(9, b'6', 'store'))
+        assert documents.get('config').payload == b'7'
+        assert documents.revisions['config'] == 9
+        assert documents.offer('config', Document(9, b'8', 'peer'))
+        assert taken == [b'7', b'8']
+
+    def test_newer_content_of_a_peer_at_the_same_revision_is_wanted(self):
+        """Guards against a new process that keeps the older copy."""
+        documents = SharedDocuments(lambda *_: None, content_version)
+        documents.offer('config', Document(9, b'6', 'store'))
+        newer, older = Document(9, b'7', 'peer'), Document(9, b'5', 'peer')
+        assert documents.is_wanted('config', 9, newer.digest)
+        assert documents.is_wanted('config', 9, older.digest)
+        assert not documents.offer('config', older)
+        assert not documents.is_wanted('config', 9, older.digest)
+        assert documents.offer('config', newer)
+
+    def test_invalid_content_is_refused(self):
+        """Guards against a faulty document that replaces a valid one."""
+        documents = SharedDocuments(lambda *_: None, content_version)
+        assert not documents.offer('config', Document(4, b'bad', 'store'))
+        documents.offer('config', Document(5, b'7', 'store'))
+        assert not documents.offer('config', Document(9, b'bad', 'store'))
+        assert documents.get('config').payload == b'7'
--- a/tests/adapter/test_platformstore.py
+++ b/tests/adapter/test_platformstore.py
@@ -15,6 +15,7 @@
     StoreUnavailableError,
     StoreUnreachableError,
     VersionConflictError,
+    revision_of,
 )
 
 
@@ -106,6 +107,65 @@
             await client.changes('servers', start, 1)
 
 
+class TestRestoredStore:
+    async def test_versions_rise_over_a_restore(self, client, stand_in):
+        """Guards against a revision that is given out again."""
+        kept = stand_in.copy()
+        old = await client.put('grants/a', {'x': 1}, 0)
+        await stand_in.restore(kept)
+        assert await client.get('grants/a') is None
+        new = await client.put('grants/a', {'x': 2}, 0)
+        assert revision_of(new.version) == revision_of(old.version)
+        assert new.version > old.version
+        assert client.era == 1
+
+    async def test_write_at_a_version_of_an_earlier_era_is_refused(
+        self, client, stand_in
+    ):
+        """Guards against overwriting another object at the same revision."""
+        kept = stand_in.copy()
+        old = await client.put('grants/a', {'x': 1}, 0)
+        await stand_in.restore(kept)
+        assert await client.get('grants/a') is None
+        await client.put('grants/a', {'x': 2}, 0)
+        with pytest.raises(VersionConflictError):
+            await client.put('grants/a', {'x': 3}, old.version)
+        assert (await client.get('grants/a')).value == {'x': 2}
+
+    async def test_write_that_meets_a_restore_is_unknown(
+        self, client, stand_in
+    ):
+        """Guards against tokens of a write that the restore has undone."""
+        kept = stand_in.copy()
+        await client.put('grants/a', {'x': 1}, 0)
+        await stand_in.restore(kept)
+        with pytest.raises(StoreAnswerLostError):
+            await client.put('grants/a', {'x': 2}, 0)
+
+    async def test_watch_from_an_earlier_era_has_lost_its_history(
+        self, client, stand_in
+    ):
+        """Guards against changes of the new era that are taken for all."""
+        await client.put('grants/a', {'x': 1}, 0)
+        kept = stand_in.copy()
+        old = await client.put('grants/b', {'x': 1}, 0)
+        await stand_in.restore(kept)
+        await stand_in.write('grants', 'c', {'x': 1})
+        for _ in range(2):
+            with pytest.raises(HistoryLostError):
+                await client.changes('grants', old.version, 0)
+
+    async def test_answer_of_an_earlier_era_is_no_answer(
+        self, client, stand_in
+    ):
+        """Guards against a late answer that hides a restore."""
+        stand_in.era = 2
+        await client.put('grants/a', {'x': 1}, 0)
+        stand_in.era = 1
+        with pytest.raises(StoreUnavailableError):
+            await client.get('grants/a')
+
+
 class FixedAnswerStore:
     """Answer every call with the same bytes."""
 
