Continue the remembered ledger when the store comes back older

Cause: the ledger was used as it came back, without the last grants, whose tokens were spent or held; they were granted a second time. Change: the ledger states the era in which it was written. One of an earlier era is a copy: the newest ledger that this daemon or a peer remembers is written in its place, under the version of the copy, so one daemon does it. Each renewal of a reserve hands the ledger to its host to remember. A daemon that remembers more than the base adds it. If nobody remembers one as new as the copy, all free tokens count as spent; a top-up is free. Ruled out: a ledger object per era (a build without eras would grant from another one); bounding the lost grants by time, since the age of the copy is not known.

--- a/packages/gateway/src/oriolegauge/gateway/documentexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/documentexchange.py
@@ -39,9 +39,16 @@
         """Fetch by `call(peer, message, timeout_s)`."""
         self._documents = documents
         self._call = call
+        self._providers: dict[str, Callable[[], Document | None]] = {}
         self._fetching: set[str] = set()
         self._tasks = TaskSet()
 
+    def provide(
+        self, key: str, provider: Callable[[], Document | None]
+    ) -> None:
+        """Serve a document that only peers which ask for it get."""
+        self._providers[key] = provider
+
     def versions(self) -> tuple[ConfigVersion, ...]:
         """Return revision and digest of each document of this daemon."""
         return tuple(
@@ -62,17 +69,22 @@
 
     def answer(self, keys: Iterable[str]) -> ConfigObjects:
         """Return the requested documents that this daemon has, compressed."""
-        held = ((key, self._documents.get(key)) for key in keys)
+        held = ((key, self._find(key)) for key in keys)
+        revisions = self._documents.revisions
         return ConfigObjects(
             objects=tuple(
                 ConfigObject(
-                    key, self._documents.revisions[key], document.packed
+                    key, revisions.get(key, document.revision), document.packed
                 )
                 for key, document in held
                 if document
             )
         )
 
+    def _find(self, key: str) -> Document | None:
+        provider = self._providers.get(key)
+        return provider() if provider else self._documents.get(key)
+
     async def _fetch(self, peer: str, key: str) -> None:
         try:
             answer = await self._call(
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -40,7 +40,7 @@
     in_flight_rows,
 )
 from oriolegauge.gateway.rankedmembers import FleetMember, RankedMembers
-from oriolegauge.gateway.shareddocuments import SharedDocuments
+from oriolegauge.gateway.shareddocuments import Document, SharedDocuments
 from oriolegauge.mesh import PeerMesh
 from oriolegauge.routing.crashsuspects import CrashSuspects
 from oriolegauge.routing.loadaggregator import LoadAggregator
@@ -222,6 +222,12 @@
         self._mesh = mesh
         self._answer_other = answer_other
 
+    def provide_document(
+        self, key: str, provider: Callable[[], Document | None]
+    ) -> None:
+        """Serve a document that only peers which ask for it get."""
+        self._documents.provide(key, provider)
+
     def attach_limits(self, limits: LimitExchange) -> None:
         """Answer requests of peers for permits."""
         self._limits = limits
--- a/packages/gateway/src/oriolegauge/gateway/grantlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/grantlinks.py
@@ -1,5 +1,6 @@
 """Calls between daemons about grants of prepaid tokens."""
 
+import asyncio
 from collections.abc import Iterable, Mapping
 
 import structlog
@@ -10,16 +11,25 @@
 from oriolegauge.core.runstate import RunState
 from oriolegauge.gateway.fleetlayout import FULL_MESH_MEMBERS
 from oriolegauge.gateway.fleetlinks import FleetLinks
+from oriolegauge.gateway.ledgerdocument import (
+    LEDGER_DOCUMENT,
+    ledger_copy,
+    ledger_document,
+)
+from oriolegauge.gateway.shareddocuments import DamagedDocumentError, Document
 from oriolegauge.grants import (
     DrawRequest,
     DrawResult,
     GrantKeeper,
+    LedgerCopy,
     Renewal,
     Renewed,
     ReservePart,
 )
 from oriolegauge.wire.messages import (
     UNKNOWN_TOKENS,
+    ConfigFetch,
+    ConfigObjects,
     GrantDraw,
     GrantGiven,
     GrantHandOver,
@@ -35,6 +45,8 @@
 # arrives after the timeout are stranded.
 ANSWER_TIMEOUT_S = 3.0
 HAND_OVER_TIMEOUT_S = 0.5
+# Draws wait while the ledgers of peers are fetched.
+FETCH_TIMEOUT_S = 0.4
 # A renewal waits for the next write to the store, which may need a retry.
 RENEW_TIMEOUT_S = 1.5
 # Peers tried one after the other if the allocator can't reach the store. Each
@@ -56,6 +68,7 @@
     def attach(self, keeper: GrantKeeper) -> None:
         """Serve requests of peers from this keeper."""
         self._keeper = keeper
+        self._links.provide_document(LEDGER_DOCUMENT, self._ledger_document)
 
     async def answer(self, message: Message) -> Message | None:
         """Answer a message of a peer."""
@@ -143,7 +156,10 @@
         if not isinstance(answer, ReserveRenewed) or not answer.written:
             return None
         return Renewed(
-            answer.number, _parts(answer.held), _parts(answer.targets)
+            answer.number,
+            _parts(answer.held),
+            _parts(answer.targets),
+            _ledger_copy(peer, answer.ledger_version, answer.ledger),
         )
 
     async def draw(self, peer: str, draw: DrawRequest) -> DrawResult | None:
@@ -204,6 +220,28 @@
             return error.run_state is not RunState.NOT_RUN
         return True
 
+    async def remembered_ledgers(self) -> list[LedgerCopy]:
+        """Return the newest ledger that each linked peer remembers."""
+        peers = self._links.linked_peers()
+        found = await asyncio.gather(*map(self._fetch_ledger, peers))
+        return [copy for copy in found if copy]
+
+    async def _fetch_ledger(self, peer: str) -> LedgerCopy | None:
+        request = ConfigFetch(keys=(LEDGER_DOCUMENT,))
+        try:
+            answer = await self._links.call(peer, request, FETCH_TIMEOUT_S)
+        except OriolegaugeError as error:
+            log.info('ledger fetch failed', peer=peer, error=error.message)
+            return None
+        if not isinstance(answer, ConfigObjects) or not answer.objects:
+            return None
+        row = answer.objects[0]
+        return _ledger_copy(peer, row.version, row.value)
+
+    def _ledger_document(self) -> Document | None:
+        copy = self._keeper and self._keeper.remembered_ledger
+        return ledger_document(copy) if copy else None
+
     def lenders(self) -> set[str]:
         """Return peers to borrow from: all in a small fleet, else leaders."""
         if self._links.members <= FULL_MESH_MEMBERS:
@@ -240,9 +278,22 @@
 def _renewed(number: int, renewed: Renewed | None) -> ReserveRenewed:
     if renewed is None:
         return ReserveRenewed(number=number, written=False)
+    written = renewed.written and ledger_document(renewed.written)
     return ReserveRenewed(
         number=number,
         written=True,
         held=_rows(renewed.held),
         targets=_rows(renewed.targets),
+        ledger_version=written.revision if written else 0,
+        ledger=written.packed if written else b'',
     )
+
+
+def _ledger_copy(peer: str, version: int, packed: bytes) -> LedgerCopy | None:
+    if not packed:
+        return None
+    try:
+        return ledger_copy(version, packed)
+    except DamagedDocumentError as error:
+        log.warning('damaged ledger', peer=peer, error=str(error))
+        return None
--- a/packages/gateway/src/oriolegauge/gateway/memberregistration.py
+++ b/packages/gateway/src/oriolegauge/gateway/memberregistration.py
@@ -12,7 +12,7 @@
 from oriolegauge.gateway.rankedmembers import FleetMember
 from oriolegauge.objectstore import (
     KindStore,
-    ObjectStore,
+    RestorableStore,
     StoredObject,
     StoreError,
     VersionConflictError,
@@ -26,7 +26,7 @@
 log = structlog.get_logger()
 
 
-class GatewayStore(KindStore, ObjectStore, Protocol):
+class GatewayStore(KindStore, RestorableStore, Protocol):
     """Store that reads objects by kind and writes them by key."""
 
 
--- a/packages/grants/src/oriolegauge/grants/__init__.py
+++ b/packages/grants/src/oriolegauge/grants/__init__.py
@@ -13,17 +13,20 @@
     HostClocks,
     Reservation,
 )
-from oriolegauge.grants.grantledger import Renewal, ReservePart
+from oriolegauge.grants.grantledger import GrantLedger, Renewal, ReservePart
 from oriolegauge.grants.hosttimes import HostTimes
+from oriolegauge.grants.ledgerrecovery import LedgerCopy
 
 __all__ = (
     'DrawRequest',
     'DrawResult',
     'GrantKeeper',
+    'GrantLedger',
     'GrantPeers',
     'GrantUnavailableError',
     'HostClocks',
     'HostTimes',
+    'LedgerCopy',
     'PrepaidExhaustedError',
     'Renewal',
     'Renewed',
--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import structlog
@@ -30,11 +30,12 @@
     holding_targets,
 )
 from oriolegauge.grants.hosttimes import HostTimes
+from oriolegauge.grants.ledgerrecovery import LedgerCopy
 from oriolegauge.grants.ledgerwriter import LedgerWriter, Written
 from oriolegauge.grants.reserveproof import passed_times
 from oriolegauge.grants.teamaccount import TeamAccount
 from oriolegauge.objectstore import (
-    ObjectStore,
+    RestorableStore,
     StoreAnswerLostError,
     StoreError,
 )
@@ -62,11 +63,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Renewed:
-    """Report the tokens and the targets of a host's reserve after a write."""
+    """Report the tokens and the targets of a host's reserve after a write.
+
+    `written` is the ledger, for the host to remember.
+    """
 
     number: int
     held: Mapping[str, ReservePart]
     targets: Mapping[str, ReservePart]
+    written: LedgerCopy | None = None
 
 
 @dataclass(slots=True)
@@ -96,12 +101,13 @@
     def __init__(
         self,
         *,
-        store: ObjectStore,
+        store: RestorableStore,
         key: str,
         holder: str,
         account: Callable[[str], TeamAccount],
         prepaid: Callable[[str], int | None],
         reaches_store: Callable[[], bool],
+        remembered_by_peers: Callable[[], Awaitable[Sequence[LedgerCopy]]],
         clock: Callable[[], float],
     ) -> None:
         """Write as `holder`; credit granted tokens to the `account` of a team.
@@ -113,6 +119,8 @@
             key=key,
             holder=holder,
             on_resolved=self._resolve,
+            remembered_by_peers=remembered_by_peers,
+            prepaid=prepaid,
         )
         self._holder = holder
         self._account = account
@@ -151,6 +159,15 @@
         """State whether this daemon has read or written the ledger."""
         return self._writer.is_known
 
+    @property
+    def remembered(self) -> LedgerCopy | None:
+        """Return the newest ledger that the store has confirmed."""
+        return self._writer.remembered
+
+    def remember(self, copy: LedgerCopy) -> None:
+        """Remember a ledger that the store has confirmed to a peer."""
+        self._writer.remember(copy)
+
     @property
     def is_store_unavailable(self) -> bool:
         """State whether store calls are paused or expected to fail."""
@@ -249,14 +266,17 @@
         is_current = not is_own or row.number == renewal.number
         if not is_current:
             return None
-        return Renewed(renewal.number, held, self._reserve_targets())
+        return Renewed(
+            renewal.number, held, self._reserve_targets(), self.remembered
+        )
 
     async def refill(self) -> None:
         """Write the ledger if a team's tokens are far from the target."""
         has_written = self._clock() - self._written_at < WRITE_PERIOD_S
         if has_written or self.is_store_unavailable:
             return
-        if any(self._is_low(team) for team in self._teams()):
+        is_low = any(self._is_low(team) for team in self._teams())
+        if self._writer.is_forgotten or is_low:
             await self._write_after(self._writes)
 
     def end_pause(self) -> None:
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -24,8 +24,9 @@
 from oriolegauge.grants.holdingtargets import DAEMON_AHEAD_S, WRITE_PERIOD_S
 from oriolegauge.grants.hostreserve import HostReserve
 from oriolegauge.grants.hosttimes import HostTimes
+from oriolegauge.grants.ledgerrecovery import LedgerCopy
 from oriolegauge.grants.teamaccount import TeamAccount
-from oriolegauge.objectstore import ObjectStore
+from oriolegauge.objectstore import RestorableStore
 
 LEDGER = 'ledger'
 # Timeouts of a request for loans of peers, and for a draw, where the allocator
@@ -131,6 +132,9 @@
     async def hand_over(self, peer: str, team: str, tokens: int) -> bool:
         """Transfer tokens; return False only if the peer can't have them."""
 
+    async def remembered_ledgers(self) -> Sequence[LedgerCopy]:
+        """Return the newest ledger that each reachable peer remembers."""
+
 
 class HostClocks(Protocol):
     """Read the clocks of this host."""
@@ -157,7 +161,7 @@
     def __init__(
         self,
         *,
-        store: ObjectStore,
+        store: RestorableStore,
         kind: str,
         host: str,
         holder: str,
@@ -193,6 +197,7 @@
             account=self._account,
             prepaid=prepaid,
             reaches_store=reaches_store,
+            remembered_by_peers=peers.remembered_ledgers,
             clock=clock,
         )
         self._reserve = HostReserve(
@@ -210,6 +215,11 @@
         """State whether this daemon can't write the ledger at the moment."""
         return self._allocator.is_store_unavailable
 
+    @property
+    def remembered_ledger(self) -> LedgerCopy | None:
+        """Return the newest ledger that this daemon knows to be stored."""
+        return self._allocator.remembered
+
     async def reserve(
         self, team: str, tokens: int, until: float = math.inf
     ) -> Reservation | None:
@@ -344,6 +354,8 @@
         else:
             renewed = await self._peers.renew(allocator, renewal)
         if renewed:
+            if renewed.written:
+                self._allocator.remember(renewed.written)
             targets = renewed.targets if self._peers.holds_reserve() else {}
             self._reserve.confirm(renewed.number, renewed.held, targets)
 
--- a/packages/grants/src/oriolegauge/grants/grantledger.py
+++ b/packages/grants/src/oriolegauge/grants/grantledger.py
@@ -133,12 +133,20 @@
 class GrantLedger:
     """Hold the rows of all teams and the reserves of all hosts.
 
-    `last` maps holders to the position of their last entry.
+    `last` maps holders to the position of their last entry. `era` is that of
+    the store when it was written, None if the writer did not record it. After a
+    restore of the store, `base_version` is that of the ledger from which it was
+    continued, with the tokens charged and in reserve there in `base_used`;
+    `is_forfeited` if none was known: then unlisted teams have no free tokens.
     """
 
     teams: Mapping[str, TeamRow] = field(default_factory=dict)
     reserves: Mapping[str, ReserveRow] = field(default_factory=dict)
     last: Mapping[str, int] = field(default_factory=dict)
+    era: int | None = None
+    base_version: int = 0
+    base_used: Mapping[str, int] = field(default_factory=dict)
+    is_forfeited: bool = False
 
     @classmethod
     def from_value(cls, value: Mapping[str, Any]) -> 'GrantLedger':
@@ -158,6 +166,10 @@
                 for host, row in value['reserves'].items()
             },
             last=value['last'],
+            era=value.get('era'),
+            base_version=value.get('base_version', 0),
+            base_used=value.get('base_used', {}),
+            is_forfeited=value.get('is_forfeited', False),
         )
 
     def to_value(self) -> Mapping[str, Any]:
@@ -184,6 +196,10 @@
                 for host, row in self.reserves.items()
             },
             'last': self.last,
+            'era': self.era,
+            'base_version': self.base_version,
+            'base_used': self.base_used,
+            'is_forfeited': self.is_forfeited,
         }
 
     def team(self, team: str) -> TeamRow:
@@ -194,10 +210,26 @@
         """Return the tokens of a team in all reserves."""
         return _reserved(self.reserves, team)
 
+    def used(self, team: str) -> int:
+        """Return the tokens that are charged or in reserve."""
+        return self.team(team).charged + self.reserved(team)
+
     def free(self, team: str, prepaid: int) -> int:
         """Return the tokens that are neither charged nor in reserve."""
-        used = self.team(team).charged + self.reserved(team)
-        return max(0, prepaid - used)
+        return max(0, prepaid - self.used(team))
+
+    def names(self) -> set[str]:
+        """Return all teams that have a row or a reserve."""
+        reserved = (row.parts.keys() for row in self.reserves.values())
+        return self.teams.keys() | set().union(*reserved)
+
+    def charge(self, missing: Mapping[str, int]) -> 'GrantLedger':
+        """Return the ledger with further tokens charged, by team."""
+        teams = dict(self.teams)
+        for team, tokens in missing.items():
+            row = self.team(team)
+            teams[team] = replace(row, charged=row.charged + tokens)
+        return replace(self, teams=teams)
 
     def position(self, holder: str) -> int:
         """Return the last position applied for the holder, 0 if unknown."""
@@ -207,7 +239,11 @@
         self, entry: LedgerEntry
     ) -> tuple['GrantLedger', Mapping[str, int]]:
         """Return the ledger after the entry and the tokens granted by team."""
-        draft = _LedgerDraft(dict(self.teams), dict(self.reserves))
+        draft = _LedgerDraft(
+            dict(self.teams),
+            dict(self.reserves),
+            is_forfeited=self.is_forfeited,
+        )
         for team, team_request in entry.team_requests.items():
             draft.settle(team, team_request)
         for change in entry.reserves:
@@ -226,7 +262,10 @@
         last[entry.holder] = entry.position
         for holder in list(last)[: max(0, len(last) - MAX_POSITIONS)]:
             del last[holder]
-        return GrantLedger(draft.teams, draft.reserves, last), granted
+        changed = replace(
+            self, teams=draft.teams, reserves=draft.reserves, last=last
+        )
+        return changed, granted
 
 
 _NO_TEAM = TeamRow()
@@ -237,13 +276,20 @@
     """Apply the steps of an entry to copies of the rows."""
 
     def __init__(
-        self, teams: dict[str, TeamRow], reserves: dict[str, ReserveRow]
+        self,
+        teams: dict[str, TeamRow],
+        reserves: dict[str, ReserveRow],
+        *,
+        is_forfeited: bool,
     ) -> None:
         self.teams = teams
         self.reserves = reserves
+        self._is_forfeited = is_forfeited
 
     def settle(self, team: str, team_request: TeamRequest) -> None:
         row = self.teams.get(team, _NO_TEAM)
+        if self._is_forfeited and team not in self.teams:
+            row = TeamRow(self._free(team, team_request.prepaid))
         self.teams[team] = TeamRow(
             row.charged - team_request.returned,
             row.settled + team_request.settled,
@@ -273,8 +319,9 @@
             return
         parts = dict(row.parts)
         for team, opened in renewal.opened.items():
-            part = parts[team]
-            parts[team] = replace(part, tokens=part.tokens - opened)
+            # A ledger that was continued from an older one may lack the part.
+            part = parts.get(team, _NO_PART)
+            parts[team] = replace(part, tokens=max(0, part.tokens - opened))
             self._charge(team, opened)
         self.reserves[renewal.host] = replace(
             row, parts=parts, number=renewal.number
--- a/packages/grants/src/oriolegauge/grants/ledgerwriter.py
+++ b/packages/grants/src/oriolegauge/grants/ledgerwriter.py
@@ -1,21 +1,29 @@
 """Conditional writes of the ledger by one process.
 
 Matters when daemons write at the same time and when the store loses answers: a
-write without an answer may still be applied.
+write without an answer may still be applied. A store that comes back from an
+older copy gets the newest ledger that a daemon remembers.
 """
 
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass, replace
 
 import structlog
 
 from oriolegauge.grants.grantledger import GrantLedger, LedgerEntry
+from oriolegauge.grants.ledgerrecovery import (
+    LedgerCopy,
+    continued,
+    is_restored,
+    with_remembered,
+)
 from oriolegauge.objectstore import (
-    ObjectStore,
+    RestorableStore,
     StoreAnswerLostError,
     StoredObject,
     StoreUnavailableError,
     VersionConflictError,
+    era_of,
 )
 
 # Attempts when other daemons write the ledger too; each costs a store call.
@@ -52,13 +60,16 @@
     def __init__(
         self,
         *,
-        store: ObjectStore,
+        store: RestorableStore,
         key: str,
         holder: str,
         on_resolved: Callable[[Written, bool], None],
+        remembered_by_peers: Callable[[], Awaitable[Sequence[LedgerCopy]]],
+        prepaid: Callable[[str], int | None],
     ) -> None:
         """Write as `holder`, a name that no other process start ever uses.
 
+        `remembered_by_peers` returns the newest ledger that each of them has.
         `on_resolved` is called for each write whose answer was lost, with
         whether it was applied.
         """
@@ -66,6 +77,9 @@
         self._key = key
         self._holder = holder
         self._on_resolved = on_resolved
+        self._remembered_by_peers = remembered_by_peers
+        self._prepaid = prepaid
+        self._remembered: LedgerCopy | None = None
         self._ledger = GrantLedger()
         self._version = 0
         self._is_known = False
@@ -87,6 +101,23 @@
         """State whether the ledger was read or written."""
         return self._is_known
 
+    @property
+    def remembered(self) -> LedgerCopy | None:
+        """Return the newest ledger that the store has confirmed."""
+        return self._remembered
+
+    @property
+    def is_forgotten(self) -> bool:
+        """State whether the store came back from a copy since."""
+        known = self._remembered
+        return known is not None and era_of(known.version) < self._store.era
+
+    def remember(self, copy: LedgerCopy) -> None:
+        """Remember a ledger that the store has confirmed to a peer."""
+        known = self._remembered
+        if known is None or copy.version > known.version:
+            self._remembered = copy
+
     async def write(self, build_entry: EntryBuilder) -> Written:
         """Write the entry that `build_entry(ledger, position)` returns.
 
@@ -96,7 +127,7 @@
         """
         for _ in range(MAX_CONFLICTS):
             if self._unconfirmed or not self._is_known:
-                self._update_from_store(await self._store.get(self._key))
+                await self._load(await self._store.get(self._key))
             entry = build_entry(self._ledger, self._position + 1)
             written = await self._put(entry)
             if written:
@@ -107,6 +138,7 @@
 
     async def _put(self, entry: LedgerEntry) -> Written | None:
         changed, granted = self._ledger.apply(entry)
+        changed = replace(changed, era=self._store.era)
         written = Written(entry, granted)
         expected = self._version
         try:
@@ -115,7 +147,7 @@
             )
         except VersionConflictError as conflict:
             found = conflict.current or await self._store.get(self._key)
-            self._update_from_store(found)
+            await self._load(found)
             return None
         except StoreAnswerLostError:
             self._position = entry.position
@@ -127,13 +159,14 @@
         self._position = entry.position
         self._ledger = changed
         self._version = stored.version
+        self.remember(LedgerCopy(stored.version, changed))
         return written
 
-    def _update_from_store(self, found: StoredObject | None) -> None:
+    async def _load(self, found: StoredObject | None) -> None:
         """Use the stored ledger; resolve an unconfirmed write if possible."""
-        ledger, version = GrantLedger(), 0
-        if found is not None:
-            ledger, version = self._read(found), found.version
+        stored = found and LedgerCopy(found.version, self._read(found))
+        version = stored.version if stored else 0
+        ledger = await self._current(stored)
         self._is_known = True
         self._ledger = ledger
         self._version = version
@@ -146,6 +179,21 @@
             # Its expected version is outdated, so it will never be applied.
             self._resolve(was_applied=False)
 
+    async def _current(self, stored: LedgerCopy | None) -> GrantLedger:
+        """Return the ledger to continue from, given the stored one."""
+        known = self._remembered
+        if stored and not is_restored(stored, known):
+            if self.is_forgotten and known:
+                return with_remembered(stored.ledger, known)
+            self.remember(stored)
+            return stored.ledger
+        if stored is None and known is None and self._store.era == 0:
+            return GrantLedger()
+        remembered = list(await self._remembered_by_peers())
+        if known:
+            remembered.append(known)
+        return continued(stored, remembered, self._prepaid)
+
     def _read(self, found: StoredObject) -> GrantLedger:
         try:
             return GrantLedger.from_value(found.value)
--- a/packages/objectstore/src/oriolegauge/objectstore/__init__.py
+++ b/packages/objectstore/src/oriolegauge/objectstore/__init__.py
@@ -13,6 +13,7 @@
 from oriolegauge.objectstore.kindstore import Changes, KindStore, Snapshot
 from oriolegauge.objectstore.objectstore import ObjectStore
 from oriolegauge.objectstore.relayedstore import RelayedStore
+from oriolegauge.objectstore.restorablestore import RestorableStore
 from oriolegauge.objectstore.storedobject import StoredObject
 from oriolegauge.objectstore.storerelay import (
     RelayAnswer,
@@ -35,6 +36,7 @@
     'RelayAnswer',
     'RelayCall',
     'RelayedStore',
+    'RestorableStore',
     'Snapshot',
     'StoreAnswerLostError',
     'StoreError',
--- a/packages/testkit/src/oriolegauge/testkit/grantfleet.py
+++ b/packages/testkit/src/oriolegauge/testkit/grantfleet.py
@@ -130,6 +130,15 @@
         self._fleet.keepers[peer].take_over(team, tokens)
         return True
 
+    async def remembered_ledgers(self):
+        await asyncio.sleep(self._fleet.delay_s)
+        copies = [
+            keeper.remembered_ledger
+            for name, keeper in self._fleet.keepers.items()
+            if name != self._name and self._fleet.is_reached(name)
+        ]
+        return [copy for copy in copies if copy]
+
 
 class Fleet:
     """Run keepers and count delivered tokens, also over their restarts."""
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -254,6 +254,8 @@
   written @1 :Bool;
   held @2 :TeamsParts;
   targets @3 :TeamsParts;
+  ledgerVersion @4 :Int64;
+  ledger @5 :Data;           # compressed JSON
 }
 
 struct PartsRead { part @0 :List(Text); server @1 :List(Text); }
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -307,12 +307,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReserveRenewed:
-    """State what a reserve holds and should hold; `written` if confirmed."""
+    """State what a reserve holds and should hold; `written` if confirmed.
+
+    `ledger` is the ledger at `ledger_version` as compressed JSON, if known.
+    """
 
     number: int
     written: bool
     held: tuple[TeamPart, ...] = ()
     targets: tuple[TeamPart, ...] = ()
+    ledger_version: int = 0
+    ledger: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
