Send builds without eras the revisions that they know

Cause: versions with an era are far above any revision. Change: heartbeats and fetched documents carry revisions for such builds, and versions with eras in new fields. Revisions of such a build count in the held era. Ruled out: a further column beside the versions, which a build without it could not read; counting eras from 1, since a deployment may start elsewhere. The mixed builds script has no era in its store, so it does not show this case.

--- a/packages/gateway/src/oriolegauge/gateway/documentexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/documentexchange.py
@@ -1,10 +1,12 @@
 """Exchange of configuration documents between daemons.
 
 A daemon fetches newer revisions from its peers, so that only a few daemons
-read the store.
+read the store. A build that knows no eras of the store gets revisions and sends
+them; they count in the era of the held document.
 """
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import structlog
 
@@ -15,11 +17,13 @@
     Document,
     SharedDocuments,
 )
+from oriolegauge.objectstore import era_of, revision_of, store_version
 from oriolegauge.wire.messages import (
     ConfigFetch,
     ConfigObject,
     ConfigObjects,
     ConfigVersion,
+    Heartbeat,
     Message,
 )
 
@@ -56,8 +60,19 @@
             for key, revision in self._documents.revisions.items()
         )
 
-    def learn(self, peer: str, versions: Iterable[ConfigVersion]) -> None:
+    def revisions(self) -> tuple[ConfigVersion, ...]:
+        """Return the versions without eras."""
+        return tuple(
+            replace(row, version=revision_of(row.version))
+            for row in self.versions()
+        )
+
+    def learn(self, peer: str, heartbeat: Heartbeat) -> None:
         """Fetch documents of which the peer has a newer, different version."""
+        versions = heartbeat.document_versions or tuple(
+            replace(row, version=self._with_era(row.key, row.version))
+            for row in heartbeat.config_versions
+        )
         for row in versions:
             self._documents.advance_revision(row.key, row.version, row.digest)
             is_unrequested = row.key not in self._fetching
@@ -67,29 +82,36 @@
                 self._fetching.add(row.key)
                 self._tasks.spawn(self._fetch(peer, row.key))
 
-    def answer(self, keys: Iterable[str]) -> ConfigObjects:
+    def answer(self, request: ConfigFetch) -> ConfigObjects:
         """Return the requested documents that this daemon has, compressed."""
-        held = ((key, self._find(key)) for key in keys)
-        revisions = self._documents.revisions
-        return ConfigObjects(
-            objects=tuple(
-                ConfigObject(
-                    key, revisions.get(key, document.revision), document.packed
-                )
-                for key, document in held
-                if document
+        held = ((key, self._find(key)) for key in request.keys)
+        versions = self._documents.revisions
+        objects = tuple(
+            ConfigObject(
+                key, versions.get(key, document.revision), document.packed
             )
+            for key, document in held
+            if document
         )
+        if not request.knows_eras:
+            objects = tuple(
+                replace(row, version=revision_of(row.version))
+                for row in objects
+            )
+        return ConfigObjects(objects=objects, has_eras=request.knows_eras)
 
     def _find(self, key: str) -> Document | None:
         provider = self._providers.get(key)
         return provider() if provider else self._documents.get(key)
 
+    def _with_era(self, key: str, revision: int) -> int:
+        held = self._documents.revisions.get(key, 0)
+        return store_version(era_of(held), revision_of(revision))
+
     async def _fetch(self, peer: str, key: str) -> None:
         try:
-            answer = await self._call(
-                peer, ConfigFetch(keys=(key,)), FETCH_TIMEOUT_S
-            )
+            request = ConfigFetch(keys=(key,), knows_eras=True)
+            answer = await self._call(peer, request, FETCH_TIMEOUT_S)
         except OriolegaugeError as error:
             log.info('document fetch failed', peer=peer, error=error.message)
             return
@@ -97,7 +119,10 @@
             self._fetching.discard(key)
         if isinstance(answer, ConfigObjects):
             for row in answer.objects:
-                self._accept_object(peer, row)
+                version = row.version
+                if not answer.has_eras:
+                    version = self._with_era(row.key, version)
+                self._accept_object(peer, replace(row, version=version))
 
     def _accept_object(self, peer: str, row: ConfigObject) -> None:
         try:
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -270,8 +270,8 @@
                 )
                 self._crash_suspects.learn(message.crashes)
                 return None
-            case ConfigFetch(keys=keys):
-                return self._documents.answer(keys)
+            case ConfigFetch():
+                return self._documents.answer(message)
             case LoadReport():
                 return self.loads.answer(sender.name, message)
             case PermitRequest() if self._limits:
@@ -518,7 +518,8 @@
             strength=self._own.capacity_class,
             state=self._state(),
             watches_store=self._reaches_store(),
-            config_versions=self._documents.versions(),
+            config_versions=self._documents.revisions(),
+            document_versions=self._documents.versions(),
             in_flight=in_flight_rows(self._chooser.own_loads()),
             departures=tuple(
                 LeavingServer(
@@ -554,7 +555,7 @@
             reporting_peers += 1
             loads = in_flight_loads(received.heartbeat.in_flight)
             peer_loads.note(name, loads, now)
-            self._documents.learn(name, received.heartbeat.config_versions)
+            self._documents.learn(name, received.heartbeat)
         self._forget_unlinked_peers(mesh, now)
         if self.loads.is_fresh:
             return
--- a/packages/gateway/src/oriolegauge/gateway/grantlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/grantlinks.py
@@ -227,7 +227,7 @@
         return [copy for copy in found if copy]
 
     async def _fetch_ledger(self, peer: str) -> LedgerCopy | None:
-        request = ConfigFetch(keys=(LEDGER_DOCUMENT,))
+        request = ConfigFetch(keys=(LEDGER_DOCUMENT,), knows_eras=True)
         try:
             answer = await self._links.call(peer, request, FETCH_TIMEOUT_S)
         except OriolegaugeError as error:
--- /dev/null
+++ b/packages/gateway/tests/test_documentexchange.py
@@ -0,0 +1,90 @@
+"""Documents between daemons, also of builds that know no eras."""
+
+import asyncio
+
+from oriolegauge.gateway.documentexchange import DocumentExchange
+from oriolegauge.gateway.shareddocuments import Document, SharedDocuments
+from oriolegauge.objectstore import store_version
+from oriolegauge.wire.messages import (
+    ConfigFetch,
+    ConfigObject,
+    ConfigObjects,
+    ConfigVersion,
+    Heartbeat,
+)
+
+KEY = 'servers'
+NEWER = Document(20, b'newer', 'store')
+
+
+def heartbeat(**versions):
+    return Heartbeat(
+        member='p', incarnation='1', zone='z', state='serving', **versions
+    )
+
+
+class Peer:
+    """Answer fetches with one document; `knows_eras` as the build does."""
+
+    def __init__(self, version, *, knows_eras):
+        self.version = version
+        self.knows_eras = knows_eras
+        self.calls = 0
+
+    async def call(self, peer, message, timeout_s):
+        self.calls += 1
+        return ConfigObjects(
+            objects=(ConfigObject(KEY, self.version, NEWER.packed),),
+            has_eras=self.knows_eras and message.knows_eras,
+        )
+
+
+class Daemon:
+    def __init__(self, era, revision, call=None):
+        self.documents = SharedDocuments(lambda *_: None)
+        self.documents.offer(
+            KEY, Document(store_version(era, revision), b'held', 'store')
+        )
+        self.exchange = DocumentExchange(self.documents, call)
+
+
+class TestEras:
+    def test_build_without_eras_gets_revisions(self):
+        """Guards against versions that such a build can't watch from."""
+        daemon = Daemon(era=3, revision=12)
+        assert daemon.exchange.revisions()[0].version == 12
+        [row] = daemon.exchange.answer(ConfigFetch(keys=(KEY,))).objects
+        assert row.version == 12
+        answer = daemon.exchange.answer(
+            ConfigFetch(keys=(KEY,), knows_eras=True)
+        )
+        assert answer.has_eras
+        assert answer.objects[0].version == store_version(3, 12)
+
+    async def test_revision_of_such_a_build_counts_in_the_held_era(self):
+        """Guards against an old build whose news is ignored."""
+        peer = Peer(20, knows_eras=False)
+        daemon = Daemon(era=3, revision=12, call=peer.call)
+        daemon.exchange.learn(
+            'p',
+            heartbeat(config_versions=(ConfigVersion(KEY, 20, NEWER.digest),)),
+        )
+        await asyncio.sleep(0.01)
+        assert daemon.documents.get(KEY).payload == b'newer'
+        assert daemon.documents.revisions[KEY] == store_version(3, 20)
+
+    async def test_document_of_an_earlier_era_is_not_fetched(self):
+        """Guards against a late daemon that reverts the others."""
+        late = store_version(2, 900)
+        peer = Peer(late, knows_eras=True)
+        daemon = Daemon(era=3, revision=12, call=peer.call)
+        daemon.exchange.learn(
+            'p',
+            heartbeat(
+                config_versions=(ConfigVersion(KEY, 900, NEWER.digest),),
+                document_versions=(ConfigVersion(KEY, late, NEWER.digest),),
+            ),
+        )
+        await asyncio.sleep(0.01)
+        assert not peer.calls
+        assert daemon.documents.get(KEY).payload == b'held'
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -69,6 +69,7 @@
   departures @13 :LeavingServers;
   serverLimits @14 :ServerLimits;
   crashes @15 :List(ServerCrash);
+  documentVersions @16 :ConfigVersions;
 }
 
 struct ConfigVersions {
@@ -172,13 +173,13 @@
   deferred @2 :List(DeferredSettle);
 }
 
-struct ConfigFetch { keys @0 :List(Text); }
+struct ConfigFetch { keys @0 :List(Text); knowsEras @1 :Bool; }
 struct ConfigObjectRows {
   key @0 :List(Text);
   version @1 :List(Int64);
   value @2 :List(Data);
 }
-struct ConfigObjects { objects @0 :ConfigObjectRows; }
+struct ConfigObjects { objects @0 :ConfigObjectRows; hasEras @1 :Bool; }
 
 struct Headers { name @0 :List(Text); value @1 :List(Text); }
 struct Forward {
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -108,7 +108,8 @@
     `strength` is the capacity class of the host, compared when a leader is
     chosen. `queue_lengths` is indexed by priority. `store_reached_age_ms` is
     the time since the last answer of the store, or NEVER_MS. Members that
-    watch the store read the host list for the others.
+    watch the store read the host list for the others. `config_versions` are
+    revisions; `document_versions` hold the era of the store too.
     """
 
     member: str
@@ -127,13 +128,18 @@
     departures: tuple[LeavingServer, ...] = ()
     server_limits: tuple[ServerLimit, ...] = ()
     crashes: tuple[ServerCrash, ...] = ()
+    document_versions: tuple[ConfigVersion, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigFetch:
-    """Ask a peer for configuration objects."""
+    """Ask a peer for configuration objects.
+
+    With `knows_eras` the versions may hold the era of the store.
+    """
 
     keys: tuple[str, ...]
+    knows_eras: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,9 +153,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigObjects:
-    """Return the configuration objects that a peer holds."""
+    """Return the configuration objects that a peer holds.
+
+    `has_eras` states that their versions hold the era of the store.
+    """
 
     objects: tuple[ConfigObject, ...]
+    has_eras: bool = False
 
 
 @dataclass(frozen=True, slots=True)
