Write records and members again after a restore of the store

Cause: the records of server limits and crashes and the entries of daemons were written once; a restore may undo that. Daemons that start later would not know a rate or a held part, or not find a daemon. Change: StoreRecord reads again when the era rises, and writes what differs; MemberRegistration registers and lists again. Ruled out: a periodic read, whose calls cost.

--- a/packages/gateway/src/oriolegauge/gateway/crashrecord.py
+++ b/packages/gateway/src/oriolegauge/gateway/crashrecord.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from oriolegauge.gateway.storerecord import StoreRecord
-from oriolegauge.objectstore import ObjectStore
+from oriolegauge.objectstore import RestorableStore
 from oriolegauge.routing.crashsuspects import CrashSuspects, ServerCrash
 
 _NAME = 'explained'
@@ -30,7 +30,7 @@
     def __init__(
         self,
         *,
-        store: ObjectStore,
+        store: RestorableStore,
         kind: str,
         suspects: CrashSuspects,
         is_writer: Callable[[], bool],
--- a/packages/gateway/src/oriolegauge/gateway/limitrecord.py
+++ b/packages/gateway/src/oriolegauge/gateway/limitrecord.py
@@ -14,7 +14,7 @@
     parse_rate,
 )
 from oriolegauge.gateway.storerecord import StoreRecord
-from oriolegauge.objectstore import ObjectStore
+from oriolegauge.objectstore import RestorableStore
 
 # A reply known to any daemon is newer than the record.
 RECORD_AGE_S = 86_400.0
@@ -30,7 +30,7 @@
     def __init__(
         self,
         *,
-        store: ObjectStore,
+        store: RestorableStore,
         kind: str,
         limits: ServerLimits,
         is_writer: Callable[[], bool],
--- a/packages/gateway/src/oriolegauge/gateway/memberregistration.py
+++ b/packages/gateway/src/oriolegauge/gateway/memberregistration.py
@@ -53,7 +53,14 @@
         self._on_listed = on_listed
 
     async def run(self) -> None:
-        """Register, list the members twice, then wait to be cancelled."""
+        """Register and list the members twice, again after each restore."""
+        while True:
+            await self._enroll()
+            era = self._store.era
+            while self._store.era == era:
+                await asyncio.sleep(REGISTRATION_RETRY_S)
+
+    async def _enroll(self) -> None:
         key = f'{self._kind}/{self._own.name.replace(":", "-")}'
         value = {
             'address': self._own.name,
@@ -74,8 +81,6 @@
                     self._report_entry(entry)
                 self._on_listed()
             await asyncio.sleep(REGISTRATION_RETRY_S)
-        # The supervisor expects a job to run until it is cancelled.
-        await asyncio.Event().wait()
 
     def _report_entry(self, entry: StoredObject) -> None:
         try:
--- a/packages/gateway/src/oriolegauge/gateway/storerecord.py
+++ b/packages/gateway/src/oriolegauge/gateway/storerecord.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from oriolegauge.objectstore import ObjectStore, StoreError
+from oriolegauge.objectstore import RestorableStore, StoreError
 
 # Changes within this time are written together, and failed calls repeated.
 PERIOD_S = 1.0
@@ -27,7 +27,7 @@
     """
 
     def __init__(
-        self, *, store: ObjectStore, key: str, is_writer: Callable[[], bool]
+        self, *, store: RestorableStore, key: str, is_writer: Callable[[], bool]
     ) -> None:
         """Write only while `is_writer()` is true, which holds for one daemon.
 
@@ -37,6 +37,7 @@
         self._key = key
         self._is_writer = is_writer
         self._version = 0
+        self._era = 0
         self._recorded: State | None = None
 
     async def run(self) -> None:
@@ -70,7 +71,8 @@
         raise NotImplementedError
 
     async def _step(self) -> None:
-        if self._recorded is None:
+        # A store that was restored may have lost the record.
+        if self._recorded is None or self._era != self._store.era:
             await self._read()
         if self.current() == self._recorded or not self._is_writer():
             return
@@ -89,6 +91,7 @@
     async def _read(self) -> None:
         found = await self._store.get(self._key)
         is_first = self._version == 0
+        self._era = self._store.era
         self._version = found.version if found else 0
         self._recorded = self._decoded(found.value) if found else self.empty()
         if is_first:
--- a/packages/gateway/tests/test_limitrecord.py
+++ b/packages/gateway/tests/test_limitrecord.py
@@ -32,6 +32,8 @@
 
 
 class DownStore:
+    era = 0
+
     async def get(self, key):
         raise StoreUnavailableError('down')
 
@@ -71,6 +73,19 @@
         assert second.limits.per_s(SERVER) == 4
         await second.stop()
 
+    async def test_record_that_a_restore_has_undone_is_written_again(self):
+        """Guards against a rate that is known only until all daemons stop."""
+        store = MemoryObjectStore()
+        kept = store.copy()
+        daemon = Daemon(store)
+        daemon.limits.note(SERVER, 2.5)
+        await asyncio.sleep(2 * PERIOD_S)
+        store.restore(kept)
+        assert await store.get('limits/named') is None
+        await asyncio.sleep(2 * PERIOD_S)
+        assert (await store.get('limits/named')).value['servers']
+        await daemon.stop()
+
     async def test_only_one_daemon_writes(self):
         """Guards against a write of each daemon for each change."""
         store = MemoryObjectStore()
