Keep servers that left out of the list of a restored store

Cause: a restored list has servers as ready that had announced to leave, and entries that had been deleted, until they are written again or expire. Change: a server listed as draining is remembered like one that says so in a reply, by its name and start, and told to peers. A follower remembers deleted objects; one that comes back at the same revision is left out until it changes. Ruled out: leaving out all entries of a restored list until they are written: no server would be known for a second.

--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -30,7 +30,10 @@
 from oriolegauge.forwarding.crashdetector import CrashDetector
 from oriolegauge.forwarding.dispatcher import Dispatcher
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
-from oriolegauge.forwarding.leavinginstances import LeavingInstances
+from oriolegauge.forwarding.leavinginstances import (
+    LeavingInstance,
+    LeavingInstances,
+)
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
 from oriolegauge.forwarding.serverlimits import ServerLimits
 from oriolegauge.forwarding.serversignals import ServerSignals
@@ -404,6 +407,15 @@
         self, objects: list[Mapping[str, Any]], document: Document
     ) -> None:
         servers = self._decoder.servers(objects)
+        # A restored list may have them as ready again.
+        self._leaving_instances.learn(
+            [
+                LeavingInstance(server.server_instance, 0)
+                for server in servers
+                if server.is_leaving and server.started_ms
+            ],
+            document.source,
+        )
         restarted = self._directory.replace(
             servers,
             keep_missing_until=missing_kept_until(
--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -19,6 +19,7 @@
     KindStore,
     StoredObject,
     StoreError,
+    revision_of,
 )
 
 # Duration of a long poll. A connection that broke without a reset is only
@@ -39,6 +40,9 @@
 LEADER_RETRY_MAX_S = 0.6
 RETRY_MAX_S = 3.0
 
+# Deleted objects that are remembered, in case a copy of the store has them.
+MAX_DELETED = 1_000
+
 SOURCE = 'store'
 
 log = structlog.get_logger()
@@ -78,6 +82,8 @@
         self._on_first_attempt = on_first_attempt
         self._has_tried_store = False
         self._objects: dict[str, StoredObject] = {}
+        # Last versions of deleted objects, by key.
+        self._deleted: dict[str, int] = {}
         self._revision: int | None = None
         self._reached_at: float | None = None
         self._failed_at = -math.inf
@@ -182,7 +188,7 @@
         for entry in changes.changed:
             self._objects[entry.key] = entry
         for key in changes.deleted:
-            self._objects.pop(key, None)
+            self._forget(key)
         self._revision = changes.revision
         if changes.changed or changes.deleted:
             self._note_success()
@@ -190,11 +196,27 @@
 
     async def _read_all(self) -> None:
         found = await self._store.snapshot(self._kind)
-        self._objects = {entry.key: entry for entry in found.objects}
+        listed = {entry.key: entry for entry in found.objects}
+        for key in self._objects.keys() - listed.keys():
+            self._forget(key)
+        # A store that was restored lists objects that it had deleted.
+        self._objects = {
+            key: entry
+            for key, entry in listed.items()
+            if self._deleted.get(key) != revision_of(entry.version)
+        }
         self._revision = found.revision
         self._note_success()
         self._offer()
 
+    def _forget(self, key: str) -> None:
+        entry = self._objects.pop(key, None)
+        if entry is None:
+            return
+        self._deleted[key] = revision_of(entry.version)
+        if len(self._deleted) > MAX_DELETED:
+            del self._deleted[next(iter(self._deleted))]
+
     def _offer(self) -> None:
         assert self._revision is not None
         payload = orjson.dumps(
--- a/packages/gateway/tests/test_kindfollower.py
+++ b/packages/gateway/tests/test_kindfollower.py
@@ -1,7 +1,9 @@
 """Follower of the objects of one kind in the store."""
 
 import asyncio
+from dataclasses import replace
 
+import orjson
 import pytest
 
 from oriolegauge.gateway.kindfollower import (
@@ -20,6 +22,7 @@
     Snapshot,
     StoredObject,
     StoreUnavailableError,
+    store_version,
 )
 
 
@@ -297,3 +300,29 @@
         assert follower.has_tried_store
         assert asked == [1]
         task.cancel()
+
+
+class TestRestoredStore:
+    async def test_deleted_object_of_a_restored_copy_is_not_listed(self):
+        """Guards against a server that has left and is used again."""
+
+        def restored(name, revision):
+            version = store_version(1, revision)
+            return replace(entry(name, revision), version=version)
+
+        taken, _, _ = await follow(
+            Snapshot([entry('a', 5), entry('b', 6)], 6),
+            Changes([], ['servers/a'], 7),
+            HistoryLostError('restored'),
+            Snapshot([restored('a', 5), restored('b', 6)], store_version(1, 6)),
+            Changes([restored('a', 9)], [], store_version(1, 9)),
+        )
+        names = [
+            [row['key'] for row in orjson.loads(document.payload)]
+            for document in taken
+        ]
+        assert names == [
+            ['servers/a', 'servers/b'],
+            ['servers/b'],
+            ['servers/a', 'servers/b'],
+        ]
--- a/tests/adapter/test_restoredstore.py
+++ b/tests/adapter/test_restoredstore.py
@@ -88,3 +88,31 @@
             await fleet.wait_ready(0)
             await asyncio.sleep(APPLY_S)
             assert await statuses(fleet, 'first') == [200] * fleet.size
+
+    async def test_server_that_was_draining_gets_no_more_requests(
+        self, tmp_path
+    ):
+        """Guards against a leaving server that a copy lists as ready."""
+        async with SoakFleet(tmp_path, size=4, prepaid=100_000) as fleet:
+            for number in range(fleet.size):
+                await fleet.wait_ready(number)
+            entry = {
+                'service': 'svc',
+                'address': f'{soak.HOST}:{fleet.proxies[1].port}',
+                'zone': 'z1',
+                'slots': 20,
+                'state': 'ready',
+                'born': 1,
+            }
+            await fleet.store.write('servers', 'i-0', entry)
+            kept = fleet.store.copy()
+            await fleet.store.write(
+                'servers', 'i-0', {**entry, 'state': 'draining'}
+            )
+            await asyncio.sleep(APPLY_S)
+            await restore(fleet, kept)
+            await asyncio.sleep(APPLY_S)
+            arrived = len(fleet.backends[0].arrivals)
+            for _ in range(8):
+                assert await statuses(fleet, 'safe') == [200] * fleet.size
+            assert len(fleet.backends[0].arrivals) == arrived
