Have two peers remember each written ledger before its tokens are used

Cause: between two renewals of reserves only the allocator remembered its last writes. Change: after a write the ledger goes to two other leaders, and the tokens wait until one of them has it, 0.1 s at most. Ruled out: the copy in each draw's answer, which leaves out what the dead allocator granted to itself.

--- a/packages/gateway/src/oriolegauge/gateway/grantlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/grantlinks.py
@@ -9,6 +9,7 @@
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.core.rendezvous import rank
 from oriolegauge.core.runstate import RunState
+from oriolegauge.core.taskset import TaskSet
 from oriolegauge.gateway.fleetlayout import FULL_MESH_MEMBERS
 from oriolegauge.gateway.fleetlinks import FleetLinks
 from oriolegauge.gateway.ledgerdocument import (
@@ -47,6 +48,10 @@
 HAND_OVER_TIMEOUT_S = 0.5
 # Draws wait while the ledgers of peers are fetched.
 FETCH_TIMEOUT_S = 0.4
+# Granted tokens wait until a peer remembers the ledger, but not longer: the
+# peers may be frozen.
+SHARE_TIMEOUT_S = 0.1
+MAX_LEDGER_COPIES = 2
 # A renewal waits for the next write to the store, which may need a retry.
 RENEW_TIMEOUT_S = 1.5
 # Peers tried one after the other if the allocator can't reach the store. Each
@@ -64,6 +69,7 @@
         self._name = name
         self._links = links
         self._keeper: GrantKeeper | None = None
+        self._tasks = TaskSet()
 
     def attach(self, keeper: GrantKeeper) -> None:
         """Serve requests of peers from this keeper."""
@@ -101,6 +107,8 @@
             case GrantHandOver(team=team, tokens=tokens):
                 keeper.take_over(team, tokens)
                 return Ack(accepted=True)
+            case ReserveRenewed():
+                return Ack(accepted=self._remember(message))
             case ReserveRenewal():
                 renewed = await keeper.renew(_renewal(message))
                 return _renewed(message.number, renewed)
@@ -220,6 +228,48 @@
             return error.run_state is not RunState.NOT_RUN
         return True
 
+    async def share_ledger(self, copy: LedgerCopy) -> None:
+        """Have other leaders remember a ledger; return once one does."""
+        linked = self._links.linked_peers()
+        leaders = [
+            name for name in self._links.reserve_hosts() if name in linked
+        ]
+        document = ledger_document(copy)
+        message = ReserveRenewed(
+            number=0,
+            written=True,
+            ledger_version=document.revision,
+            ledger=document.packed,
+        )
+        shares = {
+            self._tasks.spawn(self._share(peer, message))
+            for peer in leaders[:MAX_LEDGER_COPIES]
+        }
+        until = asyncio.get_running_loop().time() + SHARE_TIMEOUT_S
+        while shares:
+            done, shares = await asyncio.wait(
+                shares,
+                timeout=until - asyncio.get_running_loop().time(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done or any(share.result() for share in done):
+                return
+
+    async def _share(self, peer: str, message: ReserveRenewed) -> bool:
+        try:
+            answer = await self._links.call(peer, message, SHARE_TIMEOUT_S)
+        except OriolegaugeError as error:
+            log.info('ledger not shared', peer=peer, error=error.message)
+            return False
+        return isinstance(answer, Ack) and answer.accepted
+
+    def _remember(self, message: ReserveRenewed) -> bool:
+        copy = _ledger_copy('', message.ledger_version, message.ledger)
+        if copy is None or self._keeper is None:
+            return False
+        self._keeper.remember_ledger(copy)
+        return True
+
     async def remembered_ledgers(self) -> list[LedgerCopy]:
         """Return the newest ledger that each linked peer remembers."""
         peers = self._links.linked_peers()
--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -108,10 +108,13 @@
         prepaid: Callable[[str], int | None],
         reaches_store: Callable[[], bool],
         remembered_by_peers: Callable[[], Awaitable[Sequence[LedgerCopy]]],
+        share: Callable[[LedgerCopy], Awaitable[None]],
         clock: Callable[[], float],
     ) -> None:
         """Write as `holder`; credit granted tokens to the `account` of a team.
 
+        `share` has peers remember a written ledger.
+
         `prepaid` returns a team's budget in tokens, None if it has none.
         """
         self._writer = LedgerWriter(
@@ -123,6 +126,7 @@
             prepaid=prepaid,
         )
         self._holder = holder
+        self._share = share
         self._account = account
         self._prepaid = prepaid
         self._reaches_store = reaches_store
@@ -330,7 +334,7 @@
     async def _write(self) -> None:
         """Write the pending needs, returns and renewals.
 
-        Tokens are credited only once the write is confirmed.
+        Tokens are credited only once the write is confirmed and shared.
         """
         self._writes += 1
         self._written_at = self._clock()
@@ -350,6 +354,9 @@
             if not isinstance(error, StoreAnswerLostError):
                 self._undo_write(wanted.returned, reports)
             return
+        if self.remembered:
+            # A restored store may forget this write, and this daemon may die.
+            await self._share(self.remembered)
         if self._is_store_failing:
             log.info('store available again for grants')
         self._is_store_failing = False
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -132,6 +132,9 @@
     async def hand_over(self, peer: str, team: str, tokens: int) -> bool:
         """Transfer tokens; return False only if the peer can't have them."""
 
+    async def share_ledger(self, copy: LedgerCopy) -> None:
+        """Have peers remember a ledger; return once one of them does."""
+
     async def remembered_ledgers(self) -> Sequence[LedgerCopy]:
         """Return the newest ledger that each reachable peer remembers."""
 
@@ -198,6 +201,7 @@
             prepaid=prepaid,
             reaches_store=reaches_store,
             remembered_by_peers=peers.remembered_ledgers,
+            share=peers.share_ledger,
             clock=clock,
         )
         self._reserve = HostReserve(
@@ -292,6 +296,10 @@
             else None,
         )
 
+    def remember_ledger(self, copy: LedgerCopy) -> None:
+        """Remember a ledger that a peer has written."""
+        self._allocator.remember(copy)
+
     async def renew(self, renewal: Renewal) -> Renewed | None:
         """Renew the reserve of a peer; return None unless it is confirmed."""
         return await self._allocator.renew(renewal)
--- a/packages/grants/tests/test_ledgersafety.py
+++ b/packages/grants/tests/test_ledgersafety.py
@@ -110,10 +110,11 @@
     return fleet.delivered - fleet.prepaid
 
 
-async def play_with_restores(seed, steps=60):
+async def play_with_restores(seed, *, is_allocator_killed, steps=60):
     """Return the tokens delivered beyond the prepaid ones.
 
-    The store comes back from copies of up to 9 s ago; single daemons die.
+    The store comes back from older copies; single daemons die, the allocator
+    too during an outage if `is_allocator_killed`.
     """
     rng = random.Random(seed)
     store = LateStore(random.Random(seed), 0.1)
@@ -132,6 +133,9 @@
         if step % 20 == 19:
             fleet.reaches_store = False
             store.fault = StoreFault.OUTAGE
+            if is_allocator_killed:
+                fleet.start(fleet.allocator)
+                fleet.allocator = rng.choice(fleet.names)
             await asyncio.sleep(rng.uniform(0.1, 2))
             store.restore(copies[-rng.randint(2, 15)])
             store.late.clear()
@@ -158,7 +162,12 @@
     @pytest.mark.parametrize('seed', SEEDS)
     async def test_store_that_comes_back_older_grants_nothing_twice(self, seed):
         """Guards against tokens of grants that the store has forgotten."""
-        assert await play_with_restores(seed) <= 0
+        assert await play_with_restores(seed, is_allocator_killed=False) <= 0
+
+    @pytest.mark.parametrize('seed', SEEDS)
+    async def test_last_writer_that_dies_takes_no_grant_along(self, seed):
+        """Guards against grants that only a killed allocator remembered."""
+        assert await play_with_restores(seed, is_allocator_killed=True) <= 0
 
 
 async def outage_and_crash(seed):
--- a/packages/testkit/src/oriolegauge/testkit/grantfleet.py
+++ b/packages/testkit/src/oriolegauge/testkit/grantfleet.py
@@ -22,6 +22,7 @@
 TEAM = 'team'
 MAX_RESERVE_HOSTS = 8
 MAX_FALLBACK_ALLOCATORS = 2
+MAX_LEDGER_COPIES = 2
 
 
 class LateStore(MemoryObjectStore):
@@ -130,6 +131,16 @@
         self._fleet.keepers[peer].take_over(team, tokens)
         return True
 
+    async def share_ledger(self, copy):
+        await asyncio.sleep(self._fleet.delay_s)
+        others = [
+            name
+            for name in self._fleet.reserve_hosts
+            if name != self._name and self._fleet.is_reached(name)
+        ]
+        for name in others[:MAX_LEDGER_COPIES]:
+            self._fleet.keepers[name].remember_ledger(copy)
+
     async def remembered_ledgers(self):
         await asyncio.sleep(self._fleet.delay_s)
         copies = [
