Follow lists in which one entry can't be read or fits no server

Reported by other operators: one odd entry among those of the servers (nested very deeply, a number too large, a port out of range) stopped the following of the list. It can happen here: all three did, and so did bytes that are no UTF-8. Cause: one value that the JSON reader refuses (1,024 levels, 1e999) failed the whole page, again and again; one of 255 to 1,024 levels could be read but not written for peers; a port or start out of range went into connects and heartbeats. Ruled out: leaving out the page, which hides all other servers of it.

--- a/tests/adapter/test_decoder.py
+++ b/tests/adapter/test_decoder.py
@@ -111,12 +111,28 @@
             {'service': ['svc']},
             {'zone': 3},
             {'born': 1.5},
+            {'born': 2**63},
+            {'born': -1},
+            {'slots': 2**63},
+            {'slots': 1e30},
+            {'address': '10.0.0.1:0'},
+            {'address': '10.0.0.1:70000'},
+            {'address': '10.0.0.1:-80'},
+            {'address': '10.0.0.1: 80'},
+            {'address': 'localhost:80'},
+            {'address': '10.0.0.1\r\n:80'},
         ],
     )
     def test_malformed_field_drops_the_entry(self, damage):
         """Guards against a crash caused by entries of other writers."""
         assert servers({**SERVER, **damage}) == []
 
+    @pytest.mark.parametrize('name', ['i 1', 'i\r\nX-A: b', '\u0131', ''])
+    def test_name_that_fits_no_header_drops_the_entry(self, name):
+        """Guards against a name that breaks each request to the server."""
+        entry = {'key': f'servers/{name}', 'value': SERVER}
+        assert PlatformDecoder().servers([entry]) == []
+
     @pytest.mark.parametrize('entry', [None, 'text', [], 5, {}])
     def test_entry_of_another_type_is_dropped(self, entry):
         """Guards against a crash caused by an entry that is not a table."""
--- a/tests/adapter/test_platformstore.py
+++ b/tests/adapter/test_platformstore.py
@@ -4,6 +4,7 @@
 import contextlib
 import resource
 
+import orjson
 import pytest
 from oriolegauge_adapter.platformstore import MAX_ANSWER_BYTES, PlatformStore
 
@@ -197,6 +198,47 @@
         writer.close()
 
 
+def nested(depth):
+    return b'{"a":' * depth + b'1' + b'}' * depth
+
+
+class TestOddEntries:
+    @pytest.mark.parametrize(
+        'spec',
+        [
+            nested(300),
+            nested(100_000),
+            b'[' * 50_000 + b']' * 50_000,
+            b'{"slots": 1e999}',
+            b'{"slots": ' + b'9' * 5_000 + b'}',
+            b'{"a": "' + b'[{' * 50_000 + b'", "slots": 1e999}',
+            b'{"zone": "\xff\xfe"}',
+            b'{"zone": "\\ud800"}',
+        ],
+    )
+    async def test_entry_that_can_not_be_read_hides_no_other(self, spec):
+        """Guards against a list that is not followed because of one entry."""
+        rows = [
+            b'{"metadata": {"name": "%b", "revision": %d}, "spec": %b}' % row
+            for row in ((b'a', 1, b'{"x": 1}'), (b'b', 2, spec))
+        ]
+        rows.append(rows[0].replace(b'"a"', b'"c"'))
+        items = b', '.join(rows)
+        page = b'{"items": [%b], "hasMore": false, "asOf": 3}' % items
+        async with FixedAnswerStore(page) as client:
+            found = await client.snapshot('servers')
+        assert [entry.key[-1] for entry in found.objects] == ['a', 'b', 'c']
+        assert found.objects[0].value == found.objects[2].value == {'x': 1}
+        orjson.dumps([entry.value for entry in found.objects])
+        events = b', '.join(
+            b'{"object": %b, "deleted": false}' % row for row in rows
+        )
+        page = b'{"events": [%b], "asOf": 3}' % events
+        async with FixedAnswerStore(page) as client:
+            changes = await client.changes('servers', 0, 0)
+        assert len(changes.changed) == 3
+
+
 class TestMalformedAnswers:
     @pytest.mark.parametrize(
         'body',
