Show that a refusal sent again states nothing about another request

Reported by other operators: a server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran. It can't happen here: a reply counts by the id of its request, one of another id is skipped, and the connection is not used again.

--- a/packages/forwarding/tests/test_forwarder.py
+++ b/packages/forwarding/tests/test_forwarder.py
@@ -296,6 +296,46 @@
                 assert ' 200 ' in answer.first_line
                 assert answer.body == b'own'
 
+    @pytest.mark.parametrize('path', ['/once/x', '/review/x'])
+    @pytest.mark.parametrize('status', [408, 429, 503])
+    @pytest.mark.parametrize('is_early', [True, False])
+    async def test_refusal_that_is_sent_again_states_nothing(
+        self, path, status, is_early
+    ):
+        """Guards against "not run" for a request that runs, or a second run.
+
+        A server sends the refusal of an earlier request once more on the kept
+        connection, with that request's id, before or after its answer.
+        """
+        refused = []
+
+        async def refuse_or_repeat(seen, writer):
+            if not refused:
+                refused.append(reply(seen, status, signed=False, X_Not_Run='1'))
+                writer.write(refused[0])
+                return
+            if is_early:
+                writer.write(refused[0])
+                await writer.drain()
+                await asyncio.sleep(0.01)
+            writer.write(reply(seen, body=b'own'))
+            if not is_early:
+                writer.write(refused[0])
+
+        server = ScriptedServer(refuse_or_repeat)
+        async with World(server) as world:
+            first = await world.call(path, request_id='r0', body=b'o')
+            assert ' 503 ' in first.first_line
+            for number in range(1, 5):
+                answer = await world.call(
+                    path, request_id=f'r{number}', body=b'o'
+                )
+                assert ' 200 ' in answer.first_line
+                assert answer.body == b'own'
+            assert [one.request_id for one in server.seen] == [
+                f'r{number}' for number in range(5)
+            ]
+
     @pytest.mark.parametrize('path', ['/once/x', '/review/x'])
     async def test_only_a_failure_without_an_id_is_502(self, path):
         """Guards against stating "not run" where the outcome is unknown."""
