Write what only an unreached daemon remembered after a restore

Cause: a daemon that the one which continues the ledger can't reach, and that remembers a later one, added its difference only if it wrote the ledger by chance. Change: such a daemon notices it when it is told of the continued ledger, keeps its own, and writes the difference. Ruled out: waiting for all peers before the ledger is continued, which a dead daemon would make endless.

--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -283,6 +283,11 @@
         if self._writer.is_forgotten or is_low:
             await self._write_after(self._writes)
 
+    async def write_remembered(self) -> None:
+        """Write what only this daemon remembers after a restore."""
+        if self._writer.knows_more and not self.is_store_unavailable:
+            await self._write_after(self._writes)
+
     def end_pause(self) -> None:
         """End the pause after a failed store call."""
         self._failed_at = -math.inf
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -313,6 +313,8 @@
                 self._adjust(team)
             if self._peers.allocator() is None:
                 self._tasks.spawn(self._allocator.refill())
+            else:
+                self._tasks.spawn(self._allocator.write_remembered())
 
     async def run_reserve(self) -> None:
         """Keep the reserve of this host renewed until cancelled."""
--- a/packages/grants/src/oriolegauge/grants/ledgerrecovery.py
+++ b/packages/grants/src/oriolegauge/grants/ledgerrecovery.py
@@ -64,6 +64,12 @@
     return replace(stored.ledger.charge(free), is_forfeited=True)
 
 
+def lacks(copy: LedgerCopy, remembered: LedgerCopy) -> bool:
+    """Return whether a ledger was continued from an older one than that."""
+    is_later_era = era_of(copy.version) > era_of(remembered.version)
+    return is_later_era and remembered.version > copy.ledger.base_version
+
+
 def with_remembered(ledger: GrantLedger, remembered: LedgerCopy) -> GrantLedger:
     """Charge what a daemon remembers beyond the base of the ledger.
 
--- a/packages/grants/src/oriolegauge/grants/ledgerwriter.py
+++ b/packages/grants/src/oriolegauge/grants/ledgerwriter.py
@@ -15,6 +15,7 @@
     LedgerCopy,
     continued,
     is_restored,
+    lacks,
     with_remembered,
 )
 from oriolegauge.objectstore import (
@@ -80,6 +81,7 @@
         self._remembered_by_peers = remembered_by_peers
         self._prepaid = prepaid
         self._remembered: LedgerCopy | None = None
+        self._knows_more = False
         self._ledger = GrantLedger()
         self._version = 0
         self._is_known = False
@@ -112,10 +114,18 @@
         known = self._remembered
         return known is not None and era_of(known.version) < self._store.era
 
+    @property
+    def knows_more(self) -> bool:
+        """State whether a peer continued the ledger without this daemon's."""
+        return self._knows_more
+
     def remember(self, copy: LedgerCopy) -> None:
         """Remember a ledger that the store has confirmed to a peer."""
         known = self._remembered
-        if known is None or copy.version > known.version:
+        if known and lacks(copy, known):
+            # Kept until this daemon has written what the other ledger lacks.
+            self._knows_more = True
+        elif known is None or copy.version > known.version:
             self._remembered = copy
 
     async def write(self, build_entry: EntryBuilder) -> Written:
@@ -159,7 +169,8 @@
         self._position = entry.position
         self._ledger = changed
         self._version = stored.version
-        self.remember(LedgerCopy(stored.version, changed))
+        self._remembered = LedgerCopy(stored.version, changed)
+        self._knows_more = False
         return written
 
     async def _load(self, found: StoredObject | None) -> None:
--- a/packages/grants/tests/test_ledgerrecovery.py
+++ b/packages/grants/tests/test_ledgerrecovery.py
@@ -12,7 +12,9 @@
     is_restored,
     with_remembered,
 )
+from oriolegauge.grants.ledgerwriter import LedgerWriter
 from oriolegauge.objectstore import store_version
+from oriolegauge.testkit import MemoryObjectStore
 
 PREPAID = 1_000
 OLD, NEW = store_version(1, 50), store_version(1, 90)
@@ -89,6 +91,57 @@
         assert continued(None, [], prepaid) == GrantLedger()
 
 
+class Daemon:
+    """Writer of one daemon; `peers` are those that it reaches."""
+
+    def __init__(self, store, name, peers=()):
+        self.peers = peers
+        self.name = name
+        self.writer = LedgerWriter(
+            store=store,
+            key='grants/ledger',
+            holder=name,
+            on_resolved=lambda *_: None,
+            remembered_by_peers=self._remembered_by_peers,
+            prepaid=prepaid,
+        )
+
+    async def _remembered_by_peers(self):
+        return [peer.writer.remembered for peer in self.peers]
+
+    async def write(self, need):
+        """Draw tokens; return how many were granted."""
+        written = await self.writer.write(
+            lambda _, position: LedgerEntry(
+                holder=self.name,
+                position=position,
+                team_requests={'team': TeamRequest(prepaid=PREPAID, need=need)},
+            )
+        )
+        return written.granted['team']
+
+
+class TestUnreachedDaemon:
+    async def test_what_it_remembers_is_written_when_it_is_back(self):
+        """Guards against a continued ledger that nobody corrects."""
+        store = MemoryObjectStore()
+        store.restore(store.copy())
+        first, second = Daemon(store, 'a'), Daemon(store, 'b')
+        await first.write(100)
+        kept = store.copy()
+        second.writer.remember(first.writer.remembered)
+        await second.write(600)
+        store.restore(kept)
+        assert await first.write(50) == 50
+        assert not second.writer.knows_more
+        second.writer.remember(first.writer.remembered)
+        assert second.writer.knows_more
+        await second.write(0)
+        assert not second.writer.knows_more
+        assert second.writer.ledger.team('team').charged == 750
+        assert await first.write(400) == 250
+
+
 class TestWithRemembered:
     def test_daemon_that_was_cut_off_adds_what_the_base_lacks(self):
         """Guards against grants that only a partitioned daemon has seen."""
