--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -137,7 +137,27 @@
                 await fleet.write_config()
 
 
-async def soak(seed: int, seconds: float, *, prepaid: int = 12_000) -> Observed:
+async def restore_store(fleet, rng, until):
+    """Let the store come back from older copies until the loop time."""
+    loop = asyncio.get_running_loop()
+    while loop.time() < until:
+        kept = fleet.store.copy()
+        await asyncio.sleep(rng.uniform(0.5, 4))
+        fleet.store.status = 503
+        await asyncio.sleep(rng.uniform(0.1, 0.6))
+        await fleet.store.restore(kept)
+        fleet.store.status = 200
+        # The operator writes again what was lost.
+        await fleet.write_config()
+
+
+async def soak(
+    seed: int,
+    seconds: float,
+    *,
+    prepaid: int = 12_000,
+    is_store_restored: bool = False,
+) -> Observed:
     """Run one seed; raise AssertionError if a check fails."""
     rng = random.Random(seed)
     seen = Observed()
@@ -147,13 +167,16 @@
                 await fleet.wait_ready(number)
             loop = asyncio.get_running_loop()
             until = loop.time() + seconds
-            faults = asyncio.create_task(disturb(fleet, rng, until))
+            faults = [asyncio.create_task(disturb(fleet, rng, until))]
+            if is_store_restored:
+                restores = restore_store(fleet, random.Random(seed), until)
+                faults.append(asyncio.create_task(restores))
             calls = []
             while loop.time() < until:
                 kind = rng.choice(KINDS)
                 calls.append(asyncio.create_task(call(fleet, rng, seen, kind)))
                 await asyncio.sleep(rng.expovariate(40))
-            await faults
+            await asyncio.gather(*faults)
             await asyncio.gather(*calls)
             for number in range(fleet.size):
                 await fleet.wait_ready(number)
@@ -175,15 +198,26 @@
     assert after.count(200) >= len(after) - 1, after
 
 
-def main(*, seed: int = 1, seconds: float = 20, count: int = 1) -> None:
+def main(
+    *,
+    seed: int = 1,
+    seconds: float = 20,
+    count: int = 1,
+    prepaid: int = 12_000,
+    restore: bool = False,
+) -> None:
     """Run one or more seeds.
 
     :param seed: first seed
     :param seconds: how long faults are injected for each seed
     :param count: number of seeds to run, one after the other
+    :param prepaid: tokens of the team
+    :param restore: let the store come back from older copies too
     """
     for number in range(seed, seed + count):
-        seen = asyncio.run(soak(number, seconds))
+        seen = asyncio.run(
+            soak(number, seconds, prepaid=prepaid, is_store_restored=restore)
+        )
         sys.stdout.write(
             f'seed {number}: {dict(seen.statuses)}, '
             f'{seen.delivered_tokens} tokens\n'
--- a/tests/adapter/standinstore.py
+++ b/tests/adapter/standinstore.py
@@ -73,6 +73,7 @@
         """Come back from a copy, as after a loss of all later writes."""
         self.objects, self.revision = copy.deepcopy(kept)
         self.events = [one for one in self.events if one[0] <= self.revision]
+        self.oldest_revision = min(self.oldest_revision, self.revision)
         self.era += 1
         async with self._changed:
             self._changed.notify_all()
--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -18,3 +18,9 @@
         """Guards against overspending, repeated runs and false rejections."""
         seen = await soak(seed, SECONDS)
         assert seen.statuses[200]
+
+    @pytest.mark.parametrize('seed', SEEDS)
+    async def test_guarantees_hold_over_restores_of_the_store(self, seed):
+        """Guards against overspending after the store came back older."""
+        seen = await soak(seed, SECONDS, prepaid=4_000, is_store_restored=True)
+        assert seen.statuses[200]
