Forfeit free tokens if a fleet that has started before finds no ledger

Cause: the copy was older than the first ledger and all daemons had been killed, so the new ones began an empty ledger. Change: the settings tell whether the fleet starts for the first time; if not, a missing ledger is a forgotten one. Ruled out: a ledger that starts empty in era 1, which a restored store has too.

--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -53,7 +53,7 @@
 from oriolegauge.gateway.missingservergrace import missing_kept_until
 from oriolegauge.gateway.rankedmembers import FleetMember, capacity_class
 from oriolegauge.gateway.shareddocuments import Document, SharedDocuments
-from oriolegauge.grants import GrantKeeper, HostClocks
+from oriolegauge.grants import GrantKeeper, GrantProcess, HostClocks
 from oriolegauge.mesh import PeerMesh
 from oriolegauge.mesh.lifecycle import Lifecycle
 from oriolegauge.routing.crashsuspects import CrashSuspects
@@ -192,8 +192,11 @@
         self._keeper = GrantKeeper(
             store=store,
             kind=settings.grants_kind,
-            host=settings.name,
-            holder=f'{settings.name}/{self._incarnation}',
+            process=GrantProcess(
+                host=settings.name,
+                holder=f'{settings.name}/{self._incarnation}',
+                is_first_start=settings.is_first_start,
+            ),
             peers=self._grant_links,
             prepaid=self._prepaid,
             reaches_store=self._followers_reach_store,
--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -22,6 +22,7 @@
     `cores` and `link_mbps` are the capacity of the host.
     `memory_bytes` is the memory that the process may use.
     `grace_s` is the time between SIGTERM and the exit of the process.
+    `is_first_start` states that the whole fleet starts for the first time.
     """
 
     name: str
@@ -43,6 +44,7 @@
     max_caller_connections: int
     cores: float
     link_mbps: float
+    is_first_start: bool = True
     memory_bytes: int = 256 * 1024 * 1024
     peers: tuple = ()
     peer_timeout_s: float = 0.6
--- a/packages/grants/src/oriolegauge/grants/__init__.py
+++ b/packages/grants/src/oriolegauge/grants/__init__.py
@@ -10,6 +10,7 @@
     DrawResult,
     GrantKeeper,
     GrantPeers,
+    GrantProcess,
     HostClocks,
     Reservation,
 )
@@ -23,6 +24,7 @@
     'GrantKeeper',
     'GrantLedger',
     'GrantPeers',
+    'GrantProcess',
     'GrantUnavailableError',
     'HostClocks',
     'HostTimes',
--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -107,6 +107,7 @@
         account: Callable[[str], TeamAccount],
         prepaid: Callable[[str], int | None],
         reaches_store: Callable[[], bool],
+        is_first_start: bool,
         remembered_by_peers: Callable[[], Awaitable[Sequence[LedgerCopy]]],
         share: Callable[[LedgerCopy], Awaitable[None]],
         clock: Callable[[], float],
@@ -122,6 +123,7 @@
             key=key,
             holder=holder,
             on_resolved=self._resolve,
+            is_first_start=is_first_start,
             remembered_by_peers=remembered_by_peers,
             prepaid=prepaid,
         )
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -158,6 +158,20 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GrantProcess:
+    """Identify a process that holds grants.
+
+    `holder` is a name that no other process start ever uses; the next process
+    of the `host` has the same host and clocks. `is_first_start` states that no
+    daemon of the fleet has run before.
+    """
+
+    host: str
+    holder: str
+    is_first_start: bool
+
+
 class GrantKeeper:
     """Reserve and settle tokens of requests; hold tokens ahead of demand."""
 
@@ -166,8 +180,7 @@
         *,
         store: RestorableStore,
         kind: str,
-        host: str,
-        holder: str,
+        process: GrantProcess,
         peers: GrantPeers,
         prepaid: Callable[[str], int | None],
         reaches_store: Callable[[], bool],
@@ -175,9 +188,8 @@
         host_clocks: HostClocks,
         rng: random.Random,
     ) -> None:
-        """Act as `holder`, a name that no other process start ever uses.
+        """Act as `process`.
 
-        `host` names the host, whose next process has the same name and clocks.
         `prepaid` returns a team's prepaid tokens, None if it has no budget. The
         ledger of all teams is one object of `kind` in the store, which is not
         called while `reaches_store` returns false.
@@ -196,16 +208,19 @@
         self._allocator = GrantAllocator(
             store=store,
             key=f'{kind}/{LEDGER}',
-            holder=holder,
+            holder=process.holder,
             account=self._account,
             prepaid=prepaid,
             reaches_store=reaches_store,
+            is_first_start=process.is_first_start,
             remembered_by_peers=peers.remembered_ledgers,
             share=peers.share_ledger,
             clock=clock,
         )
         self._reserve = HostReserve(
-            host=host, holder=holder, started=host_clocks.started
+            host=process.host,
+            holder=process.holder,
+            started=host_clocks.started,
         )
         self._tasks = TaskSet()
 
--- a/packages/grants/src/oriolegauge/grants/ledgerrecovery.py
+++ b/packages/grants/src/oriolegauge/grants/ledgerrecovery.py
@@ -37,15 +37,20 @@
     stored: LedgerCopy | None,
     remembered: Iterable[LedgerCopy],
     prepaid: Callable[[str], int | None],
+    *,
+    is_first_start: bool,
 ) -> GrantLedger:
     """Return the ledger to write in place of the one that is `stored`.
 
     If no daemon remembers it or a later one, the tokens granted since are not
-    known, and all free tokens count as spent.
+    known, and all free tokens count as spent. Without any ledger that holds
+    unless the fleet starts for the first time.
     """
     newest = max(remembered, key=_version, default=None)
     if stored is None and newest is None:
-        return GrantLedger()
+        if not is_first_start:
+            log.error('ledger forgotten, free tokens are forfeited')
+        return GrantLedger(is_forfeited=not is_first_start)
     if newest and newest.version >= _written_version(stored):
         log.warning('ledger continued', version=newest.version)
         return replace(
--- a/packages/grants/src/oriolegauge/grants/ledgerwriter.py
+++ b/packages/grants/src/oriolegauge/grants/ledgerwriter.py
@@ -65,6 +65,7 @@
         key: str,
         holder: str,
         on_resolved: Callable[[Written, bool], None],
+        is_first_start: bool,
         remembered_by_peers: Callable[[], Awaitable[Sequence[LedgerCopy]]],
         prepaid: Callable[[str], int | None],
     ) -> None:
@@ -78,6 +79,7 @@
         self._key = key
         self._holder = holder
         self._on_resolved = on_resolved
+        self._is_first_start = is_first_start
         self._remembered_by_peers = remembered_by_peers
         self._prepaid = prepaid
         self._remembered: LedgerCopy | None = None
@@ -203,7 +205,12 @@
         remembered = list(await self._remembered_by_peers())
         if known:
             remembered.append(known)
-        return continued(stored, remembered, self._prepaid)
+        return continued(
+            stored,
+            remembered,
+            self._prepaid,
+            is_first_start=self._is_first_start,
+        )
 
     def _read(self, found: StoredObject) -> GrantLedger:
         try:
--- a/packages/grants/tests/test_ledgerrecovery.py
+++ b/packages/grants/tests/test_ledgerrecovery.py
@@ -50,6 +50,7 @@
             LedgerCopy(RESTORED, ledger(300)),
             [LedgerCopy(NEW, ledger(700)), LedgerCopy(OLD, ledger(300))],
             prepaid,
+            is_first_start=False,
         )
         assert found.team('team').charged == 700
         assert found.base_version == NEW
@@ -57,7 +58,12 @@
 
     def test_free_tokens_are_forfeited_if_no_daemon_remembers_more(self):
         """Guards against grants of daemons that have all died."""
-        found = continued(LedgerCopy(RESTORED, ledger(300)), [], prepaid)
+        found = continued(
+            LedgerCopy(RESTORED, ledger(300)),
+            [],
+            prepaid,
+            is_first_start=False,
+        )
         assert found.free('team', PREPAID) == 0
         entry = LedgerEntry(
             holder='h',
@@ -83,12 +89,30 @@
     def test_memory_that_is_older_than_the_copy_does_not_count(self):
         """Guards against a daemon that has not seen the last ledgers."""
         stored = LedgerCopy(store_version(2, 60), ledger(300))
-        found = continued(stored, [LedgerCopy(OLD, ledger(200))], prepaid)
+        found = continued(
+            stored,
+            [LedgerCopy(OLD, ledger(200))],
+            prepaid,
+            is_first_start=False,
+        )
         assert found.free('team', PREPAID) == 0
 
     def test_first_ledger_of_a_store_is_empty(self):
         """Guards against forfeited tokens at the first start."""
-        assert continued(None, [], prepaid) == GrantLedger()
+        found = continued(None, [], prepaid, is_first_start=True)
+        assert found == GrantLedger()
+
+    def test_lost_ledger_of_a_fleet_that_has_started_grants_nothing(self):
+        """Guards against a copy from before the first grant."""
+        found = continued(None, [], prepaid, is_first_start=False)
+        _, granted = found.apply(
+            LedgerEntry(
+                holder='h',
+                position=1,
+                team_requests={'team': TeamRequest(prepaid=PREPAID, need=9)},
+            )
+        )
+        assert granted == {'team': 0}
 
 
 class Daemon:
@@ -102,6 +126,7 @@
             key='grants/ledger',
             holder=name,
             on_resolved=lambda *_: None,
+            is_first_start=True,
             remembered_by_peers=self._remembered_by_peers,
             prepaid=prepaid,
         )
@@ -149,6 +174,7 @@
             LedgerCopy(RESTORED, ledger(300)),
             [LedgerCopy(OLD, ledger(300))],
             prepaid,
+            is_first_start=False,
         )
         found = with_remembered(base, LedgerCopy(NEW, ledger(700)))
         assert found.team('team').charged == 700
@@ -161,5 +187,6 @@
             LedgerCopy(RESTORED, ledger(300)),
             [LedgerCopy(NEW, ledger(700))],
             prepaid,
+            is_first_start=False,
         )
         assert GrantLedger.from_value(base.to_value()) == base
--- a/packages/testkit/src/oriolegauge/testkit/grantfleet.py
+++ b/packages/testkit/src/oriolegauge/testkit/grantfleet.py
@@ -11,6 +11,7 @@
     DrawRequest,
     DrawResult,
     GrantKeeper,
+    GrantProcess,
     HostTimes,
     Renewal,
     Renewed,
@@ -187,8 +188,11 @@
         self.keepers[name] = GrantKeeper(
             store=self.stores.get(name, self.store),
             kind=KIND,
-            host=name,
-            holder=f'{name}/{self._starts}',
+            process=GrantProcess(
+                host=name,
+                holder=f'{name}/{self._starts}',
+                is_first_start=self._starts <= len(self.names),
+            ),
             peers=Peers(self, name),
             prepaid=lambda _: self.prepaid,
             reaches_store=lambda: self.reaches_store,
--- a/tests/adapter/soakfleet.py
+++ b/tests/adapter/soakfleet.py
@@ -20,6 +20,7 @@
 TOKENS_PER_EVENT = 5
 PROMPT_TOKENS = 100
 SETTINGS = """
+bootstrap = {bootstrap}
 ip = "127.0.0.1"
 zone = "z1"
 portRange = [{peer}, {peer}]
@@ -123,6 +124,7 @@
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.proxies: list[LoopbackProxy] = []
         self.version = 0
+        self.started: set[int] = set()
         # Further routes of the configuration, without repeats.
         self.added: list[str] = []
 
@@ -215,9 +217,14 @@
         path = self.folder / f'settings-{number}.toml'
         path.write_text(
             SETTINGS.format(
-                front=front, ready=ready, peer=peer, store=self.proxies[0].port
+                front=front,
+                ready=ready,
+                peer=peer,
+                store=self.proxies[0].port,
+                bootstrap=str(number not in self.started).lower(),
             )
         )
+        self.started.add(number)
         with self._log_path(number).open('ab') as log:
             self.processes[number] = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/tests/adapter/standinstore.py
+++ b/tests/adapter/standinstore.py
@@ -23,6 +23,7 @@
         self.revision = 0
         self.oldest_revision = 0
         self.era = 0
+        self.names_era = True
         self.status = 200
         self.silent = False
         self.lose_writes = False
@@ -105,10 +106,12 @@
         self.calls[request.method] += 1
         if self.silent:
             await asyncio.sleep(60)
-        if self.status != 200:
-            return web.json_response({}, status=self.status)
-        answer = await handler(request)
-        answer.headers['Store-Era'] = str(self.era)
+        if self.status == 200:
+            answer = await handler(request)
+        else:
+            answer = web.json_response({}, status=self.status)
+        if self.names_era:
+            answer.headers['Store-Era'] = str(self.era)
         if self.lose_writes and request.method in {'PUT', 'POST'}:
             request.transport.abort()
         return answer
--- a/tests/adapter/test_platformstore.py
+++ b/tests/adapter/test_platformstore.py
@@ -167,6 +167,20 @@
             await client.get('grants/a')
 
 
+class TestAnswersWithoutEra:
+    async def test_refusal_without_an_era_is_no_answer_of_an_earlier_one(
+        self, client, stand_in
+    ):
+        """Guards against a refused write that counts as lost."""
+        stand_in.era = 3
+        await client.get('grants/a')
+        stand_in.names_era = False
+        stand_in.status = 429
+        with pytest.raises(StoreRateLimitError):
+            await client.put('grants/a', {}, 0)
+        assert client.era == 3
+
+
 class FixedAnswerStore:
     """Answer every call with the same bytes."""
 
