Pack a ledger once for all peers, and read it only if it is newer

Cause: the copies of the ledger were compressed and read anew for each peer, up to some twenty times a second. Change: GrantLinks keeps the last packed ledger and leaves known ones unread. Ruled out: no copies with renewals; a daemon that remembers an old ledger only would continue that one if the others die.

--- a/packages/gateway/src/oriolegauge/gateway/grantlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/grantlinks.py
@@ -70,6 +70,8 @@
         self._links = links
         self._keeper: GrantKeeper | None = None
         self._tasks = TaskSet()
+        # The last ledger that was packed; many peers get the same one.
+        self._packed: Document | None = None
 
     def attach(self, keeper: GrantKeeper) -> None:
         """Serve requests of peers from this keeper."""
@@ -111,7 +113,10 @@
                 return Ack(accepted=self._remember(message))
             case ReserveRenewal():
                 renewed = await keeper.renew(_renewal(message))
-                return _renewed(message.number, renewed)
+                written = renewed and renewed.written
+                return _renewed(
+                    message.number, renewed, written and self._pack(written)
+                )
             case _:
                 return Ack(accepted=False)
 
@@ -167,7 +172,7 @@
             answer.number,
             _parts(answer.held),
             _parts(answer.targets),
-            _ledger_copy(peer, answer.ledger_version, answer.ledger),
+            self._unpack(peer, answer.ledger_version, answer.ledger),
         )
 
     async def draw(self, peer: str, draw: DrawRequest) -> DrawResult | None:
@@ -234,7 +239,7 @@
         leaders = [
             name for name in self._links.reserve_hosts() if name in linked
         ]
-        document = ledger_document(copy)
+        document = self._pack(copy)
         message = ReserveRenewed(
             number=0,
             written=True,
@@ -264,11 +269,14 @@
         return isinstance(answer, Ack) and answer.accepted
 
     def _remember(self, message: ReserveRenewed) -> bool:
-        copy = _ledger_copy('', message.ledger_version, message.ledger)
-        if copy is None or self._keeper is None:
+        keeper = self._keeper
+        if keeper is None or not message.ledger:
             return False
-        self._keeper.remember_ledger(copy)
-        return True
+        copy = self._unpack('', message.ledger_version, message.ledger)
+        if copy:
+            keeper.remember_ledger(copy)
+        known = keeper.remembered_ledger
+        return known is not None and known.version >= message.ledger_version
 
     async def remembered_ledgers(self) -> list[LedgerCopy]:
         """Return the newest ledger that each linked peer remembers."""
@@ -290,7 +298,22 @@
 
     def _ledger_document(self) -> Document | None:
         copy = self._keeper and self._keeper.remembered_ledger
-        return ledger_document(copy) if copy else None
+        return self._pack(copy) if copy else None
+
+    def _pack(self, copy: LedgerCopy) -> Document:
+        packed = self._packed
+        if packed is None or packed.revision != copy.version:
+            packed = self._packed = ledger_document(copy)
+        return packed
+
+    def _unpack(
+        self, peer: str, version: int, packed: bytes
+    ) -> LedgerCopy | None:
+        """Return a ledger from a peer unless it is known here."""
+        known = self._keeper and self._keeper.remembered_ledger
+        if known and known.version >= version:
+            return None
+        return _ledger_copy(peer, version, packed)
 
     def lenders(self) -> set[str]:
         """Return peers to borrow from: all in a small fleet, else leaders."""
@@ -325,10 +348,11 @@
     )
 
 
-def _renewed(number: int, renewed: Renewed | None) -> ReserveRenewed:
+def _renewed(
+    number: int, renewed: Renewed | None, written: Document | None
+) -> ReserveRenewed:
     if renewed is None:
         return ReserveRenewed(number=number, written=False)
-    written = renewed.written and ledger_document(renewed.written)
     return ReserveRenewed(
         number=number,
         written=True,
