Give back the permit of a request that ends before it is sent

Seen: a limited server gets fewer requests than it takes, as permits of callers that leave during a connect, or whose time has passed after it, stay unused. Cause: Dispatcher.send gave a permit back only if the server was unreachable. Change: also if the connect is cancelled, and if no time is left to send. Ruled out: giving back in the caller of send, which does not know the server.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -164,6 +164,9 @@
                 self._permits.give_back(server.server_instance)
                 excluded.add(server.instance)
                 continue
+            except asyncio.CancelledError:
+                self._permits.give_back(server.server_instance)
+                raise
             try:
                 return await self._start(
                     context, trace, server, connection, extra_headers
@@ -361,6 +364,7 @@
     ) -> Attempt:
         now = self._clock()
         if now >= context.deadline:
+            self._permits.give_back(server.server_instance)
             self._pool.give_back(server, connection)
             raise NoServerError('no time is left')
         data = self._encode(context, server, extra_headers, now)
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -233,6 +233,7 @@
         self.limits = limits
         self.clock = clock
         self.permits = RatePermits(random.Random(1))
+        self.given_back = []
 
     async def acquire(self, server_instance):
         await asyncio.sleep(0)
@@ -244,7 +245,7 @@
         ).wait_s
 
     def give_back(self, server_instance):
-        """Drop the permit."""
+        self.given_back.append(server_instance)
 
     def own_per_s(self, server_instance):
         return self.limits.per_s(server_instance)
@@ -292,13 +293,14 @@
         )
         self.buffers = ByteBudget(12 * 1024 * 1024)
         self.link = HostLink(mbps=1_000, clock=clock)
+        self.permits = LoneDaemonPermits(self.limits_named, clock)
         self.forwarder = Forwarder(
             names=NAMES,
             dispatcher=Dispatcher(
                 loads=NoOtherDaemons(),
                 pauses=self.pauses,
                 limits=self.limits_named,
-                permits=LoneDaemonPermits(self.limits_named, clock),
+                permits=self.permits,
                 directory=self.directory,
                 chooser=self.chooser,
                 pool=self.pool,
