Take the retry before a silent attempt is ended, and wait if there is none

Cause: an attempt was ended at its time limit by maxAttempts and the known servers alone (calls: by maxAttempts alone). The retry budget was asked afterwards, and the next send could still fail, when nothing was left to read from. A failure of a stream's server was dropped likewise if the retry for it could not be sent. Change: RequestRetries is the one owner of the retries of a request. At the limit AttemptWatch takes a retry, sends the next attempt while it still reads from the silent server, and ends the silent attempt only when the next one was sent. A retry with which nothing was sent returns to the budget. If there is none, the server is waited for until the deadline, and a retry is asked for every 1.2 s, as long as one would have the objective's time left. A server that goes on before the next send is used; bytes without progress may stop only one send. It did not in streams and calls without a limit, as the forwarder's own timeout came first; a waited-for frozen server would have kept its requests. Streams pass on a server's failure if its retry can't be sent, as calls did.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -12,10 +12,7 @@
 from oriolegauge.forwarding.backendserver import BackendServer
 from oriolegauge.forwarding.connectionpool import ConnectionPool
 from oriolegauge.forwarding.crashdetector import CrashDetector
-from oriolegauge.forwarding.errors import (
-    ReplyBrokenError,
-    ServerUnreachableError,
-)
+from oriolegauge.forwarding.errors import ServerUnreachableError
 from oriolegauge.forwarding.headernames import HeaderNames
 from oriolegauge.forwarding.headers import end_to_end
 from oriolegauge.forwarding.leavinginstances import ServerInstance
@@ -181,22 +178,9 @@
             RETRY_AFTER_NO_SERVER_S,
         )
 
-    async def wait_for_header(
-        self, attempt: Attempt, until: float
-    ) -> ServerReply:
-        """Wait for the reply's header until the loop time.
-
-        Raise ReplyBrokenError if none arrives.
-        """
-        try:
-            async with asyncio.timeout_at(until):
-                reply = await attempt.connection.head()
-        except TimeoutError:
-            attempt.ok = False
-            raise ReplyBrokenError('no reply in time') from None
-        except ReplyBrokenError:
-            attempt.ok = False
-            raise
+    async def wait_for_header(self, attempt: Attempt) -> ServerReply:
+        """Wait for the reply's header; raise ReplyBrokenError if it fails."""
+        reply = await attempt.connection.head()
         self._note_limit(attempt, reply)
         return reply
 
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -34,6 +34,7 @@
     RequestTrace,
     parse_work,
 )
+from oriolegauge.forwarding.requestretries import RequestRetries
 from oriolegauge.forwarding.route import RequestKind, Route
 from oriolegauge.forwarding.routetable import RouteTable
 from oriolegauge.forwarding.streamexchange import StreamExchange
@@ -106,7 +107,11 @@
         dependencies = ExchangeDependencies(
             dispatcher=dispatcher,
             names=names,
-            may_retry=retries.may_retry,
+            retries=RequestRetries(
+                credit=retries,
+                has_server=dispatcher.has_server,
+                clock=self._clock,
+            ),
             buffers=buffers,
             clock=self._clock,
         )
--- a/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
@@ -46,10 +46,16 @@
     reason: str = ''
 
     def note(self, server: str, result: str) -> None:
-        """Add the result of one attempt."""
-        if self.attempts and self.attempts[-1] == _sent(server):
-            self.attempts.pop()
-        self.attempts.append(f'{server}: {result}')
+        """Add the result of one attempt.
+
+        The next attempt may have been sent before it.
+        """
+        text = f'{server}: {result}'
+        sent = _sent(server)
+        if sent in self.attempts:
+            self.attempts[self.attempts.index(sent)] = text
+        else:
+            self.attempts.append(text)
 
     def note_sent(self, server: str, waited_s: float) -> None:
         """Add an attempt, sent `waited_s` after the request arrived."""
--- a/packages/forwarding/src/oriolegauge/forwarding/streamexchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/streamexchange.py
@@ -4,9 +4,10 @@
 caller still gets one uninterrupted answer.
 """
 
-import asyncio
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import partial
 
 from oriolegauge.core.bytebudget import ByteLease
 from oriolegauge.core.errors import (
@@ -15,20 +16,24 @@
     ServerFailedError,
 )
 from oriolegauge.forwarding.answer import Answer
+from oriolegauge.forwarding.attemptwatch import AttemptSender, AttemptWatch
 from oriolegauge.forwarding.dispatcher import FIRST_SERVER_ERROR, Attempt
 from oriolegauge.forwarding.errors import ReplyBrokenError
 from oriolegauge.forwarding.eventsplitter import Event, EventSplitter
-from oriolegauge.forwarding.exchange import ExchangeDependencies, RequestState
+from oriolegauge.forwarding.exchange import ExchangeDependencies
 from oriolegauge.forwarding.headers import end_to_end
 from oriolegauge.forwarding.requestcontext import RequestContext, RequestTrace
+from oriolegauge.forwarding.requeststate import RequestState
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.forwarding.serversignals import MISDIRECTED
 from oriolegauge.forwarding.streamprogress import StreamProgress
 from oriolegauge.forwarding.wholeexchange import (
     NOT_RUN_STATUSES,
+    finish_without_server,
     is_genuine,
     read_body,
 )
+from oriolegauge.forwarding.wholereply import WholeReply
 from oriolegauge.routing.crashquarantine import QuarantinedError
 
 LAST_EVENT_ID = 'Last-Event-Id'
@@ -63,23 +68,37 @@
         last_id = context.request.header(LAST_EVENT_ID) or None
         with self._dependencies.buffers.lease() as buffer_lease:
             state = _StreamState(
-                context, trace, answer, buffer_lease, last_id=last_id
+                context,
+                trace,
+                answer,
+                buffer_lease,
+                may_run_again=context.route.is_resumable,
+                last_id=last_id,
             )
-            while not await self._attempt(state):
-                """Resume the stream on another server."""
+            try:
+                while not await self._attempt(state):
+                    """Resume the stream on another server."""
+            finally:
+                self._dependencies.finish(state)
 
     async def _attempt(self, state: _StreamState) -> bool:
         """Return whether the answer is finished."""
-        attempt = await self._send(state)
-        state.sends += 1
-        state.excluded.add(attempt.server.instance)
         try:
-            return await self._exchange(state, attempt)
+            attempt = state.take_next_attempt() or await self._send(
+                state, state.excluded
+            )
+        except (NoServerError, QuarantinedError) as error:
+            await finish_without_server(state, error)
+            return True
+        state.note_sent(attempt)
+        watch = self._watch(state, attempt)
+        try:
+            return await self._exchange(state, attempt, watch)
         except ReplyBrokenError as error:
             attempt.ok = False
             state.attempt_may_have_run = True
             state.trace.note(attempt.server.instance, error.message)
-            if self._may_repeat(state):
+            if self._dependencies.retries.take_to_run_again(state):
                 return False
             if self._dependencies.clock() >= state.context.deadline:
                 raise OutcomeUnknownError(error.message) from error
@@ -87,36 +106,44 @@
         finally:
             self._dependencies.dispatcher.close(attempt)
 
-    async def _send(self, state: _StreamState) -> Attempt:
+    def _watch(self, state: _StreamState, attempt: Attempt) -> AttemptWatch:
+        sender = AttemptSender(
+            retries=self._dependencies.retries,
+            send=partial(self._send, state),
+            clock=self._dependencies.clock,
+        )
+        return AttemptWatch(state, attempt, sender)
+
+    async def _send(self, state: _StreamState, excluded: set[str]) -> Attempt:
         extra_headers = []
         if state.last_id is not None:
             extra_headers.append((LAST_EVENT_ID, state.last_id))
-        try:
-            return await self._dependencies.dispatcher.send(
-                state.context,
-                state.trace,
-                excluded=state.excluded,
-                extra_headers=extra_headers,
-            )
-        except (NoServerError, QuarantinedError) as error:
-            if state.attempt_may_have_run:
-                raise ServerFailedError(error.message) from error
-            raise
+        return await self._dependencies.dispatcher.send(
+            state.context,
+            state.trace,
+            excluded=excluded,
+            extra_headers=extra_headers,
+        )
 
-    async def _exchange(self, state: _StreamState, attempt: Attempt) -> bool:
+    async def _exchange(
+        self, state: _StreamState, attempt: Attempt, watch: AttemptWatch
+    ) -> bool:
         """Return whether the answer is finished."""
-        reply = await self._dependencies.dispatcher.wait_for_header(
-            attempt, self._first_event_until(state, self._dependencies.clock())
+        reply = await watch.wait(
+            partial(self._dependencies.dispatcher.wait_for_header, attempt),
+            _first_event_limit(state, self._dependencies.clock()),
         )
         if not reply.is_success:
-            return await self._handle_failure(state, attempt, reply)
+            body = await self._body(state, attempt, watch)
+            return await self._handle_failure(state, attempt, reply, body)
         if not is_genuine(reply, self._dependencies.names):
             raise ReplyBrokenError('a success without a signature')
         if state.answer.is_started and not _is_event_stream(reply):
             raise ReplyBrokenError('the stream is resumed by another type')
         state.attempt_may_have_run = True
         with self._dependencies.buffers.lease() as buffer_lease:
-            await self._relay(state, attempt, reply, buffer_lease)
+            relay = _EventRelay(state, buffer_lease, self._dependencies.clock())
+            await self._relay(relay, attempt, reply, watch)
         self._dependencies.dispatcher.record_harmless(attempt)
         state.trace.note(attempt.server.instance, 'whole')
         state.trace.outcome = 'answered'
@@ -124,15 +151,16 @@
 
     async def _relay(
         self,
-        state: _StreamState,
+        relay: '_EventRelay',
         attempt: Attempt,
         reply: ServerReply,
-        buffer_lease: ByteLease,
+        watch: AttemptWatch,
     ) -> None:
+        state = relay.state
         answer = state.answer
-        relay = _EventRelay(state, buffer_lease, self._dependencies.clock())
         while True:
-            part = await self._read(state, attempt, relay.progress_at)
+            limit_at = _event_limit(state, attempt, relay.progress_at)
+            part = await watch.wait(attempt.connection.read, limit_at)
             if part is None:
                 break
             now = self._dependencies.clock()
@@ -149,72 +177,43 @@
             _check_has_no_events(reply)
         await _finish(answer, reply, relay.unsent, relay.incomplete_event)
 
-    async def _read(
-        self, state: _StreamState, attempt: Attempt, progress_at: float
-    ) -> bytes | None:
-        until = state.context.deadline
-        if not attempt.was_answered:
-            until = self._first_event_until(state, progress_at)
-        elif self._can_resume_elsewhere(state):
-            pause_s = state.context.route.longest_pause_s
-            stall_timeout_s = max(
-                MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_PAUSES * pause_s
-            )
-            until = min(until, progress_at + stall_timeout_s)
-        try:
-            async with asyncio.timeout_at(until):
-                return await attempt.connection.read()
-        except TimeoutError:
-            raise ReplyBrokenError('no event in time') from None
-
     async def _handle_failure(
-        self, state: _StreamState, attempt: Attempt, reply: ServerReply
+        self,
+        state: _StreamState,
+        attempt: Attempt,
+        reply: ServerReply,
+        body: bytes,
     ) -> bool:
         answer, trace = state.answer, state.trace
-        body = await self._body(state, attempt)
         self._dependencies.dispatcher.record_reply(attempt, reply)
         trace.note(attempt.server.instance, str(reply.status))
         is_misdirected = reply.status == MISDIRECTED
         if is_misdirected or reply.header(self._dependencies.names.not_run):
             state.sends -= is_misdirected
             trace.may_have_run = state.attempt_may_have_run
-            if self._dependencies.may_send_again(state):
+            if self._dependencies.retries.take(state):
                 return False
             if state.attempt_may_have_run:
                 raise ServerFailedError('the stream can not be resumed')
             raise self._dependencies.dispatcher.rejection(state.context)
         state.attempt_may_have_run = True
         is_failure = reply.status >= FIRST_SERVER_ERROR
-        if is_failure and self._may_repeat(state):
+        may_pass_on = reply.status not in NOT_RUN_STATUSES
+        if is_failure and self._dependencies.retries.take_to_run_again(state):
+            state.failure = WholeReply(reply, body) if may_pass_on else None
             return False
-        if answer.is_started or reply.status in NOT_RUN_STATUSES:
+        if answer.is_started or not may_pass_on:
             raise ServerFailedError(f'the server answered {reply.status}')
         trace.outcome = 'failed'
         await answer.send_whole(reply.status, end_to_end(reply.headers), body)
         return True
 
-    async def _body(self, state: _StreamState, attempt: Attempt) -> bytes:
-        until = self._first_event_until(state, self._dependencies.clock())
-        return await read_body(attempt.connection, until, state.buffer_lease)
-
-    def _first_event_until(self, state: _StreamState, since: float) -> float:
-        """Return the loop time until which to wait for the first event."""
-        context = state.context
-        if not self._can_resume_elsewhere(state):
-            return context.deadline
-        wait = max(
-            MIN_STALL_TIMEOUT_S,
-            FIRST_EVENT_TIMEOUT_OBJECTIVES * context.route.objective_s,
-        )
-        return min(context.deadline, since + wait)
-
-    def _can_resume_elsewhere(self, state: _StreamState) -> bool:
-        is_resumable = state.context.route.is_resumable
-        return is_resumable and self._dependencies.has_server(state)
-
-    def _may_repeat(self, state: _StreamState) -> bool:
-        is_resumable = state.context.route.is_resumable
-        return is_resumable and self._dependencies.may_send_again(state)
+    async def _body(
+        self, state: _StreamState, attempt: Attempt, watch: AttemptWatch
+    ) -> bytes:
+        limit_at = _first_event_limit(state, self._dependencies.clock())
+        read = partial(watch.wait, attempt.connection.read, limit_at)
+        return await read_body(read, state.buffer_lease)
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,7 +234,7 @@
     def __init__(
         self, state: _StreamState, buffer_lease: ByteLease, now: float
     ) -> None:
-        self._state = state
+        self.state = state
         self._is_resumed = state.answer.is_started
         self._buffer_lease = buffer_lease
         self._splitter = EventSplitter()
@@ -257,17 +256,17 @@
         return self._splitter.incomplete_event
 
     def add(self, part: bytes, now: float) -> _RelayStep:
-        already = self._state.trace.events
+        already = self.state.trace.events
         events, is_gap = _next_events(
             self._splitter.feed(part),
-            self._state,
+            self.state,
             needs_ids=self._is_resumed,
         )
         self._unsent += events
-        has_message = self._state.trace.events > already
+        has_message = self.state.trace.events > already
         self._note_progress(len(part), has_message, now)
         ready_bytes = b''
-        if self._state.trace.events:
+        if self.state.trace.events:
             ready_bytes = self.unsent
             self._unsent = []
         broken_reason = (
@@ -299,6 +298,28 @@
         return '' if is_granted else 'too much is buffered'
 
 
+def _first_event_limit(state: _StreamState, since: float) -> float:
+    """Return the loop time from which on a silent attempt may be replaced."""
+    if not state.may_run_again:
+        return math.inf
+    return since + max(
+        MIN_STALL_TIMEOUT_S,
+        FIRST_EVENT_TIMEOUT_OBJECTIVES * state.context.route.objective_s,
+    )
+
+
+def _event_limit(
+    state: _StreamState, attempt: Attempt, progress_at: float
+) -> float:
+    """Return the loop time from which on a stalled attempt may be replaced."""
+    if not (state.may_run_again and attempt.was_answered):
+        return _first_event_limit(state, progress_at)
+    pause_s = state.context.route.longest_pause_s
+    return progress_at + max(
+        MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_PAUSES * pause_s
+    )
+
+
 def _next_events(
     events: Iterable[Event], state: _StreamState, *, needs_ids: bool
 ) -> tuple[list[bytes], bool]:
--- a/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
@@ -4,8 +4,9 @@
 seeing it.
 """
 
-import asyncio
-from dataclasses import dataclass
+import math
+from collections.abc import Awaitable, Callable
+from functools import partial
 from http import HTTPStatus
 
 from oriolegauge.core.bytebudget import ByteLease
@@ -15,20 +16,22 @@
     ServerFailedError,
 )
 from oriolegauge.forwarding.answer import Answer
+from oriolegauge.forwarding.attemptwatch import AttemptSender, AttemptWatch
 from oriolegauge.forwarding.dispatcher import FIRST_SERVER_ERROR, Attempt
 from oriolegauge.forwarding.errors import ReplyBrokenError
-from oriolegauge.forwarding.exchange import ExchangeDependencies, RequestState
+from oriolegauge.forwarding.exchange import ExchangeDependencies
 from oriolegauge.forwarding.headernames import HeaderNames
 from oriolegauge.forwarding.headers import end_to_end
 from oriolegauge.forwarding.requestcontext import RequestContext, RequestTrace
-from oriolegauge.forwarding.serverconnection import ServerConnection
+from oriolegauge.forwarding.requeststate import RequestState
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.forwarding.serversignals import MISDIRECTED
+from oriolegauge.forwarding.wholereply import WholeReply
 from oriolegauge.routing.crashquarantine import QuarantinedError
 
 # Largest answer that is buffered.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
-# An attempt that can be repeated times out after this multiple of the time
+# Another server is tried after this multiple of the time
 # objective, or after this share of the time left if that is longer.
 ATTEMPT_TIMEOUT_OBJECTIVES = 3.0
 ATTEMPT_TIMEOUT_SHARE = 0.4
@@ -43,27 +46,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class WholeReply:
-    """Hold a reply with its complete body."""
-
-    reply: ServerReply
-    body: bytes
-
-    @property
-    def summary(self) -> str:
-        """Describe the reply for the logs."""
-        framing = ' unframed' if self.reply.ends_with_connection else ''
-        return f'{self.reply.status}{framing}, {len(self.body)} bytes'
-
-
-@dataclass(slots=True)
-class _WholeState(RequestState):
-    """Hold the last failure, which is the answer if no retry succeeds."""
-
-    failure: WholeReply | None = None
-
-
 def is_genuine(reply: ServerReply, names: HeaderNames) -> bool:
     """Return false for a success that is unsigned or has a coded body.
 
@@ -77,25 +59,35 @@
 
 
 async def read_body(
-    connection: ServerConnection, until: float, buffer_lease: ByteLease
+    read: Callable[[], Awaitable[bytes | None]], buffer_lease: ByteLease
 ) -> bytes:
-    """Return the whole body of a reply; raise ReplyBrokenError."""
+    """Return the whole body of a reply, of which `read` returns parts.
+
+    Raise ReplyBrokenError if it is too large.
+    """
     parts: list[bytes] = []
     size = 0
-    try:
-        async with asyncio.timeout_at(until):
-            while (part := await connection.read()) is not None:
-                parts.append(part)
-                size += len(part)
-                if size > MAX_ANSWER_BYTES:
-                    raise ReplyBrokenError('the answer is too large')
-                if not buffer_lease.add(len(part)):
-                    raise ReplyBrokenError('too much is buffered')
-    except TimeoutError:
-        raise ReplyBrokenError('the answer is not whole in time') from None
+    while (part := await read()) is not None:
+        parts.append(part)
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            raise ReplyBrokenError('the answer is too large')
+        if not buffer_lease.add(len(part)):
+            raise ReplyBrokenError('too much is buffered')
     return b''.join(parts)
 
 
+async def finish_without_server(
+    state: RequestState, error: NoServerError | QuarantinedError
+) -> None:
+    """Pass on the failure of an earlier attempt; raise if there is none."""
+    if state.failure and not state.answer.is_started:
+        return await _pass_on(state, state.failure)
+    if state.attempt_may_have_run:
+        raise ServerFailedError(error.message) from error
+    raise error
+
+
 class WholeExchange:
     """Answer requests without streams, with retries where allowed."""
 
@@ -108,36 +100,49 @@
     ) -> None:
         """Answer the request; raise an OriolegaugeError if no server does."""
         with self._dependencies.buffers.lease() as buffer_lease:
-            state = _WholeState(context, trace, answer, buffer_lease)
-            while not await self._attempt(state):
-                """Send the request to another server."""
+            state = RequestState(
+                context,
+                trace,
+                answer,
+                buffer_lease,
+                may_run_again=context.route.is_repeatable,
+            )
+            try:
+                while not await self._attempt(state):
+                    """Send the request to another server."""
+            finally:
+                self._dependencies.finish(state)
 
-    async def _attempt(self, state: _WholeState) -> bool:
+    async def _attempt(self, state: RequestState) -> bool:
         """Return whether the request was answered."""
         context, trace = state.context, state.trace
         try:
-            attempt = await self._dependencies.dispatcher.send(
-                context, trace, excluded=state.excluded
+            attempt = state.take_next_attempt() or await self._send(
+                state, state.excluded
             )
         except (NoServerError, QuarantinedError) as error:
-            await self._finish_without_server(state, error)
+            await finish_without_server(state, error)
             return True
-        state.excluded.add(attempt.server.instance)
-        state.sends += 1
+        state.note_sent(attempt)
         try:
             whole_reply = await self._exchange(state, attempt)
         except ReplyBrokenError as error:
             trace.note(attempt.server.instance, error.message)
             state.attempt_may_have_run = True
-            if self._may_repeat(state):
+            if self._dependencies.retries.take_to_run_again(state):
                 return False
             is_late = self._dependencies.clock() >= context.deadline
             raise _broken_reply_error(error, is_late) from error
         trace.note(attempt.server.instance, whole_reply.summary)
         return await self._handle_reply(state, whole_reply)
 
+    async def _send(self, state: RequestState, excluded: set[str]) -> Attempt:
+        return await self._dependencies.dispatcher.send(
+            state.context, state.trace, excluded=excluded
+        )
+
     async def _handle_reply(
-        self, state: _WholeState, whole_reply: WholeReply
+        self, state: RequestState, whole_reply: WholeReply
     ) -> bool:
         """Return whether the reply ends the request."""
         status = whole_reply.reply.status
@@ -147,9 +152,9 @@
             # attempt doesn't count.
             state.sends -= status == MISDIRECTED
             state.trace.may_have_run = state.attempt_may_have_run
-            if self._dependencies.may_send_again(state):
+            if self._dependencies.retries.take(state):
                 return False
-            await self._finish_without_server(
+            await finish_without_server(
                 state,
                 self._dependencies.dispatcher.rejection(state.context),
             )
@@ -158,33 +163,28 @@
         if status in NOT_RUN_STATUSES and not state.context.route.is_repeatable:
             raise ServerFailedError(f'the server answered {status}')
         is_failure = status >= FIRST_SERVER_ERROR
-        if is_failure and self._may_repeat(state):
+        if is_failure and self._dependencies.retries.take_to_run_again(state):
             state.failure = whole_reply
             return False
         await _pass_on(state, whole_reply)
         return True
 
-    async def _finish_without_server(
-        self, state: _WholeState, error: NoServerError | QuarantinedError
-    ) -> None:
-        if state.failure:
-            return await _pass_on(state, state.failure)
-        if state.attempt_may_have_run:
-            raise ServerFailedError(error.message) from error
-        raise error
-
     async def _exchange(
-        self, state: _WholeState, attempt: Attempt
+        self, state: RequestState, attempt: Attempt
     ) -> WholeReply:
         dispatcher = self._dependencies.dispatcher
+        sender = AttemptSender(
+            retries=self._dependencies.retries,
+            send=partial(self._send, state),
+            clock=self._dependencies.clock,
+        )
         try:
-            reply = await dispatcher.wait_for_header(
-                attempt, self._attempt_until(state)
+            reply = await AttemptWatch(state, attempt, sender).wait(
+                partial(dispatcher.wait_for_header, attempt),
+                self._limit_at(state),
             )
             dispatcher.record_reply(attempt, reply)
-            body = await read_body(
-                attempt.connection, state.context.deadline, state.buffer_lease
-            )
+            body = await read_body(attempt.connection.read, state.buffer_lease)
             if not is_genuine(reply, self._dependencies.names):
                 raise ReplyBrokenError('a success without a signature')
         except ReplyBrokenError:
@@ -197,26 +197,20 @@
         finally:
             dispatcher.close(attempt)
 
-    def _attempt_until(self, state: _WholeState) -> float:
+    def _limit_at(self, state: RequestState) -> float:
+        """Return the loop time from which on the attempt may be replaced."""
+        if not state.may_run_again:
+            return math.inf
         context = state.context
-        route = context.route
-        if not route.is_repeatable or state.sends >= route.max_attempts:
-            return context.deadline
         now = self._dependencies.clock()
         left = context.deadline - now
-        wait = max(
-            ATTEMPT_TIMEOUT_OBJECTIVES * route.objective_s,
+        return now + max(
+            ATTEMPT_TIMEOUT_OBJECTIVES * context.route.objective_s,
             ATTEMPT_TIMEOUT_SHARE * left,
         )
-        return min(context.deadline, now + wait)
-
-    def _may_repeat(self, state: _WholeState) -> bool:
-        """State whether a request that may have run may run again."""
-        is_repeatable = state.context.route.is_repeatable
-        return is_repeatable and self._dependencies.may_send_again(state)
 
 
-async def _pass_on(state: _WholeState, whole_reply: WholeReply) -> None:
+async def _pass_on(state: RequestState, whole_reply: WholeReply) -> None:
     outcome = 'answered' if whole_reply.reply.is_success else 'failed'
     state.trace.outcome = outcome
     await state.answer.send_whole(
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -293,6 +293,12 @@
         )
         self.buffers = ByteBudget(12 * 1024 * 1024)
         self.link = HostLink(mbps=1_000, clock=clock)
+        self.retries = RetryBudgets(
+            rng=random.Random(1),
+            share=0.2,
+            max_credit=lambda: self.credit,
+            initial_credit=self.credit,
+        )
         self.permits = LoneDaemonPermits(self.limits_named, clock)
         self.forwarder = Forwarder(
             names=NAMES,
@@ -315,12 +321,7 @@
             state_versions=lambda: StateVersions(
                 config_version=1, servers_revision=1, store_age_s=0
             ),
-            retries=RetryBudgets(
-                rng=random.Random(1),
-                share=0.2,
-                max_credit=lambda: self.credit,
-                initial_credit=self.credit,
-            ),
+            retries=self.retries,
             rng=random.Random(1),
         )
         self.forwarder.set_route_table(
--- a/packages/routing/src/oriolegauge/routing/retrybudget.py
+++ b/packages/routing/src/oriolegauge/routing/retrybudget.py
@@ -52,6 +52,10 @@
         longest = min(MAX_BACKOFF_S, BASE_BACKOFF_S * 2**attempt)
         return longest * (0.5 + self._rng.random() / 2)
 
+    def give_back(self) -> None:
+        """Return a retry that was spent but not sent."""
+        self._credit = min(self._max_credit, self._credit + 1)
+
     def _spend(self) -> bool:
         if self._credit >= 1:
             self._credit -= 1
--- a/packages/routing/src/oriolegauge/routing/retrybudgets.py
+++ b/packages/routing/src/oriolegauge/routing/retrybudgets.py
@@ -36,6 +36,10 @@
         """Take a retry from the budget of the service, if one is left."""
         return self._budget(service).retry(1) is not None
 
+    def give_back(self, service: str) -> None:
+        """Return a retry that was taken but not sent."""
+        self._budget(service).give_back()
+
     def _budget(self, service: str) -> RetryBudget:
         found = self._budgets.get(service)
         if found is None:
