Add the messages for versions of streams to the links

The messages between daemons could not say which software version of a service's servers began a stream, nor which versions got new streams. StreamStarts and StreamStartQuery carry the first; a heartbeat has the number of the present period and the version shares at its end.

Builds before this one cannot read the two new messages and close a link on which they get one. A link therefore agrees on a newer WebSocket subprotocol, oriolegauge.streams, which is offered first; with an older client or server it is still oriolegauge.permits.

--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -49,6 +49,8 @@
     reserveRenewed @39 :ReserveRenewed;
     permitRequest @40 :PermitRequest;
     permitsGiven @41 :PermitsGiven;
+    streamStarts @42 :StreamStarts;
+    streamStartQuery @43 :StreamStartQuery;
   }
 }
 
@@ -70,6 +72,8 @@
   serverLimits @14 :ServerLimits;
   crashes @15 :List(ServerCrash);
   documentVersions @16 :ConfigVersions;
+  versionPeriod @17 :Int64;
+  versionShares @18 :VersionShares;
 }
 
 struct ConfigVersions {
@@ -94,6 +98,13 @@
   perS @2 :List(Float64);
   ageMs @3 :List(Int64);
 }
+struct VersionShares {
+  period @0 :List(Int64);
+  service @1 :List(Text);
+  version @2 :List(Text);
+  weight @3 :List(Int64);
+  endedAgeMs @4 :List(Int64);
+}
 struct ServerCrash {
   server @0 :Text;
   startedMs @1 :Int64;
@@ -279,6 +290,15 @@
 }
 struct PermitsGiven { count @0 :Int64; waitS @1 :Float64; stampS @2 :Float64; }
 
+struct StreamStartRows {
+  attempt @0 :List(Text);
+  service @1 :List(Text);
+  version @2 :List(Text);
+  ageMs @3 :List(Int64);
+}
+struct StreamStarts { starts @0 :StreamStartRows; }
+struct StreamStartQuery { attempt @0 :Text; }
+
 struct Ack { accepted @0 :Bool; }
 struct Failure {
   code @0 :UInt16;
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -101,6 +101,21 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class VersionShare:
+    """State a version that got new streams of a service in a period.
+
+    `ended_age_ms` tells how long ago the period ended, NEVER_MS if it is the
+    present one.
+    """
+
+    period: int
+    service: str
+    version: str
+    weight: int
+    ended_age_ms: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Heartbeat:
     """Tell peers that a member is alive, and what it holds and runs.
@@ -110,6 +125,8 @@
     the time since the last answer of the store, or NEVER_MS. Members that
     watch the store read the host list for the others. `config_versions` are
     revisions; `document_versions` hold the era of the store too.
+    `version_period` is the number of the present period, 0 if the member does
+    not know of periods.
     """
 
     member: str
@@ -129,6 +146,8 @@
     server_limits: tuple[ServerLimit, ...] = ()
     crashes: tuple[ServerCrash, ...] = ()
     document_versions: tuple[ConfigVersion, ...] = ()
+    version_period: int = 0
+    version_shares: tuple[VersionShare, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -383,6 +402,36 @@
     stamp_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class StreamStart:
+    """State which software version of a service's servers began a stream.
+
+    The stream of the caller's attempt began `age_ms` ago.
+    """
+
+    attempt: str
+    service: str
+    version: str
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamStarts:
+    """Report streams to a daemon that remembers them, or answer a query."""
+
+    starts: tuple[StreamStart, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class StreamStartQuery:
+    """Ask a daemon which version began the stream of a caller's attempt.
+
+    The answer is a StreamStarts with one row, or none if it isn't known.
+    """
+
+    attempt: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Failure:
     """Report why a call failed and whether its work ran."""
@@ -429,6 +478,8 @@
     'reserveRenewed': ReserveRenewed,
     'permitRequest': PermitRequest,
     'permitsGiven': PermitsGiven,
+    'streamStarts': StreamStarts,
+    'streamStartQuery': StreamStartQuery,
 }
 
 Message = (
@@ -467,4 +518,6 @@
     | ReserveRenewed
     | PermitRequest
     | PermitsGiven
+    | StreamStarts
+    | StreamStartQuery
 )
--- a/packages/wire/src/oriolegauge/wire/peerlink.py
+++ b/packages/wire/src/oriolegauge/wire/peerlink.py
@@ -42,6 +42,11 @@
 # Agreed on when a link opens if the peer understands requests for permits.
 # Earlier builds close a link on which they get such a message.
 PERMITS_PROTOCOL = 'oriolegauge.permits'
+# Agreed on if the peer also understands reports of streams and queries for
+# them.
+STREAMS_PROTOCOL = 'oriolegauge.streams'
+# In the order of preference: the server takes the first that it knows.
+LINK_PROTOCOLS = (STREAMS_PROTOCOL, PERMITS_PROTOCOL)
 # Message ids start at a random number, so that an answer to an earlier process
 # never matches a call of this one.
 _FIRST_ID_BITS = 62
@@ -107,7 +112,15 @@
     @property
     def supports_permits(self) -> bool:
         """Return whether the peer of the open link understands permits."""
-        return self._protocol == PERMITS_PROTOCOL
+        return self._protocol in LINK_PROTOCOLS
+
+    @property
+    def supports_stream_starts(self) -> bool:
+        """Return whether the peer of the open link understands StreamStarts.
+
+        The same holds for StreamStartQuery.
+        """
+        return self._protocol == STREAMS_PROTOCOL
 
     async def run(self) -> None:
         """Keep the link open, reconnecting as needed, until cancelled."""
@@ -220,7 +233,7 @@
                 return await self._session.ws_connect(
                     self._url,
                     headers={MEMBER_HEADER: self._sender().name},
-                    protocols=(PERMITS_PROTOCOL,),
+                    protocols=LINK_PROTOCOLS,
                     max_msg_size=self._limits.max_message_bytes,
                     heartbeat=self._limits.ping_period_s,
                     timeout=aiohttp.ClientWSTimeout(
--- a/packages/wire/src/oriolegauge/wire/peerserver.py
+++ b/packages/wire/src/oriolegauge/wire/peerserver.py
@@ -12,8 +12,8 @@
 from oriolegauge.wire.peerconnection import Handler, PeerConnection
 from oriolegauge.wire.peerlink import (
     LINK_PATH,
+    LINK_PROTOCOLS,
     MEMBER_HEADER,
-    PERMITS_PROTOCOL,
 )
 
 log = structlog.get_logger()
@@ -87,7 +87,7 @@
             heartbeat=self._limits.ping_period_s,
             timeout=self._limits.close_timeout_s,
             compress=False,
-            protocols=(PERMITS_PROTOCOL,),
+            protocols=LINK_PROTOCOLS,
         )
         try:
             await socket.prepare(request)
