Let streams go on only at the software version that began them

What callers saw: streams whose text was joined from two software versions of a server, in one answer (resumed by the daemon) and over a caller's tries (`Resumes`), with nothing in the answer to show it.

Cause: the version of a server was not read, so no part of the fleet owned the fact which version began a stream.

Change: the version follows from the caller's attempt id. VersionHistory maps new streams to the versions in service by rendezvous hashing, weighted by their servers, and derives the version of a stream again from the id and the periods in which it can have begun. VersionRecord writes a change of the versions to the store before it is used, so the history is there after the death of all daemons. Close to a change a stream is ambiguous: VersionExchange reports such streams to three leaders, which remember them and write them to the same record. What is remembered goes before what is derived; a stream that neither tells is refused as not run. Daemons cut off in an old period keep it possible; peers of older builds, which send streams anywhere, make all streams ambiguous.

If the store confirms nothing for 0.5 s, new streams go to the listed versions all the same and are remembered.

Ruled out: memory alone (lost when all daemons stop), a store record per stream (a write each), refusing all unknown streams (fewer than half would go on).

--- a/packages/forwarding/src/oriolegauge/forwarding/backendserver.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/backendserver.py
@@ -11,7 +11,8 @@
 
     `instance` names the process; a server that restarts under the same name
     has a later `started_ms` (Unix time). `slots` is the number of requests that
-    it runs at once. A leaving server takes no new work.
+    it runs at once. A leaving server takes no new work. `version` is that of
+    its software: streams of one version can't go on at another.
     """
 
     instance: str
@@ -22,6 +23,7 @@
     slots: int = 1
     is_leaving: bool = False
     started_ms: int = 0
+    version: str = ''
 
     @property
     def address(self) -> tuple[str, int]:
--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -120,9 +120,17 @@
         self._connection_limit = connection_limit
         self._clock = asyncio.get_running_loop().time
 
-    def has_server(self, service: str, excluded: Collection[str]) -> bool:
-        """State whether a server outside `excluded` can take a request."""
-        return bool(self._candidates(service, excluded))
+    def has_server(
+        self,
+        service: str,
+        excluded: Collection[str],
+        version: str | None = None,
+    ) -> bool:
+        """State whether a server outside `excluded` can take a request.
+
+        Only servers of the version count, unless it is None.
+        """
+        return bool(self._candidates(service, excluded, version))
 
     def rejection(self, context: RequestContext) -> NoServerError:
         """Return the error for a request that full servers have rejected."""
@@ -136,11 +144,13 @@
         trace: RequestTrace,
         *,
         excluded: set[str],
+        version: str | None = None,
         extra_headers: Sequence[tuple[str, str]] = (),
     ) -> Attempt:
         """Send the request once; raise NoServerError if it can't be sent.
 
-        Raise QuarantinedError if it may crash a server. Add servers that accept
+        Unless `version` is None, only servers of that version are used. Raise
+        QuarantinedError if it may crash a server. Add servers that accept
         no connection to `excluded`.
         """
         self._crashes.check(context)
@@ -152,7 +162,7 @@
             )
         for _ in range(MAX_CONNECTS):
             server = await self._choose_permitted(
-                context, excluded, is_index_current=is_index_current
+                context, excluded, version, is_index_current=is_index_current
             )
             try:
                 connection = await self._connect(context, server)
@@ -242,13 +252,14 @@
         self,
         context: RequestContext,
         excluded: Collection[str],
+        version: str | None,
         *,
         is_index_current: bool,
     ) -> BackendServer:
         """Return the best server to which a request may be sent now."""
         while True:
             server = self._choose(
-                context, excluded, is_index_current=is_index_current
+                context, excluded, version, is_index_current=is_index_current
             )
             wait_s = await self._permits.acquire(server.server_instance)
             if wait_s <= 0:
@@ -267,10 +278,11 @@
         self,
         context: RequestContext,
         excluded: Collection[str],
+        version: str | None,
         *,
         is_index_current: bool,
     ) -> BackendServer:
-        servers = self._candidates(context.service, excluded)
+        servers = self._candidates(context.service, excluded, version)
         name = self._chooser.choose(
             [
                 Candidate(
@@ -285,7 +297,8 @@
         if name is None:
             raise self._no_server(
                 context,
-                f'no server of {context.service} takes work',
+                f'no server of {context.service}{_of_version(version)} '
+                'takes work',
                 RETRY_AFTER_NO_SERVER_S,
             )
         return servers[name]
@@ -316,7 +329,7 @@
         return NoServerError(reason, retry_after_s=wait_s or default_s)
 
     def _candidates(
-        self, service: str, excluded: Collection[str]
+        self, service: str, excluded: Collection[str], version: str | None
     ) -> dict[str, BackendServer]:
         limit = self._connection_limit(service)
         now = self._clock()
@@ -324,6 +337,7 @@
             server.instance: server
             for server in self._directory.of_service(service)
             if server.instance not in excluded
+            and version in {None, server.version}
             and not self._pauses.is_paused(server.instance, now)
             and self._pool.in_use(server.address) < limit
         }
@@ -404,3 +418,7 @@
         if request.body or request.method not in {b'GET', b'HEAD'}:
             lines.append(b'Content-Length: %d' % len(request.body))
         return b'\r\n'.join((*lines, b'', request.body))
+
+
+def _of_version(version: str | None) -> str:
+    return '' if version is None else f' at version {version}'
--- a/packages/forwarding/src/oriolegauge/forwarding/exchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/exchange.py
@@ -8,6 +8,7 @@
 from oriolegauge.forwarding.headernames import HeaderNames
 from oriolegauge.forwarding.requestretries import RequestRetries
 from oriolegauge.forwarding.requeststate import RequestState
+from oriolegauge.forwarding.streamversions import StreamVersions
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -17,6 +18,7 @@
     dispatcher: Dispatcher
     names: HeaderNames
     retries: RequestRetries
+    versions: StreamVersions
     buffers: ByteBudget
     clock: Callable[[], float]
 
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -38,6 +38,7 @@
 from oriolegauge.forwarding.route import RequestKind, Route
 from oriolegauge.forwarding.routetable import RouteTable
 from oriolegauge.forwarding.streamexchange import StreamExchange
+from oriolegauge.forwarding.streamversions import StreamVersions
 from oriolegauge.forwarding.wholeexchange import WholeExchange
 from oriolegauge.grants import Reservation
 from oriolegauge.routing.retrybudgets import RetryBudgets
@@ -89,6 +90,7 @@
         metrics: ForwardMetrics,
         state_versions: Callable[[], StateVersions],
         retries: RetryBudgets,
+        versions: StreamVersions,
         rng: random.Random,
     ) -> None:
         """Serve with the dependencies.
@@ -112,6 +114,7 @@
                 has_server=dispatcher.has_server,
                 clock=self._clock,
             ),
+            versions=versions,
             buffers=buffers,
             clock=self._clock,
         )
@@ -301,6 +304,8 @@
             service=context.service if context else None,
             team=context.workspace if context else None,
             attempts=trace.attempts,
+            version=trace.version,
+            resumes=trace.resumes,
             events=trace.events,
             sent_s=_rounded(trace.first_send_s),
             first_s=_rounded(trace.first_answer_s),
--- a/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
@@ -32,7 +32,11 @@
 
 @dataclass(slots=True)
 class RequestTrace:
-    """Record the attempts and events of a request for logging and billing."""
+    """Record the attempts and events of a request for logging and billing.
+
+    `version` is that of the servers which may answer a stream, `resumes` the
+    caller's attempt that began it.
+    """
 
     attempts: list[str] = field(default_factory=list)
     sends: int = 0
@@ -42,6 +46,8 @@
     first_answer_s: float | None = None
     longest_pause_s: float = 0
     last_event_at: float | None = None
+    version: str | None = None
+    resumes: str | None = None
     outcome: str = 'refused'
     reason: str = ''
 
--- a/packages/forwarding/src/oriolegauge/forwarding/requestretries.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requestretries.py
@@ -23,7 +23,7 @@
         self,
         *,
         credit: RetryCredit,
-        has_server: Callable[[str, Collection[str]], bool],
+        has_server: Callable[[str, Collection[str], str | None], bool],
         clock: Callable[[], float],
     ) -> None:
         """Use the servers outside a request's excluded ones."""
@@ -37,7 +37,7 @@
         state.has_retry = (
             self._clock() < context.deadline
             and state.sends < context.route.max_attempts
-            and self._has_server(context.service, state.excluded)
+            and self._has_server(context.service, state.excluded, state.version)
             and self._credit.may_retry(context.service)
         )
         return state.has_retry
--- a/packages/forwarding/src/oriolegauge/forwarding/requeststate.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requeststate.py
@@ -18,7 +18,8 @@
     `attempt_may_have_run` states that a server may have run an attempt that has
     ended. `failure` is the answer if no retry succeeds. `has_retry` states that
     a retry was taken for the next send. `next_attempt` was sent, with that
-    retry, to replace the current attempt.
+    retry, to replace the current attempt. `version` is that of the servers
+    which may answer, None for any.
     """
 
     context: RequestContext
@@ -32,6 +33,7 @@
     failure: WholeReply | None = None
     has_retry: bool = False
     next_attempt: Attempt | None = None
+    version: str | None = None
 
     def note_sent(self, attempt: Attempt) -> None:
         """Count the attempt, which has used the retry taken for it."""
--- a/packages/forwarding/src/oriolegauge/forwarding/routetable.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/routetable.py
@@ -1,6 +1,7 @@
 """Lookup of routes, services and workspaces in a configuration."""
 
 import random
+from collections.abc import Collection
 
 from oriolegauge.forwarding.forwardingconfig import (
     ForwardingConfig,
@@ -21,6 +22,13 @@
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.path_prefix] = route
         self._services = {service.name: service for service in config.services}
+        resumable = [route for route in config.routes if route.is_resumable]
+        self._resumable_services = frozenset(
+            entry.service for route in resumable for entry in route.services
+        )
+        self._longest_stream_s = max(
+            (route.timeout_s for route in resumable), default=0
+        )
         self._workspaces = {space.name: space for space in config.workspaces}
         self._by_key = {
             key: space
@@ -33,6 +41,16 @@
         """State whether callers need a key on routes that aren't public."""
         return bool(self._workspaces)
 
+    @property
+    def resumable_services(self) -> Collection[str]:
+        """Return the services whose streams may be resumed."""
+        return self._resumable_services
+
+    @property
+    def longest_stream_s(self) -> float:
+        """Return the longest time that a resumable stream may take."""
+        return self._longest_stream_s
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
         prefixes = self._by_host.get(_without_port(host).lower())
--- a/packages/forwarding/src/oriolegauge/forwarding/serverdirectory.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverdirectory.py
@@ -1,6 +1,7 @@
 """Backend servers by service, from the newest list in the store."""
 
 import math
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Sequence
 
 from oriolegauge.forwarding.backendserver import BackendServer
@@ -46,6 +47,10 @@
             and self._missing_until.get(server.instance, math.inf) > now
         ]
 
+    def versions_of(self, service: str) -> Counter[str]:
+        """Count the servers of each version that may take new work."""
+        return Counter(server.version for server in self.of_service(service))
+
     def is_leaving(self, instance: str) -> bool:
         """State whether the server takes no new work, or is not listed."""
         server = self._servers.get(instance)
--- a/packages/forwarding/src/oriolegauge/forwarding/streamexchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/streamexchange.py
@@ -49,9 +49,15 @@
 
 @dataclass(slots=True)
 class _StreamState(RequestState):
-    """Hold the id of the last event that was sent to the caller."""
+    """Hold the id of the last event that was sent to the caller.
+
+    `origin` is the attempt of the caller that brought the first event, None if
+    an earlier one did that is not known.
+    """
 
     last_id: str | None = None
+    origin: str | None = None
+    is_begun: bool = False
 
 
 class StreamExchange:
@@ -75,12 +81,41 @@
                 may_run_again=context.route.is_resumable,
                 last_id=last_id,
             )
+            await self._find_version(state)
             try:
                 while not await self._attempt(state):
                     """Resume the stream on another server."""
             finally:
                 self._dependencies.finish(state)
 
+    async def _find_version(self, state: _StreamState) -> None:
+        """Find out the version of the servers that may answer the stream."""
+        context, trace = state.context, state.trace
+        if not context.route.is_resumable:
+            return
+        resumes = context.request.header(self._dependencies.names.resumes)
+        versions = self._dependencies.versions
+        if resumes or state.last_id is not None:
+            state.origin = trace.resumes = resumes or None
+            state.version = await versions.origin(context.service, state.origin)
+        else:
+            state.origin = context.request_id
+            state.version = await versions.place(
+                context.service, context.request_id
+            )
+        trace.version = state.version
+
+    def _note_begun(self, state: _StreamState, attempt: Attempt) -> None:
+        """Note the version of the server whose events the caller gets."""
+        if state.is_begun or not state.context.route.is_resumable:
+            return
+        state.is_begun = True
+        state.version = state.trace.version = attempt.server.version
+        if state.origin:
+            self._dependencies.versions.note_begun(
+                state.context.service, state.origin, attempt.server.version
+            )
+
     async def _attempt(self, state: _StreamState) -> bool:
         """Return whether the answer is finished."""
         try:
@@ -122,6 +157,7 @@
             state.context,
             state.trace,
             excluded=excluded,
+            version=state.version,
             extra_headers=extra_headers,
         )
 
@@ -145,6 +181,8 @@
             relay = _EventRelay(state, buffer_lease, self._dependencies.clock())
             await self._relay(relay, attempt, reply, watch)
         self._dependencies.dispatcher.record_harmless(attempt)
+        if state.origin:
+            self._dependencies.versions.note_whole(state.origin)
         state.trace.note(attempt.server.instance, 'whole')
         state.trace.outcome = 'answered'
         return True
@@ -166,6 +204,7 @@
             now = self._dependencies.clock()
             step = relay.add(part, now)
             if step.has_message:
+                self._note_begun(state, attempt)
                 self._dependencies.dispatcher.record_part(attempt)
                 received_at = state.context.request.received_at
                 state.trace.note_event(now, received_at)
--- a/packages/forwarding/tests/test_attemptwatch.py
+++ b/packages/forwarding/tests/test_attemptwatch.py
@@ -47,7 +47,7 @@
 def retries_of(credit, *, servers=1, now=0.0):
     return RequestRetries(
         credit=credit,
-        has_server=lambda service, excluded: servers > len(excluded),
+        has_server=lambda service, excluded, version: servers > len(excluded),
         clock=lambda: now,
     )
 
@@ -139,7 +139,7 @@
         sender = AttemptSender(
             retries=RequestRetries(
                 credit=self.credit,
-                has_server=lambda service, excluded: True,
+                has_server=lambda service, excluded, version: True,
                 clock=self.clock,
             ),
             send=self._send,
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -9,7 +9,7 @@
 
 from oriolegauge.admission import HostLink
 from oriolegauge.core.bytebudget import ByteBudget
-from oriolegauge.core.errors import OriolegaugeError
+from oriolegauge.core.errors import NoServerError, OriolegaugeError
 from oriolegauge.forwarding import (
     BackendServer,
     CallerLimits,
@@ -251,6 +251,31 @@
         return self.limits.per_s(server_instance)
 
 
+class FakeVersions:
+    """Tell the versions of streams that the test has set."""
+
+    def __init__(self):
+        self.placed = None
+        self.origins = {}
+        self.begun = []
+        self.whole = []
+
+    async def place(self, service, attempt):
+        return self.placed
+
+    async def origin(self, service, attempt):
+        await asyncio.sleep(0)
+        if attempt not in self.origins:
+            raise NoServerError('the version is not known', retry_after_s=0.5)
+        return self.origins[attempt]
+
+    def note_begun(self, service, attempt, version):
+        self.begun.append((service, attempt, version))
+
+    def note_whole(self, attempt):
+        self.whole.append(attempt)
+
+
 class World:
     """Run a forwarder in front of scripted servers."""
 
@@ -260,6 +285,9 @@
         self.limits = limits or CallerLimits()
         self.routes = routes
         self.credit = credit
+        self.versions = FakeVersions()
+        # Of each server, if they differ.
+        self.server_versions = {}
         self.port = 0
 
     async def __aenter__(self):
@@ -322,6 +350,7 @@
                 config_version=1, servers_revision=1, store_age_s=0
             ),
             retries=self.retries,
+            versions=self.versions,
             rng=random.Random(1),
         )
         self.forwarder.set_route_table(
@@ -371,6 +400,7 @@
                     zone='z1',
                     slots=8,
                     is_leaving=f's{number}' in leaving,
+                    version=self.server_versions.get(f's{number}', ''),
                 )
                 for number, server in enumerate(self.servers)
             ],
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -41,6 +41,7 @@
 )
 from oriolegauge.gateway.rankedmembers import FleetMember, RankedMembers
 from oriolegauge.gateway.shareddocuments import Document, SharedDocuments
+from oriolegauge.gateway.versionexchange import VersionExchange
 from oriolegauge.mesh import PeerMesh
 from oriolegauge.routing.crashsuspects import CrashSuspects
 from oriolegauge.routing.loadaggregator import LoadAggregator
@@ -55,6 +56,8 @@
     Message,
     PermitRequest,
     ServerLimit,
+    StreamStartQuery,
+    StreamStarts,
 )
 
 # Loads in an older heartbeat are ignored.
@@ -66,6 +69,9 @@
 SHARE_RETENTION_S = 300.0
 # A peer that did not answer as the limiter is passed over for this time.
 LIMITER_PAUSE_S = 3.0
+# Number of leaders that remember streams which the history of versions does not
+# tell: a stream is lost to its caller only if all of them end.
+MAX_STREAM_KEEPERS = 3
 # Number of leaders. They watch the store, and the others get changes from them.
 # They also hold reserves of prepaid tokens, so they have to notice a recovery
 # of the store soon.
@@ -157,6 +163,7 @@
             name=own.name, links=self, chooser=chooser, clock=clock
         )
         self._limits: LimitExchange | None = None
+        self._versions: VersionExchange | None = None
         self._mesh: PeerMesh | None = None
         self._answer_other: MessageHandler | None = None
         self._ranked_members = RankedMembers(own)
@@ -232,6 +239,10 @@
         """Answer requests of peers for permits."""
         self._limits = limits
 
+    def attach_versions(self, versions: VersionExchange) -> None:
+        """Tell peers the versions of new streams, and answer theirs."""
+        self._versions = versions
+
     def add_member(self, member: FleetMember) -> None:
         """Add a daemon, or update what is known of it."""
         if not member.name or not self._ranked_members.add(member):
@@ -269,6 +280,8 @@
                     _reported_limits(message.server_limits), peer=sender.name
                 )
                 self._crash_suspects.learn(message.crashes)
+                if self._versions:
+                    self._versions.learn(message, sender.name)
                 return None
             case ConfigFetch():
                 return self._documents.answer(message)
@@ -276,6 +289,8 @@
                 return self.loads.answer(sender.name, message)
             case PermitRequest() if self._limits:
                 return self._limits.answer(sender.name, message)
+            case StreamStarts() | StreamStartQuery() if self._versions:
+                return self._versions.answer(message)
             case _:
                 if self._answer_other is None:
                     return Ack(accepted=False)
@@ -389,6 +404,59 @@
         self.open_link(found)
         return found
 
+    def stream_keepers(self) -> list[str]:
+        """Return the peers that remember streams for the fleet."""
+        keepers = [
+            name
+            for name in islice(self._leaders(), MAX_STREAM_KEEPERS)
+            if name != self._name
+        ]
+        for name in keepers:
+            self.open_link(name)
+        return [name for name in keepers if self._supports_streams(name)]
+
+    def peer_periods(self) -> dict[str, int]:
+        """Return the period of versions of each peer that knows one."""
+        return {
+            name: number
+            for name, number in self._known_periods().items()
+            if number
+        }
+
+    def has_peer_behind(self, number: int) -> bool:
+        """State whether a peer knows no period up to the number."""
+        mesh = self._mesh
+        return mesh is not None and any(
+            known < number and mesh.link(name).connected
+            for name, known in self._known_periods().items()
+        )
+
+    def has_peer_without_periods(self) -> bool:
+        """State whether a linked peer is of a build without periods."""
+        mesh = self._mesh
+        return mesh is not None and any(
+            mesh.link(name).connected and not self._supports_streams(name)
+            for name in mesh.names
+        )
+
+    def _known_periods(self) -> dict[str, int]:
+        mesh = self._mesh
+        if mesh is None:
+            return {}
+        return {
+            name: received.heartbeat.version_period
+            for name, received in mesh.heartbeats.items()
+            if name in mesh.names and self._supports_streams(name)
+        }
+
+    def _supports_streams(self, name: str) -> bool:
+        mesh = self._mesh
+        return (
+            mesh is not None
+            and name in mesh.names
+            and mesh.link(name).supports_stream_starts
+        )
+
     def has_turn(self, number: int) -> bool:
         """State whether the turn of that number is this daemon's."""
         names = sorted((self._name, *self._ranked_members.others))
@@ -511,6 +579,7 @@
 
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat to send now."""
+        versions = self._versions
         return Heartbeat(
             member=self._name,
             incarnation=self._incarnation,
@@ -539,6 +608,8 @@
                 for limit in self._server_limits.all()
             ),
             crashes=self._crash_suspects.all(),
+            version_period=versions.history.number if versions else 0,
+            version_shares=versions.shares() if versions else (),
         )
 
     def apply_heartbeats(self) -> None:
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -37,7 +37,6 @@
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
 from oriolegauge.forwarding.serverlimits import ServerLimits
 from oriolegauge.forwarding.serversignals import ServerSignals
-from oriolegauge.gateway.crashrecord import CrashRecord
 from oriolegauge.gateway.fleetlayout import heartbeat_period_s
 from oriolegauge.gateway.fleetlinks import FleetLinks
 from oriolegauge.gateway.gatewaysettings import GatewaySettings
@@ -45,7 +44,6 @@
 from oriolegauge.gateway.httpchecks import HttpChecks
 from oriolegauge.gateway.kindfollower import KindFollower
 from oriolegauge.gateway.limitexchange import LimitExchange
-from oriolegauge.gateway.limitrecord import LimitRecord
 from oriolegauge.gateway.memberregistration import (
     GatewayStore,
     MemberRegistration,
@@ -53,6 +51,8 @@
 from oriolegauge.gateway.missingservergrace import missing_kept_until
 from oriolegauge.gateway.rankedmembers import FleetMember, capacity_class
 from oriolegauge.gateway.shareddocuments import Document, SharedDocuments
+from oriolegauge.gateway.storerecords import StoreRecords
+from oriolegauge.gateway.versionexchange import VersionExchange
 from oriolegauge.grants import GrantKeeper, GrantProcess, HostClocks
 from oriolegauge.mesh import PeerMesh
 from oriolegauge.mesh.lifecycle import Lifecycle
@@ -175,19 +175,21 @@
             clock=_boot_clock(host_clocks),
         )
         self._links.attach_limits(self._permits)
-        self._limit_record = LimitRecord(
+        self._records = StoreRecords(
             store=store,
-            kind=settings.limits_kind,
-            limits=self._limits,
+            settings=settings,
             is_writer=lambda: self._links.limiter() is None,
+            host_clocks=host_clocks,
         )
-        self._crash_record = CrashRecord(
-            store=store,
-            kind=settings.crashes_kind,
-            suspects=self._crash_suspects,
-            is_writer=lambda: self._links.limiter() is None,
-            wall_clock=lambda: host_clocks.now().wall_s,
+        self._longest_stream_s = math.inf
+        self._versions = VersionExchange(
+            links=self._links,
+            in_service=self._versions_in_service,
+            longest_stream_s=lambda: self._longest_stream_s,
+            on_change=self._records.announce_versions,
+            clock=_boot_clock(host_clocks),
         )
+        self._links.attach_versions(self._versions)
         self._grant_links = GrantLinks(name=settings.name, links=self._links)
         self._keeper = GrantKeeper(
             store=store,
@@ -267,6 +269,7 @@
             metrics=self._metrics,
             state_versions=self._state_versions,
             retries=self._retries,
+            versions=self._versions,
             rng=self._rng,
         )
         self._listener = CallerListener(
@@ -322,9 +325,13 @@
             self._links.loads.run,
             self._links.loads.run_sums,
             self._permits.run,
-            self._limit_record.run,
-            self._crash_record.run,
+            self._versions.run,
             self._prune_connections,
+            *self._records.jobs(
+                limits=self._limits,
+                suspects=self._crash_suspects,
+                versions=self._versions,
+            ),
             *(follower.run for follower in self._followers.values()),
         ]
 
@@ -397,7 +404,10 @@
         held = self._forwarder.route_table
         if held and config.version <= held.config.version:
             return
-        self._forwarder.set_route_table(RouteTable(config))
+        route_table = RouteTable(config)
+        self._forwarder.set_route_table(route_table)
+        self._note_longest_stream(route_table)
+        self._versions.servers_changed()
         log.info(
             'configuration in force',
             version=config.version,
@@ -434,6 +444,7 @@
         )
         self._links.loads.keep_only(self._directory.instances)
         self._pool.prune(self._directory.servers)
+        self._versions.servers_changed()
         log.info(
             'servers changed',
             revision=document.revision,
@@ -444,6 +455,23 @@
             ],
         )
 
+    def _versions_in_service(self) -> Mapping[str, Mapping[str, int]]:
+        """Count the servers of each version, of services with streams."""
+        route_table = self._forwarder.route_table
+        services = route_table.resumable_services if route_table else ()
+        return {
+            service: self._directory.versions_of(service)
+            for service in services
+        }
+
+    def _note_longest_stream(self, route_table: RouteTable) -> None:
+        # Streams of an earlier configuration may still be taken up.
+        known_s = self._longest_stream_s
+        longest_s = route_table.longest_stream_s
+        self._longest_stream_s = (
+            longest_s if math.isinf(known_s) else max(known_s, longest_s)
+        )
+
     def _is_ready(self) -> bool:
         return self.lifecycle.ready and not self._link.is_congested
 
--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -38,6 +38,7 @@
     grants_kind: str
     limits_kind: str
     crashes_kind: str
+    streams_kind: str
     retry_share: float
     retry_slack: float
     grace_s: float
--- a/packages/gateway/src/oriolegauge/gateway/storerecord.py
+++ b/packages/gateway/src/oriolegauge/gateway/storerecord.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Mapping
 from typing import Any, Generic, TypeVar
 
@@ -39,6 +40,11 @@
         self._version = 0
         self._era = 0
         self._recorded: State | None = None
+        self._changed = asyncio.Event()
+
+    def announce_change(self) -> None:
+        """Write the state soon, since it has changed."""
+        self._changed.set()
 
     async def run(self) -> None:
         """Read the record, then write changes of the state until cancelled."""
@@ -48,16 +54,27 @@
             except StoreError as error:
                 log.info('not recorded', key=self._key, error=error.message)
                 self._recorded = None
-            await asyncio.sleep(PERIOD_S)
+                await asyncio.sleep(PERIOD_S)
+                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PERIOD_S):
+                    await self._changed.wait()
+            self._changed.clear()
 
     def current(self) -> State:
         """Return the state to record."""
         raise NotImplementedError
 
     def learn(self, recorded: State) -> None:
-        """Use the recorded state."""
+        """Use the recorded state, read for the first time."""
         raise NotImplementedError
 
+    def refresh(self, recorded: State) -> None:
+        """Use the recorded state, read again before a write."""
+
+    def confirm(self, state: State) -> None:
+        """Note that the store has confirmed the state."""
+
     def encode(self, state: State) -> Mapping[str, Any]:
         """Return the stored form."""
         raise NotImplementedError
@@ -86,6 +103,7 @@
         )
         self._version = stored.version
         self._recorded = current
+        self.confirm(current)
         log.info('recorded', key=self._key, version=stored.version)
 
     async def _read(self) -> None:
@@ -96,6 +114,8 @@
         self._recorded = self._decoded(found.value) if found else self.empty()
         if is_first:
             self.learn(self._recorded)
+        else:
+            self.refresh(self._recorded)
 
     def _decoded(self, value: Mapping[str, Any]) -> State:
         try:
