Fail a success without a length that ends before its body

Callers saw: a server that stopped right after the header of a reply without a length gave callers a complete 200 with an empty body (Content-Length: 0), on calls that are not streams; idempotent ones were not retried. Cause: ServerConnection took any proper end of the connection for the end of such a reply. An empty body can't be told from a server that stopped there. Change: the end of the connection completes a success only after a byte of its body, or if the request was a HEAD. Without one the reply is broken: 502, or a retry where the route allows it. Replies of other statuses are passed on as before. Evidence: test_cutheads cuts replies at every byte of the header and the first 8 bytes of the body: new and reused connections, FIN and reset, after a 103, with and without a retry that succeeds. Before 8 of 50 failed, all at the end of the header of a reply without a length; after 50 passed. Ruled out: cuts inside the header, also inside the value of a header, with any framing; cuts inside bodies with a length or in chunks; a second run of a once-only call. What remains: a reply without a length cut by FIN inside its body, which HTTP does not distinguish from a whole one, except inside an event of a stream.

--- a/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
@@ -94,6 +94,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._request_id: str | None = None
+        self._is_head_request = False
         self._reply: ServerReply | None = None
         self._is_complete = False
         self._is_skipping = False
@@ -189,9 +190,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete or fail the reply."""
-        reply = self._reply
-        ends_here = reply is not None and reply.ends_with_connection
-        if ends_here and self._is_eof and exc is None and not self._failure:
+        if (
+            self._may_end_here()
+            and self._is_eof
+            and exc is None
+            and not self._failure
+        ):
             self._is_complete = True
         elif not self._is_complete:
             self._is_lost = self._failure is None
@@ -276,6 +280,7 @@
         if transport is None or transport.is_closing() or self._is_eof:
             raise ServerUnreachableError('the connection has closed')
         self._request_id = request_id
+        self._is_head_request = data.startswith(b'HEAD ')
         self._reply = None
         self._is_complete = False
         self._counts = _Counts()
@@ -330,6 +335,18 @@
         if self._transport:
             self._transport.abort()
 
+    def _may_end_here(self) -> bool:
+        """State whether the end of the connection may complete the reply.
+
+        A success without a length and without a body looks the same as one of a
+        server that stopped after the header.
+        """
+        reply = self._reply
+        if reply is None or not reply.ends_with_connection:
+            return False
+        has_body = self._counts.body > 0 or self._is_head_request
+        return has_body or not reply.is_success
+
     def _skip_unmatched_reply(self, reply: ServerReply) -> None:
         self._has_unexpected_bytes = True
         self._counts.unmatched += 1
