Serve connections that the kernel has accepted when the listener closes

Callers saw: a few resets in planned stops (3 of 4,303 connections once). Closing a listening socket resets the connections that wait in its queue. And an asyncio server drops, without a log line, the connections that it has accepted but not yet attached when it is closed: Server._attach needs its sockets. Change: CallerListener.close stops reading the listening socket, lets the accepted connections be attached, closes the server while a duplicate keeps the socket open, and takes the connections from the queue before it closes the duplicate. Evidence: test_connections_in_the_queue_are_served opens 5 connections and closes the listener 0 to 5 loop iterations later: before 0, 1 and 2 failed (2 by the second cause), after none. Ruled out: dropping SYNs by a socket filter first, which delays their callers by the kernel's 1 s retransmission. What remains: handshakes that complete in the microseconds between the last accept and the close.

--- a/packages/forwarding/src/oriolegauge/forwarding/callerlistener.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerlistener.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 import structlog
 
+from oriolegauge.core.taskset import TaskSet
 from oriolegauge.forwarding.callerconnection import (
     CallerConnection,
     Handler,
@@ -46,6 +48,7 @@
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._is_draining = False
+        self._tasks = TaskSet()
 
     @property
     def connections(self) -> int:
@@ -63,13 +66,48 @@
     def drain(self) -> None:
         """Close idle connections; others close after their answer."""
         self._is_draining = True
+        self.close_idle()
+
+    def close(self) -> None:
+        """Stop accepting connections; serve those the kernel has accepted."""
+        if not self._server:
+            return
+        loop = asyncio.get_running_loop()
+        for listening in self._server.sockets:
+            loop.remove_reader(listening.fileno())
+        # An asyncio server drops the connections that it has accepted but not
+        # yet attached when it is closed; it attaches them before this call.
+        loop.call_soon(self._close_sockets, self._server)
+        self._server = None
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    def close(self) -> None:
-        """Stop accepting connections."""
-        if self._server:
-            self._server.close()
+    def _close_sockets(self, server: asyncio.Server) -> None:
+        # Closing a socket resets the connections that wait in its queue, so a
+        # duplicate keeps it open until they are taken from it.
+        duplicates = [_duplicate(listening) for listening in server.sockets]
+        server.close()
+        for duplicate in duplicates:
+            self._accept_waiting(duplicate)
+            duplicate.close()
+
+    def _accept_waiting(self, listening: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                accepted, _ = listening.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                log.warning('connection not accepted', error=repr(error))
+                return
+            accepted.setblocking(False)
+            self._tasks.spawn(
+                loop.connect_accepted_socket(self._connection, accepted)
+            )
 
     def _connection(self) -> asyncio.Protocol:
         if len(self._connections) >= self._max_connections:
@@ -90,3 +128,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Close without reading anything."""
         transport.close()
+
+
+def _duplicate(listening: socket.socket) -> socket.socket:
+    duplicate = socket.fromfd(
+        listening.fileno(), listening.family, listening.type
+    )
+    duplicate.setblocking(False)
+    return duplicate
--- a/packages/forwarding/tests/test_callerlistener.py
+++ b/packages/forwarding/tests/test_callerlistener.py
@@ -1,6 +1,9 @@
 """Listening socket of a daemon whose host link is congested."""
 
 import asyncio
+import socket
+
+import pytest
 
 from oriolegauge.forwarding.callerlistener import CallerListener
 from oriolegauge.forwarding.forwardingconfig import CallerLimits
@@ -38,3 +41,21 @@
         assert await reader.read() == b'ok'
         writer.close()
         listener.close()
+
+    @pytest.mark.parametrize('ticks', range(6))
+    async def test_connections_in_the_queue_are_served(self, ticks):
+        """Guards against resets of connections that the kernel accepted."""
+        listener, port = await self.make()
+        socks = [socket.create_connection((HOST, port)) for _ in range(5)]
+        for sock in socks:
+            sock.sendall(REQUEST)
+        for _ in range(ticks):
+            await asyncio.sleep(0)
+        listener.close()
+        for sock in socks:
+            reader, writer = await asyncio.open_connection(sock=sock)
+            line = await asyncio.wait_for(reader.readline(), 1)
+            assert b' 200 ' in line
+            writer.close()
+        with pytest.raises(ConnectionError):
+            await asyncio.open_connection(HOST, port)
