Answer requests that open connections have brought when a drain begins

Callers saw: connections closed without an answer after SIGTERM, in three cases: a request pipelined behind one that was answered while draining; a request that was in the kernel's buffer when its idle connection was closed (a reset); and a request that arrived in several pieces on a connection that had been answered before. Cause: the first answer in a drain always had `Connection: close`, idle connections were closed without a look at the kernel's buffer, and a drained connection was closed while a request was being read. Change: an answer closes only if no other request has arrived whole; connections with unread bytes or with a request begun stay open until it is answered. Ruled out: reading requests that follow an answer with `Connection: close`, which HTTP forbids; their callers know that they have not run.

--- a/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -140,7 +141,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
-        if self.is_idle and self._transport:
+        if self.is_idle and self._transport and not self._has_unread_bytes():
             self._transport.close()
 
     async def _serve(self) -> None:
@@ -185,12 +186,10 @@
             self._transport.pause_reading()
 
     def _may_keep_open(self, request: CallerRequest) -> bool:
-        return not (
-            request.wants_close
-            or self._is_draining()
-            or not self._may_keep_open_now()
-            or (self._error and not self._requests)
-        )
+        if request.wants_close or not self._may_keep_open_now():
+            return False
+        # Requests that have arrived whole are answered too.
+        return bool(self._requests) or not (self._is_draining() or self._error)
 
     async def _next_request(self) -> CallerRequest | None:
         """Return the next request, or None to close the connection.
@@ -201,7 +200,7 @@
         while not self._requests:
             if self._error:
                 raise self._error
-            if self._is_draining() and self._has_answered:
+            if self._closes_when_idle() and self._parser.began_at is None:
                 return None
             if not await self._wait_for_bytes(idle_since):
                 return None
@@ -210,6 +209,27 @@
             self._transport.resume_reading()
         return request
 
+    def _closes_when_idle(self) -> bool:
+        return (
+            self._is_draining()
+            and self._has_answered
+            and not self._has_unread_bytes()
+        )
+
+    def _has_unread_bytes(self) -> bool:
+        """State whether a request may wait in the kernel's buffer.
+
+        Closing the connection then would reset it.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return False
+        sock = self._transport.get_extra_info('socket')
+        if sock is None:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     async def _wait_for_bytes(self, idle_since: float) -> bool:
         """Return False if the idle timeout has passed."""
         self._changed.clear()
--- a/packages/forwarding/tests/test_callerconnection.py
+++ b/packages/forwarding/tests/test_callerconnection.py
@@ -1,17 +1,20 @@
 """Callers that send malformed, slow or oversized requests, or read slowly."""
 
 import asyncio
+import socket
 
 import pytest
 
 from oriolegauge.forwarding import CallerLimits
 
 from .world import (
+    HOST,
     ScriptedServer,
     World,
     chunk,
     event,
     read_message,
+    reply,
     request_bytes,
     stream_head,
 )
@@ -25,6 +28,11 @@
 HEAD = b'POST /once/x HTTP/1.1\r\nHost: host.example\r\n'
 
 
+async def answer_slowly(seen, writer):
+    await asyncio.sleep(0.2)
+    writer.write(reply(seen))
+
+
 class TestRefusedInput:
     @pytest.mark.parametrize(
         ('data', 'status'),
@@ -163,6 +171,51 @@
             assert ' 200 ' in answer.first_line
             assert answer.headers['connection'] == 'close'
 
+    async def test_request_not_read_yet_is_served(self):
+        """Guards against a reset of a request in the kernel's buffer."""
+        async with World(ScriptedServer()) as world:
+            sock = socket.create_connection((HOST, world.port))
+            await asyncio.sleep(0.05)
+            sock.sendall(request_bytes('/safe/x'))
+            world.listener.drain()
+            reader, writer = await asyncio.open_connection(sock=sock)
+            answer = await asyncio.wait_for(read_message(reader), 1)
+            assert ' 200 ' in answer.first_line
+            writer.close()
+
+    async def test_next_request_of_an_open_connection_is_served(self):
+        """Guards against dropping a request that arrives as its turn comes."""
+        async with World(ScriptedServer()) as world:
+            reader, writer = await world.connect()
+            writer.write(request_bytes('/safe/x', 'first'))
+            await asyncio.wait_for(read_message(reader), 1)
+            data = request_bytes('/safe/x', 'second')
+            for part in (data[:10], data[10:-1], data[-1:]):
+                writer.write(part)
+                await asyncio.sleep(0.05)
+                world.listener.drain()
+            answer = await asyncio.wait_for(read_message(reader), 1)
+            assert answer.request_id == 'second'
+            writer.close()
+
+    async def test_request_behind_another_is_answered(self):
+        """Guards against dropping requests that were read whole."""
+        async with World(ScriptedServer(answer_slowly)) as world:
+            reader, writer = await world.connect()
+            writer.write(request_bytes('/once/x', 'r0'))
+            await asyncio.sleep(0.05)
+            world.listener.drain()
+            writer.write(request_bytes('/once/x', 'r1'))
+            writer.write(request_bytes('/once/x', 'r2'))
+            for name in ('r0', 'r1', 'r2'):
+                answer = await asyncio.wait_for(read_message(reader), 1)
+                assert ' 200 ' in answer.first_line
+                assert answer.request_id == name
+                is_last = name == 'r2'
+                assert ('connection' in answer.headers) == is_last
+            assert await asyncio.wait_for(reader.read(), 1) == b''
+            writer.close()
+
 
 class TestBackPressure:
     async def test_slow_reader_pauses_the_server(self):
