Answer or refuse late requests of a planned stop instead of cutting them

Callers saw: around SIGTERM, requests that came late in the grace period, on connections opened before the listener closed or from slow senders, were passed on to servers and then cut without an answer, among them requests that may not be repeated. Streams were broken off before the last sixth of the grace. With a grace period of 1 or 2 s the daemon stopped after 2.7 s; with the store away it exceeded 5 s (5.26 s). Cause: the drain waited for running requests until grace - 0.9 s and then ended the process; nothing knew that time when a request was admitted, nor answered what still ran. Returning grants had no time limit. Change: DrainPlan computes all times of a stop from SIGTERM and the grace. Requests are given up 0.8 s, at most a sixth of the grace, before its end. After the balancer's 2.6 s the forwarder refuses requests whose time limit lies beyond that as not run (503, Retry-After 0.1 s, Connection: close); earlier ones are served, since most end in time. At the end running requests get 504 if a server may have got them, else 503; requests that have not arrived whole get 503; begun streams are broken off; an answer that waits for a slow reader stays whole. Connections that have sent nothing close 0.2 s before. Answers are sent while grants are returned, both with a time limit. The grace counts from the first SIGTERM, also during start.

--- a/packages/forwarding/src/oriolegauge/forwarding/answer.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/answer.py
@@ -52,8 +52,10 @@
         """Send an answer with its complete body."""
         length = (b'Content-Length', b'%d' % len(body))
         head = self._head(status, [*headers, length])
-        await self._writer.write(b''.join((head, body)))
+        # The connection holds the whole answer while this waits for the caller
+        # to read it.
         self.is_finished = True
+        await self._writer.write(b''.join((head, body)))
 
     async def begin(
         self, status: int, headers: Iterable[Header], first: bytes
@@ -73,9 +75,9 @@
 
     async def end(self) -> None:
         """Mark a streamed answer as complete."""
+        self.is_finished = True
         if self._can_chunk:
             await self._writer.write(_LAST_CHUNK)
-        self.is_finished = True
 
     def abort(self) -> None:
         """Close the connection, so that the answer can't look complete."""
--- a/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
@@ -23,6 +23,9 @@
 # Time for a caller to read an error answer. Closing at once while the caller
 # still sends would reset the connection and lose the answer.
 LINGER_S = 1.0
+# The balancer has removed a daemon that refuses requests since it stops, so a
+# retry reaches another one.
+STOPPING_RETRY_AFTER_S = 0.1
 
 Handler = Callable[[CallerRequest, Answer], Awaitable[None]]
 
@@ -144,6 +147,18 @@
         if self.is_idle and self._transport and not self._has_unread_bytes():
             self._transport.close()
 
+    def refuse_unfinished(self) -> None:
+        """Refuse a request that has not arrived whole, as not run."""
+        if self._is_answering or self._requests or self._error:
+            return
+        if self._parser.began_at is not None:
+            self._error = CallerError(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'the daemon stops before the request is whole',
+                retry_after_s=STOPPING_RETRY_AFTER_S,
+            )
+            self._changed.set()
+
     async def _serve(self) -> None:
         try:
             while await self._serve_next():
@@ -259,7 +274,10 @@
         self._is_refusing = True
         answer = Answer(self, may_keep_open=bool)
         log.info('request refused', status=error.status, reason=error.message)
-        await answer.send_whole(error.status, (), b'')
+        headers = []
+        if error.retry_after_s is not None:
+            headers.append((b'Retry-After', b'%.3f' % error.retry_after_s))
+        await answer.send_whole(error.status, headers, b'')
         if self._transport and self._transport.can_write_eof():
             self._transport.write_eof()
         await asyncio.sleep(LINGER_S)
--- a/packages/forwarding/src/oriolegauge/forwarding/callerlistener.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerlistener.py
@@ -85,6 +85,11 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def refuse_unfinished(self) -> None:
+        """Refuse the requests that have not arrived whole."""
+        for connection in list(self._connections):
+            connection.refuse_unfinished()
+
     def _close_sockets(self, server: asyncio.Server) -> None:
         # Closing a socket resets the connections that wait in its queue, so a
         # duplicate keeps it open until they are taken from it.
--- a/packages/forwarding/src/oriolegauge/forwarding/errors.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/errors.py
@@ -13,9 +13,15 @@
 
     code = ResultCode.INVALID_REQUEST
 
-    def __init__(self, status: int, message: str) -> None:
+    def __init__(
+        self,
+        status: int,
+        message: str,
+        *,
+        retry_after_s: float | None = None,
+    ) -> None:
         """Set the HTTP status with which the request is refused."""
-        super().__init__(message)
+        super().__init__(message, retry_after_s=retry_after_s)
         self.status = status
 
 
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 from oriolegauge.admission import HostLink
 from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.core.errors import (
+    DrainingError,
     InvalidRequestError,
     NotFoundError,
     OriolegaugeError,
@@ -21,8 +22,10 @@
 )
 from oriolegauge.core.runstate import RunState
 from oriolegauge.forwarding.answer import Answer
+from oriolegauge.forwarding.callerconnection import STOPPING_RETRY_AFTER_S
 from oriolegauge.forwarding.callerrequest import CallerRequest
 from oriolegauge.forwarding.dispatcher import MS_PER_S, Dispatcher
+from oriolegauge.forwarding.drainplan import DrainPlan
 from oriolegauge.forwarding.errors import CallerDisconnectedError
 from oriolegauge.forwarding.exchange import ExchangeDependencies
 from oriolegauge.forwarding.forwardingconfig import Workspace
@@ -106,6 +109,8 @@
         self._rng = rng
         self._clock = asyncio.get_running_loop().time
         self._route_table: RouteTable | None = None
+        self._drain_plan: DrainPlan | None = None
+        self._drain_timeouts: set[asyncio.Timeout] = set()
         dependencies = ExchangeDependencies(
             dispatcher=dispatcher,
             names=names,
@@ -131,6 +136,12 @@
         """Apply a version of the configuration to new requests."""
         self._route_table = route_table
 
+    def drain(self, plan: DrainPlan) -> None:
+        """Refuse and give up requests by the times of the plan."""
+        self._drain_plan = plan
+        for timeout in self._drain_timeouts:
+            timeout.reschedule(plan.answers_until)
+
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
         """Answer the request; bind its id to the log events meanwhile."""
         request_id = request.header(self._names.request_id)
@@ -146,7 +157,8 @@
         try:
             self._link.received(len(request.body))
             context = self._admit(request, request_id)
-            await self._serve(context, trace, answer)
+            self._check_drain(context)
+            await self._serve_until_stop(context, trace, answer)
         except CallerDisconnectedError as error:
             trace.outcome = 'caller left'
             trace.reason = error.message
@@ -224,6 +236,30 @@
         work = parse_work(bounds, request.header(self._names.prompt_parts))
         return replace(work, body_bytes=len(request.body))
 
+    def _check_drain(self, context: RequestContext) -> None:
+        plan = self._drain_plan
+        if plan and not plan.may_serve(context.deadline, self._clock()):
+            raise _draining_error('the daemon stops before the deadline')
+
+    async def _serve_until_stop(
+        self, context: RequestContext, trace: RequestTrace, answer: Answer
+    ) -> None:
+        plan = self._drain_plan
+        timeout = asyncio.timeout_at(plan.answers_until if plan else None)
+        self._drain_timeouts.add(timeout)
+        try:
+            async with timeout:
+                await self._serve(context, trace, answer)
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            # The connection still sends an answer that was written whole.
+            if not answer.is_finished:
+                raise _stopped_error(trace) from None
+            trace.reason = 'the caller reads slowly'
+        finally:
+            self._drain_timeouts.discard(timeout)
+
     async def _serve(
         self, context: RequestContext, trace: RequestTrace, answer: Answer
     ) -> None:
@@ -329,5 +365,16 @@
     )
 
 
+def _draining_error(message: str) -> DrainingError:
+    return DrainingError(message, retry_after_s=STOPPING_RETRY_AFTER_S)
+
+
+def _stopped_error(trace: RequestTrace) -> OriolegaugeError:
+    """Return the error of a request that runs when the daemon stops."""
+    if trace.may_have_run:
+        return OutcomeUnknownError('the daemon has stopped')
+    return _draining_error('the daemon has stopped')
+
+
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 4)
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -28,6 +28,7 @@
 from oriolegauge.forwarding.connectionpool import ConnectionPool
 from oriolegauge.forwarding.crashdetector import CrashDetector
 from oriolegauge.forwarding.dispatcher import Dispatcher
+from oriolegauge.forwarding.drainplan import DrainPlan
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.leavinginstances import LeavingInstances
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
@@ -319,6 +320,8 @@
         self.suspects = CrashSuspects(
             clock=clock, has_turn=lambda _: True, on_change=lambda: None
         )
+        self.loads = NoOtherDaemons()
+        self.permits = LoneDaemonPermits(self.limits_named, clock)
         self.buffers = ByteBudget(12 * 1024 * 1024)
         self.link = HostLink(mbps=1_000, clock=clock)
         self.retries = RetryBudgets(
@@ -331,7 +334,7 @@
         self.forwarder = Forwarder(
             names=NAMES,
             dispatcher=Dispatcher(
-                loads=NoOtherDaemons(),
+                loads=self.loads,
                 pauses=self.pauses,
                 limits=self.limits_named,
                 permits=self.permits,
@@ -407,6 +410,21 @@
             keep_missing_until=0,
         )
 
+    def drain(self, **changes):
+        """Begin a planned stop; `changes` are seconds from now on."""
+        seconds = {
+            'listener_closes_at': 0,
+            'refuses_from': 10,
+            'idle_closes_at': 10,
+            'answers_until': 10,
+            'flushed_by': 10,
+            'closed_by': 10,
+        } | changes
+        now = self.now()
+        plan = DrainPlan(**{name: now + at for name, at in seconds.items()})
+        self.forwarder.drain(plan)
+        self.listener.drain()
+
     async def connect(self):
         return await asyncio.open_connection(HOST, self.port)
 
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -61,11 +61,6 @@
 from oriolegauge.routing.serverchooser import ServerChooser
 from oriolegauge.routing.serverpauses import ServerPauses
 
-# The load balancer polls readiness once a second and removes a daemon after two
-# failures. Connections that it opens until then are still served.
-BALANCER_REMOVAL_S = 2.6
-# Reserved at the end of the grace period to return grants and close.
-CLOSING_S = 0.9
 DRAIN_POLL_S = 0.05
 PRUNE_PERIOD_S = 0.5
 # Connections of one daemon to a server, as a multiple of its equal share of the
@@ -118,6 +113,7 @@
         self._rng = random.Random()
         self._incarnation = secrets.token_hex(6)
         self._drain_requested = asyncio.Event()
+        self._drain_began_at: float | None = None
         self.lifecycle = Lifecycle()
         self._leaving_instances = LeavingInstances(
             self._clock,
@@ -280,7 +276,12 @@
         )
 
     def start_drain(self) -> None:
-        """Begin a graceful shutdown; `run` returns when it is complete."""
+        """Begin a graceful shutdown; `run` returns when it is complete.
+
+        The grace period counts from the first call.
+        """
+        if self._drain_began_at is None:
+            self._drain_began_at = self._clock()
         self._drain_requested.set()
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -346,20 +347,46 @@
         self.lifecycle.stop()
 
     async def _drain(self) -> None:
-        began_at = self._clock()
+        began_at = self._drain_began_at or self._clock()
+        plan = self._settings.drain_plan(began_at)
         self.lifecycle.drain()
         log.info('drain', running=self._forwarder.running)
+        self._forwarder.drain(plan)
         self._listener.drain()
-        until = began_at + self._settings.grace_s - CLOSING_S
-        await asyncio.sleep(BALANCER_REMOVAL_S)
+        await asyncio.sleep(plan.listener_closes_at - self._clock())
         self._listener.close()
-        while self._forwarder.running and self._clock() < until:
-            await asyncio.sleep(DRAIN_POLL_S)
-        log.info('drained', running=self._forwarder.running)
+        # The last connections are accepted after the listener is closed.
+        await asyncio.sleep(DRAIN_POLL_S)
+        await self._wait_for_callers(plan.idle_closes_at)
+        self._listener.close_idle()
+        await self._wait_for_callers(plan.answers_until)
+        self._listener.refuse_unfinished()
+        # Requests that were given up settle their tokens and are answered.
+        await asyncio.sleep(DRAIN_POLL_S)
+        log.info(
+            'drained',
+            running=self._forwarder.running,
+            connections=self._listener.connections,
+        )
         self.lifecycle.finish()
-        await self._keeper.close()
+        await asyncio.gather(
+            self._return_grants(plan.closed_by),
+            self._wait_for_callers(plan.flushed_by),
+        )
         self._pool.close()
 
+    async def _wait_for_callers(self, until: float) -> None:
+        """Wait until all connections of callers have closed."""
+        while self._listener.connections and self._clock() < until:
+            await asyncio.sleep(min(DRAIN_POLL_S, until - self._clock()))
+
+    async def _return_grants(self, until: float) -> None:
+        try:
+            async with asyncio.timeout_at(until):
+                await self._keeper.close()
+        except TimeoutError:
+            log.warning('grants not returned in time; they count as spent')
+
     async def _prune_connections(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_PERIOD_S)
--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from oriolegauge.forwarding.drainplan import DrainPlan
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ListenAddress:
@@ -51,3 +53,7 @@
     peer_timeout_s: float = 0.6
     max_peer_message_bytes: int = 8 * 1024 * 1024
     connect_timeout_s: float = 0.3
+
+    def drain_plan(self, began_at: float) -> DrainPlan:
+        """Return the plan of a stop that began at the loop time (s)."""
+        return DrainPlan.for_grace(began_at, self.grace_s)
--- a/tests/adapter/soakfleet.py
+++ b/tests/adapter/soakfleet.py
@@ -17,8 +17,10 @@
 TEAM = 'team'
 KEY = 'caller-key'
 EVENTS = 4
+EVENT_PAUSE_S = 0.02
 TOKENS_PER_EVENT = 5
 PROMPT_TOKENS = 100
+GRACE_S = 5
 SETTINGS = """
 bootstrap = {bootstrap}
 ip = "127.0.0.1"
@@ -35,7 +37,7 @@
 [contractParams]
 retryRatio = {retry_ratio}
 retrySlack = 50
-graceS = 5
+graceS = {grace_s}
 [platform]
 address = "127.0.0.1:{store}"
 """
@@ -45,7 +47,9 @@
     """Answer requests and count the runs of each attempt.
 
     `limit_per_s` is the rate that its replies name, if there is one; `arrivals`
-    are the loop times of all requests. Answers take `answer_s`.
+    are the loop times of all requests. Answers take `answer_s` or the seconds
+    of the header `X-Answer-S`; the events of a stream come at intervals of
+    0.02 s or the seconds of the header `X-Pause-S`.
     """
 
     def __init__(self, run_counts: Counter[str]) -> None:
@@ -83,7 +87,7 @@
         attempt = lower['x-oriolegauge-attempt-id']
         self.run_counts[attempt] += 1
         self.arrivals.append(asyncio.get_running_loop().time())
-        await asyncio.sleep(self.answer_s)
+        await asyncio.sleep(float(lower.get('x-answer-s', self.answer_s)))
         limit = '' if self.limit_per_s is None else self._limit_header()
         base = (
             'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n'
@@ -101,7 +105,7 @@
             data = f'id: {number}\ndata: {attempt}\n\n'.encode()
             writer.write(b'%x\r\n%b\r\n' % (len(data), data))
             await writer.drain()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(float(lower.get('x-pause-s', EVENT_PAUSE_S)))
         writer.write(b'0\r\n\r\n')
 
     def _limit_header(self):
@@ -115,6 +119,7 @@
         self.folder = folder
         self.size = size
         self.prepaid = prepaid
+        self.grace_s = GRACE_S
         self.store = StandInStore()
         self.run_counts: Counter[str] = Counter()
         self.backends = [Backend(self.run_counts) for _ in range(3)]
@@ -223,6 +228,7 @@
                 peer=peer,
                 store=self._store_port(number),
                 retry_ratio=self.retry_ratio,
+                grace_s=self.grace_s,
                 bootstrap=str(number not in self.started).lower(),
             )
         )
