Take the retry before the attempt at a silent engine is ended

What callers saw: an engine that sent nothing for engine_idle_timeout_s lost its request, also if nothing could replace the attempt. Whole answers that took longer than that time never arrived at all, and requests that may not be repeated ended with an unknown outcome.

Cause: the timeout of the socket ended the attempt. Only then did the daemon ask whether the request may be repeated, whether another engine is there or can resume the stream, and whether a retry is left.

Now SilenceLimit asks for the retry after each time of silence, and the attempt ends only if one was taken: on an engine that was not tried, for a request that may be repeated, before the third attempt. Otherwise it goes on until the deadline of the request. The retry is taken once.

Ruled out: hedges. They end no attempt, and the budget is asked before the second copy is sent (Completions._run_hedged).

--- a/packages/backends/src/oriolegauge/backends/engineclient.py
+++ b/packages/backends/src/oriolegauge/backends/engineclient.py
@@ -15,6 +15,7 @@
     ServerConnectionLostError,
     ServerRejectedError,
 )
+from oriolegauge.backends.silencelimit import SilenceLimit, TakeRetry
 
 HTTP_OK = 200
 CONNECT_TIMEOUT_S = 1.0
@@ -30,12 +31,11 @@
         session: aiohttp.ClientSession,
         idle_timeout_s: float,
     ) -> None:
-        """Time out when an engine sends nothing for `idle_timeout_s`."""
+        """Ask for a retry when an engine sends nothing for `idle_timeout_s`."""
         self._session = session
+        self._idle_timeout_s = idle_timeout_s
         self._timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=CONNECT_TIMEOUT_S,
-            sock_read=idle_timeout_s,
+            total=None, sock_connect=CONNECT_TIMEOUT_S
         )
 
     @asynccontextmanager
@@ -43,11 +43,16 @@
         self,
         server: BackendServer,
         request: EngineRequest,
+        take_retry: TakeRetry,
     ) -> AsyncIterator[EngineStream]:
-        """Open a streamed completion; the end of the block closes it."""
-        response = await self._post(server, request)
+        """Open a streamed completion; the end of the block closes it.
+
+        If the engine is silent, the attempt ends once a retry is taken.
+        """
+        limit = self._silence_limit(take_retry)
+        response = await limit.run(self._post(server, request))
         try:
-            yield EngineStream(response)
+            yield EngineStream(response, limit)
         finally:
             response.close()
 
@@ -55,11 +60,16 @@
         self,
         server: BackendServer,
         request: EngineRequest,
+        take_retry: TakeRetry,
     ) -> dict[str, Any]:
-        """Return the answer of a completion that is not streamed."""
-        response = await self._post(server, request)
+        """Return the answer of a completion that is not streamed.
+
+        If the engine is silent, the attempt ends once a retry is taken.
+        """
+        limit = self._silence_limit(take_retry)
+        response = await limit.run(self._post(server, request))
         try:
-            return orjson.loads(await response.read())
+            return orjson.loads(await limit.run(response.read()))
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise ServerConnectionLostError(
                 f'answer incomplete or invalid: {error!r}',
@@ -101,6 +111,11 @@
             )
         return orjson.loads(payload)
 
+    def _silence_limit(self, take_retry: TakeRetry) -> SilenceLimit:
+        return SilenceLimit(
+            silence_s=self._idle_timeout_s, take_retry=take_retry
+        )
+
     async def _post(
         self,
         server: BackendServer,
--- a/packages/backends/src/oriolegauge/backends/enginestream.py
+++ b/packages/backends/src/oriolegauge/backends/enginestream.py
@@ -7,6 +7,7 @@
 import orjson
 
 from oriolegauge.backends.errors import ServerConnectionLostError
+from oriolegauge.backends.silencelimit import SilenceLimit
 
 EVENT_END = b'\n\n'
 DONE = b'data: [DONE]'
@@ -33,9 +34,12 @@
     The tail is the last events, which hold the finish reason and the usage.
     """
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(
+        self, response: aiohttp.ClientResponse, limit: SilenceLimit
+    ) -> None:
         """Read from an open response of the engine."""
         self._response = response
+        self._limit = limit
         self._pending = b''
         self._tail = b''
         self.events = 0
@@ -47,7 +51,9 @@
         Raise ServerConnectionLostError if the stream ends early.
         """
         try:
-            async for chunk in self._response.content.iter_any():
+            while chunk := await self._limit.read(
+                self._response.content.readany
+            ):
                 ready = self._split(chunk)
                 if ready:
                     self.events += ready.count(EVENT_END)
--- a/packages/backends/src/oriolegauge/backends/errors.py
+++ b/packages/backends/src/oriolegauge/backends/errors.py
@@ -17,14 +17,22 @@
 
     run_state = RunState.UNKNOWN
 
-    def __init__(self, message: str, *, timed_out: bool = False) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        timed_out: bool = False,
+        retry_delay_s: float | None = None,
+    ) -> None:
         """Set `timed_out` if the server sent nothing in time.
 
         Otherwise the connection was lost or the answer was invalid, which may
-        be the sign of a crash.
+        be the sign of a crash. `retry_delay_s` is the backoff of the retry
+        that was taken before the attempt was ended, None if none was.
         """
         super().__init__(message)
         self.timed_out = timed_out
+        self.retry_delay_s = retry_delay_s
 
 
 class ServerRejectedError(ServerFailedError):
--- a/packages/config/src/oriolegauge/config/daemonsettings.py
+++ b/packages/config/src/oriolegauge/config/daemonsettings.py
@@ -114,8 +114,8 @@
         default=30,
         gt=0,
         le=600,
-        description='Longest time without data from a model engine within a '
-        'stream.',
+        description='Time without data from a model engine after which a '
+        'request is retried on another one, if a retry is left.',
     )
     max_request_s: float = Field(
         default=600,
--- a/packages/daemon/src/oriolegauge/daemon/completions.py
+++ b/packages/daemon/src/oriolegauge/daemon/completions.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import orjson
@@ -22,6 +23,7 @@
     Usage,
 )
 from oriolegauge.backends.enginestream import parse_usage
+from oriolegauge.backends.silencelimit import TakeRetry
 from oriolegauge.budget import BudgetManager, Reservation, Settled
 from oriolegauge.core.errors import (
     AnswerIncompleteError,
@@ -62,6 +64,9 @@
 Attempt = Callable[
     [CompletionRun, Slot, AnswerSink], Awaitable[CompletionOutcome]
 ]
+RetryableAttempt = Callable[
+    [TakeRetry, CompletionRun, Slot, AnswerSink], Awaitable[CompletionOutcome]
+]
 
 
 class Completions:
@@ -208,7 +213,7 @@
         )
 
     async def _run_attempts(
-        self, run: CompletionRun, attempt: Attempt, sink: AnswerSink
+        self, run: CompletionRun, attempt: RetryableAttempt, sink: AnswerSink
     ) -> CompletionOutcome:
         """Try servers until one gives a complete answer."""
         failures = 0
@@ -216,8 +221,9 @@
         while True:
             self._guard.refuse_quarantined(run.fingerprint)
             try:
+                take_retry = partial(self._take_retry, run, failures)
                 return await self._run_in_slot(
-                    run, refused_servers, attempt, sink
+                    run, refused_servers, partial(attempt, take_retry), sink
                 )
             except PausedError as error:
                 run.paused_job = error.job
@@ -307,21 +313,43 @@
                 'no other server can resume the stream', retry_after_s=1
             ) from error
 
+    def _take_retry(self, run: CompletionRun, failures: int) -> float | None:
+        """Take a retry that may replace the attempt; return its backoff (s)."""
+        attempt = failures + 1
+        if run.caller.non_idempotent or attempt == MAX_ATTEMPTS:
+            return None
+        return self._dispatcher.take_retry(
+            run.slot_request,
+            run.tried_servers,
+            attempt=attempt,
+            resumes=bool(run.sent_events),
+        )
+
     async def _whole_attempt(
-        self, run: CompletionRun, slot: Slot, sink: AnswerSink
+        self,
+        take_retry: TakeRetry,
+        run: CompletionRun,
+        slot: Slot,
+        sink: AnswerSink,
     ) -> CompletionOutcome:
         answer = await self._engines.fetch_completion(
-            slot.server, run.engine_request
+            slot.server, run.engine_request, take_retry
         )
         usage = parse_usage(answer.get('usage', {}))
         slot.succeed(usage.output_tokens)
         return CompletionOutcome(usage, answer=answer)
 
     async def _stream_attempt(
-        self, run: CompletionRun, slot: Slot, sink: AnswerSink
+        self,
+        take_retry: TakeRetry,
+        run: CompletionRun,
+        slot: Slot,
+        sink: AnswerSink,
     ) -> CompletionOutcome:
         request = replace(run.engine_request, resume_tokens=run.sent_events)
-        async with self._engines.stream(slot.server, request) as stream:
+        async with self._engines.stream(
+            slot.server, request, take_retry
+        ) as stream:
             if not sink.started:
                 await sink.start(
                     HTTP_OK,
--- a/packages/daemon/src/oriolegauge/daemon/dispatcher.py
+++ b/packages/daemon/src/oriolegauge/daemon/dispatcher.py
@@ -11,7 +11,11 @@
 from contextlib import AbstractAsyncContextManager
 
 from oriolegauge.admission import Job, LengthPredictor
-from oriolegauge.backends import BackendServer, ServerConnectError
+from oriolegauge.backends import (
+    BackendServer,
+    ServerConnectError,
+    ServerConnectionLostError,
+)
 from oriolegauge.core.errors import NoServerError, ServerFailedError
 from oriolegauge.daemon.serverpool import ServerPool
 from oriolegauge.daemon.slot import Slot, SlotRequest
@@ -97,17 +101,39 @@
         """Return the servers that may run the request."""
         return set(self._pool.usable(request.model, request.allowed_servers))
 
+    def take_retry(
+        self,
+        request: SlotRequest,
+        tried_servers: set[str],
+        *,
+        attempt: int,
+        resumes: bool,
+    ) -> float | None:
+        """Take a retry on an untried server; return its backoff in seconds.
+
+        Return None if no such server or retry is left. With `resumes` the
+        server must be able to resume an interrupted stream.
+        """
+        if resumes and not self.can_resume(request, tried_servers):
+            return None
+        if self.server_names(request) <= tried_servers:
+            return None
+        return self._retries.retry(attempt)
+
     async def wait_before_retry(
         self, attempt: int, failure: ServerFailedError
     ) -> None:
         """Wait before another attempt; raise `failure` if no retry is left.
 
         Retries after a refused connection don't use up the retry budget, as
-        they put no load on the backend server that refused.
+        they put no load on the backend server that refused. The retry of a
+        silent attempt was taken before it was ended.
         """
         if isinstance(failure, ServerConnectError):
             return
-        delay = self._retries.retry(attempt)
+        delay = _taken_retry_delay(failure)
+        if delay is None:
+            delay = self._retries.retry(attempt)
         if delay is None:
             failure.retry_after_s = RETRY_AFTER_S
             raise failure
@@ -172,3 +198,9 @@
             allowed_servers=frozenset(servers),
             prefix_key=request.prefix_key,
         )
+
+
+def _taken_retry_delay(failure: ServerFailedError) -> float | None:
+    if isinstance(failure, ServerConnectionLostError):
+        return failure.retry_delay_s
+    return None
