Move a stream off an ejected server only if another one is free

What callers saw: while an ejected server was the only one of a model or team, or the others were ejected too, its streams were cut and begun again at the same server every 50 ms. Each time took a retry, so requests that failed at other servers found none left.

Cause: the queue took a retry and paused the stream without asking whether another server could take it. The router then gave back the ejected one, since it never leaves out the last server.

Now a stream moves only if a server that is not ejected, and that the request may use, has a free slot. The retry is taken after that check.

Ruled out: pauses of stragglers for short jobs. They take no retry, and the stream waits in the queue for its turn.

--- a/packages/daemon/src/oriolegauge/daemon/slotqueue.py
+++ b/packages/daemon/src/oriolegauge/daemon/slotqueue.py
@@ -287,10 +287,22 @@
             if (
                 slot.can_pause
                 and self._router.is_ejected(slot.server.name)
+                and self._has_other_server(slot.job)
                 and self._spend_retry()
             ):
                 slot.pause()
 
+    def _has_other_server(self, job: Job) -> bool:
+        """Return whether a healthy server of the job has a free slot."""
+        allowed = job.allowed_servers
+        return any(
+            server.free > 0
+            and (allowed is None or server.name in allowed)
+            and job.model in server.models
+            and not self._router.is_ejected(server.name)
+            for server in self._free_slots()
+        )
+
     def _end_slot(
         self, slot: Slot, servers: Mapping[str, BackendServer]
     ) -> None:
--- a/packages/daemon/tests/engines.py
+++ b/packages/daemon/tests/engines.py
@@ -18,6 +18,7 @@
 from oriolegauge.daemon.completions import Completions
 from oriolegauge.daemon.dispatcher import Dispatcher
 from oriolegauge.daemon.serverpool import ServerPool
+from oriolegauge.routing.serverhealth import FAILURES_TO_EJECT
 
 MODEL = 'm'
 OUTPUT_TOKENS = 6
@@ -47,6 +48,7 @@
         self.lost_at = lost_at
         self.can_resume = can_resume
         self.runs = 0
+        self.silent = False
         self.answered = 0
         self.resumed_at: list[int] = []
         self.url = ''
@@ -76,7 +78,9 @@
             if number == self.lost_at:
                 request.transport.abort()
             if number == SILENT_AT:
+                self.silent = True
                 await asyncio.sleep(silence_s)
+                self.silent = False
             await response.write(event({'delta': f't{number} '}))
             await asyncio.sleep(EVENT_PERIOD_S)
         await response.write(event({'usage': usage()}) + b'data: [DONE]\n\n')
@@ -200,6 +204,14 @@
         while self.dispatcher._retries.retry(1) is not None:
             continue
 
+    def eject(self, name: str) -> None:
+        """Record as many failures of a server as eject it."""
+        router = self.dispatcher.queue._router
+        now = asyncio.get_running_loop().time()
+        for _ in range(FAILURES_TO_EJECT):
+            router.started(name, 1, now)
+            router.finished(name, False, now, tokens=1)
+
     async def ask(
         self,
         *,
@@ -235,7 +247,10 @@
 async def running_fleet(
     *engines: Engine, idle_timeout_s: float = 0.2, retry_share: float = 0
 ) -> AsyncIterator[Fleet]:
-    async with contextlib.AsyncExitStack() as stack:
+    async with (
+        contextlib.AsyncExitStack() as stack,
+        asyncio.TaskGroup() as group,
+    ):
         session = await stack.enter_async_context(aiohttp.ClientSession())
         for engine in engines:
             app = web.Application()
@@ -245,9 +260,12 @@
             stack.push_async_callback(runner.cleanup)
             await web.TCPSite(runner, '127.0.0.1', 0).start()
             engine.url = f'http://127.0.0.1:{runner.addresses[0][1]}'
-        yield Fleet(
+        fleet = Fleet(
             engines,
             session,
             idle_timeout_s=idle_timeout_s,
             retry_share=retry_share,
         )
+        expiry = group.create_task(fleet.dispatcher.queue.expire_periodically())
+        yield fleet
+        expiry.cancel()
