Resume streams only at engines that can resume

What callers saw: in a fleet with engines that have `can_resume` false, an interrupted or moved stream could go on at one of them. Such an engine begins the answer again, so callers got its beginning twice, with a clean end and a bill.

Cause: before a retry the daemon asked whether some untried engine can resume, but the choice of the server took all of them. A stream that the queue had paused waited for every server of the job.

Now a stream of which something was sent gets a slot only on engines that can resume, and a paused job waits for these. If none is left, the caller gets an error event and no clean end, as before.

Ruled out: hedges and whole answers, of which nothing is sent before the end (Completions._whole_attempt).

Not covered: software versions. Neither the configuration nor the load reports of engines name them, so `can_resume` alone decides.

--- a/packages/daemon/src/oriolegauge/daemon/completions.py
+++ b/packages/daemon/src/oriolegauge/daemon/completions.py
@@ -260,6 +260,7 @@
         return self._dispatcher.slot(
             run.slot_request,
             exclude=frozenset(run.tried_servers | refused_servers),
+            resumes=bool(run.sent_events),
         )
 
     def _servers_to_avoid(
--- a/packages/daemon/src/oriolegauge/daemon/dispatcher.py
+++ b/packages/daemon/src/oriolegauge/daemon/dispatcher.py
@@ -16,7 +16,11 @@
     ServerConnectError,
     ServerConnectionLostError,
 )
-from oriolegauge.core.errors import NoServerError, ServerFailedError
+from oriolegauge.core.errors import (
+    AnswerIncompleteError,
+    NoServerError,
+    ServerFailedError,
+)
 from oriolegauge.daemon.serverpool import ServerPool
 from oriolegauge.daemon.slot import Slot, SlotRequest
 from oriolegauge.daemon.slotqueue import RETRY_AFTER_S, SlotQueue
@@ -71,10 +75,18 @@
         self._hedges.observe(seconds)
 
     def slot(
-        self, request: SlotRequest, *, exclude: frozenset[str]
+        self,
+        request: SlotRequest,
+        *,
+        exclude: frozenset[str],
+        resumes: bool = False,
     ) -> AbstractAsyncContextManager[Slot]:
-        """Hold a slot, on a server outside `exclude` if there is one."""
-        servers = self._servers(request, exclude)
+        """Hold a slot, on a server outside `exclude` if there is one.
+
+        With `resumes` the server must be able to resume an interrupted stream;
+        raise AnswerIncompleteError if none is.
+        """
+        servers = self._servers(request, exclude, resumes=resumes)
         return self.queue.slot(self._job(request, servers), servers)
 
     def resume(
@@ -167,9 +179,15 @@
         self._service_router.finished(server, ok, self._clock(), tokens=1)
 
     def _servers(
-        self, request: SlotRequest, exclude: frozenset[str]
+        self,
+        request: SlotRequest,
+        exclude: frozenset[str],
+        *,
+        resumes: bool = False,
     ) -> dict[str, BackendServer]:
         servers = self._pool.usable(request.model, request.allowed_servers)
+        if resumes:
+            servers = _resuming(servers)
         if not servers:
             raise NoServerError(
                 f'no server offers {request.model}',
@@ -204,3 +222,15 @@
     if isinstance(failure, ServerConnectionLostError):
         return failure.retry_delay_s
     return None
+
+
+def _resuming(servers: Mapping[str, BackendServer]) -> dict[str, BackendServer]:
+    """Return the servers that can resume a stream; raise if there is none."""
+    resuming = {
+        name: server for name, server in servers.items() if server.can_resume
+    }
+    if not resuming:
+        raise AnswerIncompleteError(
+            'no server can resume the stream', retry_after_s=RETRY_AFTER_S
+        )
+    return resuming
--- a/packages/daemon/src/oriolegauge/daemon/slot.py
+++ b/packages/daemon/src/oriolegauge/daemon/slot.py
@@ -1,7 +1,7 @@
 """A slot on one backend server, held by one attempt of a request."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from oriolegauge.admission import Job
 from oriolegauge.backends import BackendServer
@@ -44,12 +44,16 @@
 
 @dataclass(slots=True)
 class Slot:
-    """Hold a slot on one backend server; event loop times in seconds."""
+    """Hold a slot on one backend server; event loop times in seconds.
+
+    A stream that was paused goes on at one of the `resuming_servers`.
+    """
 
     server: BackendServer
     job: Job
     started_at: float
     on_progress: Callable[['Slot'], None]
+    resuming_servers: frozenset[str] = frozenset()
     first_token_at: float | None = None
     reported_at: float = 0
     reported_tokens: int = 0
@@ -71,8 +75,13 @@
             self._close_stream = close_stream
 
     def pause(self) -> None:
-        """Close the stream; the attempt then ends with PausedError."""
+        """Close the stream; the attempt then ends with PausedError.
+
+        The job waits for a server that can resume the stream. Others would
+        begin the answer again.
+        """
         self.is_paused = True
+        self.job = replace(self.job, allowed_servers=self.resuming_servers)
         if self._close_stream is not None:
             self._close_stream()
 
--- a/packages/daemon/src/oriolegauge/daemon/slotqueue.py
+++ b/packages/daemon/src/oriolegauge/daemon/slotqueue.py
@@ -142,7 +142,13 @@
         Raise QueueFullError, DeadlineUnreachableError or NoServerError.
         """
         server = await self._wait_for_slot(job, servers, is_queued=is_queued)
-        slot = Slot(server, job, self._clock(), self._note_progress)
+        slot = Slot(
+            server,
+            job,
+            self._clock(),
+            self._note_progress,
+            frozenset(name for name, one in servers.items() if one.can_resume),
+        )
         self._held_slots[job.request_id] = slot
         try:
             yield slot
@@ -287,18 +293,17 @@
             if (
                 slot.can_pause
                 and self._router.is_ejected(slot.server.name)
-                and self._has_other_server(slot.job)
+                and self._has_other_server(slot)
                 and self._spend_retry()
             ):
                 slot.pause()
 
-    def _has_other_server(self, job: Job) -> bool:
-        """Return whether a healthy server of the job has a free slot."""
-        allowed = job.allowed_servers
+    def _has_other_server(self, slot: Slot) -> bool:
+        """Return whether a healthy server can resume the stream at once."""
         return any(
             server.free > 0
-            and (allowed is None or server.name in allowed)
-            and job.model in server.models
+            and server.name in slot.resuming_servers
+            and slot.job.model in server.models
             and not self._router.is_ejected(server.name)
             for server in self._free_slots()
         )
