Refuse unfinished uploads when the drain notice ends

What callers saw: nothing, but one caller that never finished its body kept a daemon in its planned stop without any limit of time. The platform would have to kill it, with grants not returned and without its log.

Cause: the daemon waits until no request is open, and a request counts as open while its body is read. `max_request_s` bounds a request only from the moment that its caller is known, which is after the body.

Now the end of the notice refuses requests whose body is incomplete, and later ones before their body is read, with 503 `draining`, not run.

Evidence: tests/test_planned_stop.py.

Ruled out: a request taken late in the notice that is passed on and cut. The daemon waits for all requests that are open or keyed, without a time limit (Daemon._finish_requests), and refuses new ones as not run from the end of the notice. The first test shows it for a service call that must not be repeated, with and without a key, a whole answer and a stream, all sent 0.2 s before the end.

--- a/packages/daemon/src/oriolegauge/daemon/callerapi.py
+++ b/packages/daemon/src/oriolegauge/daemon/callerapi.py
@@ -57,6 +57,7 @@
         self._requests = requests
         self._forwarder = forwarder
         self._metrics = metrics
+        self._uploads: set[asyncio.Timeout] = set()
         self.open_requests = 0
 
     def application(self) -> web.Application:
@@ -79,16 +80,28 @@
         finally:
             self.open_requests -= 1
 
+    def refuse_uploads(self) -> None:
+        """Refuse requests whose body is incomplete, as the drain has ended.
+
+        Their callers may take any time, for which the daemon would wait.
+        """
+        now = asyncio.get_running_loop().time()
+        for upload in self._uploads:
+            upload.reschedule(now)
+
     @property
     def _limits(self) -> Limits:
         return self._tree.limits_for(self._settings)
 
-    def _identify(self, call: CallerCall) -> CallerRequest:
+    def _check_accepting(self) -> None:
         match self._lifecycle.state:
             case 'starting':
                 raise StartingError('daemon is starting', retry_after_s=1)
             case 'drained' | 'stopped':
-                raise DrainingError('daemon is draining', retry_after_s=1)
+                raise _draining()
+
+    def _identify(self, call: CallerCall) -> CallerRequest:
+        self._check_accepting()
         return identify(
             call.headers,
             tree=self._tree,
@@ -138,7 +151,7 @@
         limit = self._limits.max_body_bytes
         if (http.content_length or 0) > limit:
             raise BodyTooLargeError(f'the body exceeds {limit} bytes')
-        body = await http.read()
+        body = await self._read_body(http)
         if len(body) > limit:
             raise BodyTooLargeError(f'the body exceeds {limit} bytes')
         return CallerCall(
@@ -148,6 +161,18 @@
             body=body,
         )
 
+    async def _read_body(self, http: web.Request) -> bytes:
+        self._check_accepting()
+        upload = asyncio.timeout(None)
+        self._uploads.add(upload)
+        try:
+            async with upload:
+                return await http.read()
+        except TimeoutError:
+            raise _draining() from None
+        finally:
+            self._uploads.discard(upload)
+
     async def _send_error(
         self, sink: ResponseSink, error: OriolegaugeError
     ) -> web.StreamResponse:
@@ -191,6 +216,10 @@
         )
 
 
+def _draining() -> DrainingError:
+    return DrainingError('daemon is draining', retry_after_s=1)
+
+
 def _owned_request_id(caller: CallerRequest, call: CallerCall) -> str | None:
     """Return the request id whose owner serves the call.
 
--- a/packages/daemon/src/oriolegauge/daemon/daemon.py
+++ b/packages/daemon/src/oriolegauge/daemon/daemon.py
@@ -373,6 +373,7 @@
         """
         await asyncio.sleep(self._settings.drain_notice_s)
         self._lifecycle.finish()
+        self._callers.refuse_uploads()
         while self._callers.open_requests or self._requests.running:
             await asyncio.sleep(DRAIN_POLL_S)
 
