Treat a connection that is not opened in time as not run

What callers saw: if a host left a new connection unanswered for 1 s, work that may not be repeated ended with an unknown outcome, although nothing of it was sent. Other work took a retry from the budget.

Cause: the HTTP client reports its connect timeout with an error that is no subclass of its connector error. The daemon took it for a connection that was lost after the request was sent.

Ruled out: a connect timeout after a request was sent. The client raises this error only around the opening of the connection.

--- a/packages/backends/src/oriolegauge/backends/engineclient.py
+++ b/packages/backends/src/oriolegauge/backends/engineclient.py
@@ -11,6 +11,7 @@
 from oriolegauge.backends.enginerequest import EngineRequest
 from oriolegauge.backends.enginestream import EngineStream
 from oriolegauge.backends.errors import (
+    NOT_CONNECTED_ERRORS,
     ServerConnectError,
     ServerConnectionLostError,
     ServerRejectedError,
@@ -96,7 +97,7 @@
                 method, server.url + path, json=body, timeout=timeout
             ) as response:
                 payload = await response.read()
-        except aiohttp.ClientConnectorError as error:
+        except NOT_CONNECTED_ERRORS as error:
             raise ServerConnectError(str(error)) from error
         except (aiohttp.ClientError, TimeoutError) as error:
             raise ServerConnectionLostError(
@@ -131,7 +132,7 @@
                 },
                 timeout=self._timeout,
             )
-        except aiohttp.ClientConnectorError as error:
+        except NOT_CONNECTED_ERRORS as error:
             raise ServerConnectError(
                 f'{server.name} unreachable: {error}'
             ) from error
--- a/packages/backends/src/oriolegauge/backends/serviceclient.py
+++ b/packages/backends/src/oriolegauge/backends/serviceclient.py
@@ -7,6 +7,7 @@
 
 from oriolegauge.backends.backendserver import BackendServer
 from oriolegauge.backends.errors import (
+    NOT_CONNECTED_ERRORS,
     ServerConnectError,
     ServerConnectionLostError,
 )
@@ -85,7 +86,7 @@
                 allow_redirects=False,
             ) as response:
                 body = await response.read()
-        except aiohttp.ClientConnectorError as error:
+        except NOT_CONNECTED_ERRORS as error:
             raise ServerConnectError(
                 f'{server.name} unreachable: {error}'
             ) from error
