Test take-ups beside kills, releases and broken connections

Callers take streams up again if their own connection breaks, if single daemons are killed, at third tries, and from daemons that hear of a release late.

Change: four more tests and a play with crashes of servers; take-ups count by break of a stream; more long prompts, so that take-ups reach other servers more often; four servers of a version and 30 streams a second, so that slots suffice.

Ruled out: a daemon cut off from the store only, which has the new list from its peers within 0.25 s; so its peers are frozen, and go on by their old lists.

--- a/tests/adapter/streamcaller.py
+++ b/tests/adapter/streamcaller.py
@@ -1,10 +1,12 @@
 """Caller that takes a broken stream up again, at any daemon."""
 
 import asyncio
+import contextlib
+import itertools
 import random
-import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from operator import attrgetter
 
 from tests.ports import HOST
 
@@ -18,18 +20,23 @@
 # Tokens of each part of a prompt. Daemons keep servers for long prompts and
 # place shared parts where they were read: both lengths, and prompts without
 # shared parts, spread the streams and their take-ups over all servers.
-PART_TOKENS = (100, 4_000)
+PART_TOKENS = (100, 4_000, 4_000, 4_000)
+SHARED_PARTS_SHARE = 0.25
 TOPICS = 12
 CONNECTION_ERRORS = (OSError, EOFError, TimeoutError, ValueError)
 
 
 @dataclass(frozen=True)
 class CallerPolicy:
-    """Limit the tries of one caller; `events` is the length of its stream."""
+    """Limit the tries of one caller; `events` is the length of its stream.
+
+    `breaks` is how often the caller's own connection breaks between events.
+    """
 
     events: int
     deadline_s: float = 4.0
     most_tries: int = 1_000
+    breaks: int = 0
 
 
 @dataclass
@@ -53,6 +60,22 @@
         return self.last_id > 0
 
 
+@dataclass(frozen=True)
+class Resumption:
+    """Hold the take-ups after one break of a stream."""
+
+    tries: list[Try]
+
+    @property
+    def went_on(self) -> bool:
+        return any(one.versions for one in self.tries)
+
+    @property
+    def serving(self) -> int:
+        """Return how many servers of the version were ready all the time."""
+        return min(one.serving for one in self.tries)
+
+
 class StreamCaller:
     """Ask for one stream until it is whole or the deadline has passed."""
 
@@ -76,10 +99,15 @@
         # these alone don't tell streams apart.
         own = rng.choice(['shared', f'{rng.getrandbits(40):x}'])
         part_tokens = rng.choice(PART_TOKENS)
-        parts = rng.choice([[own], [f'topic{rng.randrange(TOPICS)}', own]])
+        parts = [own]
+        if rng.random() < SHARED_PARTS_SHARE:
+            parts.insert(0, f'topic{rng.randrange(TOPICS)}')
         self._prompt_tokens = len(parts) * part_tokens
         self._parts = ','.join(f'{one}:{part_tokens}' for one in parts)
         self._body = f'body {own}'
+        self._breaks_after = set(
+            rng.sample(range(1, policy.events), policy.breaks)
+        )
 
     @property
     def versions(self) -> list[str]:
@@ -103,8 +131,10 @@
         return any(len(set(one.versions)) > 1 for one in self.tries)
 
     @property
-    def went_on(self) -> bool:
-        return any(one.versions for one in self.take_ups)
+    def resumptions(self) -> list[Resumption]:
+        """Return the take-ups, grouped by the event that they follow."""
+        groups = itertools.groupby(self.take_ups, attrgetter('last_id'))
+        return [Resumption(list(group)) for _, group in groups]
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -113,7 +143,8 @@
             left_s = min(until - loop.time(), TRY_TIMEOUT_S)
             if left_s < SHORTEST_TRY_S:
                 return
-            one = Try(secrets.token_hex(8), loop.time(), self.last_id)
+            attempt = f'{self._rng.getrandbits(64):016x}'
+            one = Try(attempt, loop.time(), self.last_id)
             if self.versions:
                 one.serving = self._count_serving(self.versions[0])
             self.tries.append(one)
@@ -128,12 +159,12 @@
         try:
             async with asyncio.timeout(left_s):
                 reader, writer = await asyncio.open_connection(HOST, front)
-                writer.write(self._request(one, left_s))
-                head = await reader.readuntil(b'\r\n\r\n')
-                one.status = int(head.split()[1])
-                if b'chunked' in head:
-                    await self._read_events(one, reader)
-                writer.close()
+                with contextlib.closing(writer):
+                    writer.write(self._request(one, left_s))
+                    head = await reader.readuntil(b'\r\n\r\n')
+                    one.status = int(head.split()[1])
+                    if b'chunked' in head:
+                        await self._read_events(one, reader)
         except CONNECTION_ERRORS:
             """A cut answer states no outcome; its events are kept."""
 
@@ -165,6 +196,9 @@
             *events, pending = pending.split(b'\n\n')
             for event in events:
                 self._note_event(one, event.decode())
+            if self.last_id in self._breaks_after:
+                self._breaks_after.remove(self.last_id)
+                return
 
     def _note_event(self, one, event):
         fields = dict(line.split(': ', 1) for line in event.split('\n'))
--- a/tests/adapter/streamversions.py
+++ b/tests/adapter/streamversions.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 import random
+import signal
 import sys
 import tempfile
 from collections import Counter
@@ -21,25 +22,27 @@
 
 from .loopbackproxy import LoopbackProxy
 from .soakfleet import SoakFleet
-from .streamcaller import CallerPolicy, StreamCaller
-from .versionedservers import ServedAttempts, StreamShape, VersionedServer
+from .streamcaller import CallerPolicy, Resumption, StreamCaller
+from .versionedservers import StreamShape, VersionedServer
 
-NEW_STREAMS_PER_S = 40
+NEW_STREAMS_PER_S = 30
 PREPAID_TOKENS = 100_000_000
 FLEET_SIZE = 4
-SERVERS_OF_A_VERSION = 3
+SERVERS_OF_A_VERSION = 4
 # Take-ups count if so many servers of their version are ready.
 SERVERS_FOR_TAKE_UPS = 2
 # Part of the share of new streams that begin.
 GO_ON_SHARE = 0.5
 WHOLE_SHARE = 0.5
-# Both versions serve for this time before all daemons are killed.
-STEADY_S = 12.0
 # The pause between the start of a release and the next fault.
 RELEASE_TO_KILL_S = 1.5
 RELEASE_TO_KILLS_S = 2.0
+# A daemon without the store hears of a release from its peers within 0.25 s,
+# so they are frozen meanwhile.
+FREEZE_S = 1.0
 # A daemon is killed again before the one before it is ready.
 BETWEEN_KILLS_S = 0.7
+BETWEEN_SINGLE_KILLS_S = 3.0
 WARM_UP_S = 2.0
 # New streams begin for this time after the last fault.
 AFTER_S = 2.5
@@ -51,7 +54,7 @@
     def __init__(self, folder: Path, *, shape: StreamShape) -> None:
         super().__init__(folder, size=FLEET_SIZE, prepaid=PREPAID_TOKENS)
         self.backends = []
-        self.attempts = ServedAttempts()
+        self.broken_attempts: set[str] = set()
         self.servers: list[VersionedServer] = []
         self.drains: list[asyncio.Task] = []
         self._shape = shape
@@ -69,7 +72,7 @@
                 self.store,
                 version=version,
                 shape=self._shape,
-                attempts=self.attempts,
+                broken=self.broken_attempts,
             )
             self.servers.append(server)
             await server.start()
@@ -109,26 +112,32 @@
 Scenario = Callable[[VersionedFleet], Awaitable[None]]
 
 
-async def serve_both(fleet: VersionedFleet) -> None:
-    """Let servers of both versions serve for a while."""
-    await asyncio.sleep(6)
+async def serve_on(fleet: VersionedFleet) -> None:
+    """Leave daemons and servers alone."""
+
+
+async def crash_servers(fleet: VersionedFleet) -> None:
+    """Crash a server of each version, one after the other, twice."""
+    for _ in range(2):
+        for version in ('v1', 'v2'):
+            first = next(one for one in fleet.servers if one.version == version)
+            await first.crash()
 
 
 async def kill_one(fleet: VersionedFleet) -> None:
-    """Kill a daemon while streams run."""
-    await asyncio.sleep(3)
-    await fleet.kill(1)
+    """Kill a daemon while streams run, and another when it serves again."""
+    await fleet.kill_and_start(1)
+    await asyncio.sleep(BETWEEN_SINGLE_KILLS_S)
+    await fleet.kill_and_start(2)
 
 
 async def kill_all(fleet: VersionedFleet) -> None:
-    """Kill all daemons at once after a steady time; start them again."""
-    await asyncio.sleep(STEADY_S)
+    """Kill all daemons at once; start them again."""
     await fleet.kill_and_start_all()
 
 
 async def release_and_kill_all(fleet: VersionedFleet) -> None:
     """Release a version, and kill all daemons while the old one drains."""
-    await asyncio.sleep(3)
     await fleet.add_servers('v2', SERVERS_OF_A_VERSION)
     fleet.drain('v1')
     await asyncio.sleep(RELEASE_TO_KILL_S)
@@ -137,7 +146,6 @@
 
 async def kill_each_twice(fleet: VersionedFleet) -> None:
     """Add a version, and kill the daemons one by one soon after it."""
-    await asyncio.sleep(3)
     await fleet.add_servers('v2', SERVERS_OF_A_VERSION)
     fleet.drain('v1', but=SERVERS_FOR_TAKE_UPS)
     await asyncio.sleep(RELEASE_TO_KILLS_S)
@@ -148,38 +156,54 @@
 
 
 async def release_beside_cut_daemon(fleet: VersionedFleet) -> None:
-    """Release a version while a daemon can't reach the store; kill it."""
-    await asyncio.sleep(3)
-    await fleet.cut_off_from_store(1)
+    """Release a version that no daemon hears of at first; kill one of them.
+
+    This one can't reach the store. The others go on by their old lists too
+    when they are resumed.
+    """
+    cut, *others = range(fleet.size)
+    await fleet.cut_off_from_store(cut)
+    for number in others:
+        fleet.signal(number, signal.SIGSTOP)
     await fleet.add_servers('v2', SERVERS_OF_A_VERSION)
     fleet.drain('v1')
-    await asyncio.sleep(RELEASE_TO_KILL_S)
-    await fleet.kill(1)
+    await asyncio.sleep(FREEZE_S)
+    for number in others:
+        fleet.signal(number, signal.SIGCONT)
+    await fleet.kill(cut)
 
 
 @dataclass(frozen=True)
 class Plan:
-    """Describe a play: its faults, servers at the start, and callers."""
+    """Describe a play: its faults, servers at the start, and callers.
+
+    The faults begin `steady_s` after the first streams.
+    """
 
     scenario: Scenario
+    steady_s: float = 3.0
     versions: tuple[str, ...] = ('v1', 'v2')
     shape: StreamShape = field(default_factory=StreamShape)
     deadline_s: float = 4.0
     most_tries: int = 1_000
+    caller_breaks: int = 0
     per_s: float = NEW_STREAMS_PER_S
     retry_ratio: float = 0.2
 
 
 PLANS = {
     'breaks': Plan(
-        serve_both,
+        serve_on,
+        steady_s=6.0,
         shape=StreamShape(break_every=2),
         most_tries=1,
         # Daemons send one request in two again.
         retry_ratio=1.0,
     ),
+    'caller-breaks': Plan(serve_on, steady_s=6.0, caller_breaks=2),
     'kill-one': Plan(kill_one),
-    'kill-all': Plan(kill_all),
+    'crashes': Plan(crash_servers),
+    'kill-all': Plan(kill_all, steady_s=12.0),
     'release-kill-all': Plan(
         release_and_kill_all,
         versions=('v1',),
@@ -203,7 +227,8 @@
     """Hold the streams of one play, as their callers saw them."""
 
     callers: list[StreamCaller]
-    attempts: ServedAttempts = field(default_factory=ServedAttempts)
+    broken_attempts: set[str] = field(default_factory=set)
+    store_calls: Counter[str] = field(default_factory=Counter)
 
     @property
     def joined(self) -> list[StreamCaller]:
@@ -214,23 +239,28 @@
         return [one for one in self.callers if one.misplaced]
 
     @property
-    def taken_up(self) -> list[StreamCaller]:
-        return [one for one in self.callers if one.take_ups]
+    def resumptions(self) -> list[Resumption]:
+        return [each for one in self.callers for each in one.resumptions]
 
     @property
-    def counted(self) -> list[StreamCaller]:
-        """Return the streams taken up while their version was served."""
+    def counted(self) -> list[Resumption]:
+        """Return those made while enough servers of their version served."""
         return [
             one
-            for one in self.taken_up
-            if min(each.serving for each in one.take_ups)
-            >= SERVERS_FOR_TAKE_UPS
+            for one in self.resumptions
+            if one.serving >= SERVERS_FOR_TAKE_UPS
         ]
 
+    @property
+    def counted_again(self) -> list[Resumption]:
+        """Return the counted ones of streams taken up before."""
+        again = [each for one in self.callers for each in one.resumptions[1:]]
+        return [one for one in again if one.serving >= SERVERS_FOR_TAKE_UPS]
+
     @property
     def new(self) -> list[StreamCaller]:
         """Return the streams first asked for while others were taken up."""
-        take_ups = [each for one in self.taken_up for each in one.take_ups]
+        take_ups = [each for one in self.resumptions for each in one.tries]
         first = min((each.sent_at for each in take_ups), default=0)
         last = max((each.ended_at for each in take_ups), default=0)
         return [
@@ -243,13 +273,9 @@
         return [
             one
             for one in self.callers
-            if any(each.attempt in self.attempts.broken for each in one.tries)
+            if any(each.attempt in self.broken_attempts for each in one.tries)
         ]
 
-    @property
-    def go_on_share(self) -> float:
-        return share(one.went_on for one in self.counted)
-
     @property
     def begin_share(self) -> float:
         return share(bool(one.versions) for one in self.new)
@@ -259,31 +285,38 @@
         return share(one.is_whole for one in self.broken)
 
     def summary(self) -> str:
-        took_up = [each for one in self.taken_up for each in one.take_ups]
-        statuses = Counter(each.status for each in took_up)
-        in_an_answer = sum(one.is_joined_in_an_answer for one in self.joined)
-        versions = Counter(one.versions[0] for one in self.joined)
+        tries = [each for one in self.resumptions for each in one.tries]
+        joined_in_an_answer = [
+            one for one in self.joined if one.is_joined_in_an_answer
+        ]
+        begun_at = Counter(one.versions[0] for one in self.joined)
         return (
             f'{len(self.callers)} streams, '
             f'{sum(one.is_whole for one in self.callers)} whole; '
-            f'joined {len(self.joined)} ({in_an_answer} in an answer, '
-            f'begun at {dict(versions)}); '
-            f'taken up {len(self.taken_up)}, '
-            f'went on {sum(one.went_on for one in self.taken_up)}; '
-            f'with servers of their version: '
-            f'{sum(one.went_on for one in self.counted)} of '
-            f'{len(self.counted)} went on; '
-            f'taken up twice or more '
-            f'{sum(len(one.take_ups) > 1 for one in self.taken_up)}; '
+            f'joined {len(self.joined)} ({len(joined_in_an_answer)} in an '
+            f'answer; begun at {dict(begun_at)}); '
+            f'take-ups {_went_on(self.resumptions)}, '
+            f'with servers of their version {_went_on(self.counted)}, '
+            f'of these again {_went_on(self.counted_again)}; '
             f'new {sum(bool(one.versions) for one in self.new)} of '
             f'{len(self.new)} began; '
             f'broken by servers {len(self.broken)}, '
             f'of these whole {sum(one.is_whole for one in self.broken)}; '
-            f'take-up statuses {dict(statuses)}; '
-            f'misplaced {len(self.misplaced)}'
+            f'take-up statuses {dict(Counter(one.status for one in tries))}; '
+            f'misplaced {len(self.misplaced)}; '
+            f'store calls {dict(self.store_calls)}'
         )
 
 
+def go_on_share(resumptions: list[Resumption]) -> float:
+    return share(one.went_on for one in resumptions)
+
+
+def _went_on(resumptions):
+    went_on = sum(one.went_on for one in resumptions)
+    return f'went on {went_on} of {len(resumptions)}'
+
+
 def share(outcomes) -> float:
     """Return the share of true outcomes, 1 if there are none."""
     kept = list(outcomes)
@@ -293,7 +326,9 @@
 async def play(plan: Plan, *, seed: int, folder: Path) -> Played:
     """Run streams beside the faults of the plan."""
     rng = random.Random(seed)
-    policy = CallerPolicy(plan.shape.events, plan.deadline_s, plan.most_tries)
+    policy = CallerPolicy(
+        plan.shape.events, plan.deadline_s, plan.most_tries, plan.caller_breaks
+    )
     callers: list[StreamCaller] = []
     fleet = VersionedFleet(folder, shape=plan.shape)
     fleet.retry_ratio = plan.retry_ratio
@@ -303,7 +338,7 @@
         for number in range(fleet.size):
             await fleet.wait_ready(number)
         await asyncio.sleep(WARM_UP_S)
-        faults = asyncio.create_task(_disturb(plan.scenario, fleet))
+        faults = asyncio.create_task(_disturb(plan, fleet))
         runs = []
         while not faults.done():
             own_rng = random.Random(rng.getrandbits(60))
@@ -315,11 +350,12 @@
         await faults
         await asyncio.gather(*runs)
         await fleet.stop_servers()
-    return Played(callers, fleet.attempts)
+    return Played(callers, fleet.broken_attempts, fleet.store.calls)
 
 
-async def _disturb(scenario, fleet):
-    await scenario(fleet)
+async def _disturb(plan, fleet):
+    await asyncio.sleep(plan.steady_s)
+    await plan.scenario(fleet)
     await asyncio.sleep(AFTER_S)
 
 
@@ -329,20 +365,21 @@
     seed: int = 1,
     count: int = 1,
     per_s: float = NEW_STREAMS_PER_S,
-    deadline_s: float = 4.0,
+    deadline_s: float | None = None,
+    steady_s: float | None = None,
 ) -> None:
     """Run one or more seeds and report what callers saw.
 
-    :param scenario: one of breaks, kill-one, kill-all, release-kill-all,
-        kill-each-twice, release-cut-off
+    :param scenario: a key of PLANS
     :param seed: first seed
     :param count: number of seeds to run, one after the other
     :param per_s: new streams per second
     :param deadline_s: time that a caller has for its stream
+    :param steady_s: time before the first fault
     """
-    plan = dataclasses.replace(
-        PLANS[scenario], per_s=per_s, deadline_s=deadline_s
-    )
+    given = {'deadline_s': deadline_s, 'steady_s': steady_s}
+    changes = {name: given[name] for name in given if given[name] is not None}
+    plan = dataclasses.replace(PLANS[scenario], per_s=per_s, **changes)
     for number in range(seed, seed + count):
         with tempfile.TemporaryDirectory() as folder:
             played = asyncio.run(play(plan, seed=number, folder=Path(folder)))
--- a/tests/adapter/test_streamversions.py
+++ b/tests/adapter/test_streamversions.py
@@ -2,15 +2,27 @@
 
 import pytest
 
-from .streamversions import GO_ON_SHARE, PLANS, WHOLE_SHARE, Played, play
+from .streamcaller import Resumption
+from .streamversions import (
+    GO_ON_SHARE,
+    PLANS,
+    WHOLE_SHARE,
+    Played,
+    go_on_share,
+    play,
+)
 
 
 def check_takes_up(played: Played) -> None:
     """Assert that callers can take streams up while their version serves."""
-    assert len(played.counted) > 0, played.summary()
-    assert played.go_on_share >= GO_ON_SHARE * played.begin_share, (
-        played.summary()
-    )
+    check_goes_on(played, played.counted)
+
+
+def check_goes_on(played: Played, resumptions: list[Resumption]) -> None:
+    """Assert that enough go on, compared with new streams that begin."""
+    assert len(resumptions) > 0, played.summary()
+    wanted = GO_ON_SHARE * played.begin_share
+    assert go_on_share(resumptions) >= wanted, played.summary()
 
 
 def check_versions(played: Played) -> None:
@@ -48,3 +60,41 @@
             PLANS['release-kill-all'], seed=seed, folder=tmp_path
         )
         check_versions(played)
+
+    @pytest.mark.parametrize('seed', [1])
+    async def test_versions_are_not_joined_if_callers_connections_break(
+        self, tmp_path, seed
+    ):
+        """Guards against a take-up at a daemon that has not heard of it yet."""
+        played = await play(PLANS['caller-breaks'], seed=seed, folder=tmp_path)
+        check_versions(played)
+        check_takes_up(played)
+
+    @pytest.mark.parametrize('seed', [1])
+    async def test_versions_are_not_joined_after_a_kill_of_one_daemon(
+        self, tmp_path, seed
+    ):
+        """Guards against versions known only to the daemon that is gone."""
+        played = await play(PLANS['kill-one'], seed=seed, folder=tmp_path)
+        check_versions(played)
+        check_takes_up(played)
+
+    @pytest.mark.parametrize('seed', [1])
+    async def test_versions_are_not_joined_in_third_tries(self, tmp_path, seed):
+        """Guards against a take-up of a take-up at another version."""
+        played = await play(
+            PLANS['kill-each-twice'], seed=seed, folder=tmp_path
+        )
+        check_versions(played)
+        check_takes_up(played)
+        check_goes_on(played, played.counted_again)
+
+    @pytest.mark.parametrize('seed', [1])
+    async def test_versions_are_not_joined_beside_a_daemon_without_the_store(
+        self, tmp_path, seed
+    ):
+        """Guards against streams that a daemon began by an outdated list."""
+        played = await play(
+            PLANS['release-cut-off'], seed=seed, folder=tmp_path
+        )
+        check_versions(played)
--- a/tests/adapter/versionedservers.py
+++ b/tests/adapter/versionedservers.py
@@ -1,7 +1,7 @@
 """Stand-in servers of several software versions, for streams."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from .registeredserver import (
@@ -31,16 +31,11 @@
     break_after: int = 5
 
 
-@dataclass
-class ServedAttempts:
-    """Hold the attempts whose streams servers broke off or continued."""
-
-    broken: set[str] = field(default_factory=set)
-    continued: set[str] = field(default_factory=set)
-
-
 class VersionedServer(RegisteredServer):
-    """Stream events that name the version; continue streams of any version."""
+    """Stream events that name the version; continue streams of any version.
+
+    Attempts whose streams it breaks off are added to `broken`.
+    """
 
     def __init__(
         self,
@@ -49,13 +44,13 @@
         *,
         version: str,
         shape: StreamShape,
-        attempts: ServedAttempts,
+        broken: set[str],
     ) -> None:
         super().__init__(name, store)
         self.version = version
         self.is_ready = False
         self._shape = shape
-        self._attempts = attempts
+        self._broken = broken
         self._new_streams = 0
 
     async def start(self) -> None:
@@ -86,10 +81,8 @@
         attempt = fields['x-oriolegauge-attempt-id']
         already = int(fields.get('last-event-id', 0))
         last = self._shape.events
-        if already:
-            self._attempts.continued.add(attempt)
-        elif self._is_to_break():
-            self._attempts.broken.add(attempt)
+        if not already and self._is_to_break():
+            self._broken.add(attempt)
             last = self._shape.break_after
         begin_stream(writer, attempt)
         for number in range(already + 1, last + 1):
