Send a stream that is taken up to the service that began it

What callers would see: on a resumable route with several services, each try chose a service by chance, so a stream could go on at another service, whose versions say nothing about it.

Cause: the choice by weight belonged to no one over the tries of a caller.

Change: the remembered service wins; else the attempt id seeds the choice, so all daemons choose the same one. A change of the weights in between can still move a stream that no daemon remembers.

Evidence: test_stream_taken_up_goes_to_the_service_that_began_it.

--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -106,6 +106,7 @@
         self._metrics = metrics
         self._state_versions = state_versions
         self._retries = retries
+        self._versions = versions
         self._rng = rng
         self._clock = asyncio.get_running_loop().time
         self._route_table: RouteTable | None = None
@@ -183,7 +184,7 @@
         if route is None:
             raise NotFoundError('no route matches')
         workspace = self._authenticate(route_table, route, request)
-        service = route_table.pick_service(route, self._rng)
+        service = self._pick_service(route_table, route, request, request_id)
         service_config = route_table.service(service)
         caller_deadline = self._caller_deadline(request)
         priority = route.priority
@@ -207,6 +208,23 @@
             or UNKNOWN_TOKENS_PER_EVENT,
         )
 
+    def _pick_service(
+        self,
+        route_table: RouteTable,
+        route: Route,
+        request: CallerRequest,
+        request_id: str,
+    ) -> str:
+        """Choose by weight, for a stream taken up the service that began it."""
+        if not route.is_resumable or len(route.services) == 1:
+            return route_table.pick_service(route, self._rng)
+        attempt = request.header(self._names.resumes) or request_id
+        began = self._versions.service_of(attempt)
+        if any(entry.service == began for entry in route.services):
+            return began
+        # All daemons choose the same one for an attempt.
+        return route_table.pick_service(route, random.Random(attempt))
+
     def _authenticate(
         self, route_table: RouteTable, route: Route, request: CallerRequest
     ) -> Workspace | None:
--- a/packages/forwarding/src/oriolegauge/forwarding/routetable.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/routetable.py
@@ -78,7 +78,10 @@
         return self._services.get(name)
 
     def pick_service(self, route: Route, rng: random.Random) -> str:
-        """Choose one of the route's services by weight."""
+        """Choose one of the route's services by weight.
+
+        Generators in the same state choose the same one.
+        """
         if len(route.services) == 1:
             return route.services[0].service
         names = [entry.service for entry in route.services]
--- a/packages/forwarding/src/oriolegauge/forwarding/streamversions.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/streamversions.py
@@ -19,6 +19,9 @@
         is known only if there is a single one.
         """
 
+    def service_of(self, attempt: str) -> str | None:
+        """Return the service that began the stream, None if not remembered."""
+
     def note_begun(self, service: str, attempt: str, version: str) -> None:
         """Note that a caller gets the first event of a stream from here."""
 
--- a/packages/forwarding/tests/test_streamversions.py
+++ b/packages/forwarding/tests/test_streamversions.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from oriolegauge.forwarding import RequestKind, WeightedService
+
 from .test_streamexchange import WHOLE, resumed
-from .world import ScriptedServer, World, chunk, event, stream_head
+from .world import ScriptedServer, World, chunk, event, route, stream_head
 
 
 async def break_after_two(seen, writer):
@@ -126,3 +128,37 @@
             answer = await world.call(path, body=b'p')
             assert ' 200 ' in answer.first_line
             assert world.versions.begun == []
+
+
+class TestServiceOfStream:
+    @pytest.mark.parametrize('remembered', [True, False])
+    async def test_stream_taken_up_goes_to_the_service_that_began_it(
+        self, remembered
+    ):
+        """Guards against a route with several services that mixes them."""
+        shared = route(
+            '/chat/',
+            RequestKind.STREAM,
+            services=(WeightedService('svc', 1), WeightedService('other', 1)),
+            is_resumable=True,
+            has_prompt=True,
+        )
+        async with World(ScriptedServer(resumed), routes=(shared,)) as world:
+            began = []
+            for number in range(20):
+                name = f'first-{number}'
+                if remembered:
+                    world.versions.services[name] = 'svc'
+                first = await world.call('/chat/x', request_id=name, body=b'p')
+                began.append(' 200 ' in first.first_line)
+                world.versions.origins[name] = ''
+                again = await world.call(
+                    '/chat/x',
+                    request_id=f'second-{number}',
+                    body=b'p',
+                    X_Resumes=name,
+                    Last_Event_Id='2',
+                )
+                assert (' 200 ' in again.first_line) == began[-1]
+            assert any(began)
+            assert all(began) == remembered
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -258,6 +258,7 @@
     def __init__(self):
         self.placed = None
         self.origins = {}
+        self.services = {}
         self.begun = []
         self.whole = []
 
@@ -270,6 +271,9 @@
             raise NoServerError('the version is not known', retry_after_s=0.5)
         return self.origins[attempt]
 
+    def service_of(self, attempt):
+        return self.services.get(attempt)
+
     def note_begun(self, service, attempt, version):
         self.begun.append((service, attempt, version))
 
--- a/packages/gateway/src/oriolegauge/gateway/versionexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/versionexchange.py
@@ -309,6 +309,11 @@
     def _origin(self, attempt: str) -> StreamOrigin | None:
         return self._own.origin(attempt) or self._remembered.origin(attempt)
 
+    def service_of(self, attempt: str) -> str | None:
+        """Return the service that began the stream, None if not remembered."""
+        origin = self._origin(attempt)
+        return origin.service if origin else None
+
     def _known(self, attempt: str | None) -> str | None:
         if attempt is None:
             return None
