Send a service call that may not be repeated only once

What callers saw: a GET, PUT or DELETE call that may not be repeated (by the methods of the service or by X-Non-Idempotent) ran twice if its server lost the connection after it ran.

Cause: the HTTP client sends requests of these methods again by itself when a connection is lost, without a word to the daemon.

Now a middleware turns the errors on which it does so into one on which it does not, for calls that may not be repeated. Others keep that second try, which also covers connections that a server closed while idle.

Evidence: a server that runs a call and cuts the connection ran it twice before for GET, PUT and DELETE and once for POST; after, once each.

Ruled out: completions, which are POST requests.

--- a/packages/backends/src/oriolegauge/backends/serviceclient.py
+++ b/packages/backends/src/oriolegauge/backends/serviceclient.py
@@ -11,6 +11,7 @@
     ServerConnectError,
     ServerConnectionLostError,
 )
+from oriolegauge.backends.sendonce import send_once
 
 CONNECT_TIMEOUT_S = 1.0
 # Hop-by-hop headers and those of the caller's own connection and login.
@@ -32,7 +33,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceCall:
-    """Hold a call of a caller to a plain service."""
+    """Hold a call of a caller to a plain service.
+
+    One that is not `repeatable` is sent at most once.
+    """
 
     request_id: str
     method: str
@@ -40,6 +44,7 @@
     headers: Mapping[str, str]
     body: bytes
     timeout_s: float
+    repeatable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +89,7 @@
                     total=call.timeout_s, sock_connect=CONNECT_TIMEOUT_S
                 ),
                 allow_redirects=False,
+                middlewares=() if call.repeatable else (send_once,),
             ) as response:
                 body = await response.read()
         except NOT_CONNECTED_ERRORS as error:
--- a/packages/daemon/src/oriolegauge/daemon/servicecalls.py
+++ b/packages/daemon/src/oriolegauge/daemon/servicecalls.py
@@ -137,6 +137,7 @@
             headers=call.headers,
             body=call.body,
             timeout_s=target.service.timeout_s,
+            repeatable=not target.non_idempotent,
         )
         failure: ServerConnectError | ServerConnectionLostError = (
             ServerConnectError(f'service {target.name} has no server')
--- a/packages/daemon/tests/test_connecttimeouts.py
+++ b/packages/daemon/tests/test_backendclients.py
@@ -3,12 +3,14 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 
 from oriolegauge.backends import (
     BackendServer,
     EngineClient,
     EngineRequest,
     ServerConnectError,
+    ServerConnectionLostError,
     ServiceCall,
     ServiceClient,
 )
@@ -61,5 +63,42 @@
                 )
 
 
+class TestLostConnections:
+    @pytest.mark.parametrize('method', ['GET', 'PUT', 'DELETE', 'POST'])
+    async def test_service_call_is_sent_once(self, method):
+        """Guards against a call that may not be repeated and runs twice.
+
+        The HTTP client sends requests of some methods again by itself.
+        """
+        runs = []
+
+        async def run(request):
+            await request.read()
+            runs.append(request.method)
+            request.transport.abort()
+            return web.Response()
+
+        app = web.Application()
+        app.router.add_route('*', '/reserve', run)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        call = ServiceCall(
+            request_id='r',
+            method=method,
+            path='/reserve',
+            headers={},
+            body=b'x',
+            timeout_s=5,
+        )
+        url = f'http://127.0.0.1:{runner.addresses[0][1]}'
+        async with aiohttp.ClientSession() as session:
+            client = ServiceClient(session=session)
+            with pytest.raises(ServerConnectionLostError):
+                await client.call(server_at(url), call)
+        await runner.cleanup()
+        assert runs == [method]
+
+
 def server_at(url: str) -> BackendServer:
     return BackendServer(name='e1', url=url, zone='a')
