Keep the HTTP client from repeating writes to the store

What callers saw: after a write that the store applied while it cut the connection, the ledger of grants could apply the same entry twice. Tokens that a daemon had returned went back to the pool twice, which permits overspend; granted tokens were charged twice and stayed unused.

Cause: the HTTP client sends a PUT again by itself when the connection is lost, also on a new connection and with `force_close`. The store refuses the second one as a conflict. Both store clients report a conflict as not applied, so the ledger writer built the entry again from the ledger that already held it.

The writer gets StoreAnswerLostError and resolves it by its position.

Ruled out: the test that was there. It creates an object, and the client does not repeat a POST. The fault `lose_writes` of the stand-in cuts the repeated PUT as well, so that no conflict arrived.

--- a/packages/backends/src/oriolegauge/backends/engineclient.py
+++ b/packages/backends/src/oriolegauge/backends/engineclient.py
@@ -11,12 +11,12 @@
 from oriolegauge.backends.enginerequest import EngineRequest
 from oriolegauge.backends.enginestream import EngineStream
 from oriolegauge.backends.errors import (
-    NOT_CONNECTED_ERRORS,
     ServerConnectError,
     ServerConnectionLostError,
     ServerRejectedError,
 )
 from oriolegauge.backends.silencelimit import SilenceLimit, TakeRetry
+from oriolegauge.core.sendonce import NOT_CONNECTED_ERRORS
 
 HTTP_OK = 200
 CONNECT_TIMEOUT_S = 1.0
--- a/packages/backends/src/oriolegauge/backends/errors.py
+++ b/packages/backends/src/oriolegauge/backends/errors.py
@@ -1,17 +1,9 @@
 """Errors of calls to backend servers."""
 
-import aiohttp
-
 from oriolegauge.core.errors import ServerFailedError
 from oriolegauge.core.runstate import RunState
 
 HTTP_SERVER_ERROR = 500
-# Errors of the HTTP client before a connection was open, so that nothing of
-# the request was sent. Its timeout is no subclass of its connector error.
-NOT_CONNECTED_ERRORS = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
 
 
 class ServerConnectError(ServerFailedError):
--- a/packages/backends/src/oriolegauge/backends/serviceclient.py
+++ b/packages/backends/src/oriolegauge/backends/serviceclient.py
@@ -7,11 +7,10 @@
 
 from oriolegauge.backends.backendserver import BackendServer
 from oriolegauge.backends.errors import (
-    NOT_CONNECTED_ERRORS,
     ServerConnectError,
     ServerConnectionLostError,
 )
-from oriolegauge.backends.sendonce import send_once
+from oriolegauge.core.sendonce import NOT_CONNECTED_ERRORS, send_once
 
 CONNECT_TIMEOUT_S = 1.0
 # Hop-by-hop headers and those of the caller's own connection and login.
--- a/packages/backends/src/oriolegauge/backends/sendonce.py
+++ b/packages/core/src/oriolegauge/core/sendonce.py
@@ -2,7 +2,12 @@
 
 import aiohttp
 
-from oriolegauge.backends.errors import NOT_CONNECTED_ERRORS
+# Errors of the HTTP client before a connection was open, so that nothing of
+# the request was sent. Its timeout is no subclass of its connector error.
+NOT_CONNECTED_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
 
 
 async def send_once(
--- a/packages/objectstore/src/oriolegauge/objectstore/httpobjectstore.py
+++ b/packages/objectstore/src/oriolegauge/objectstore/httpobjectstore.py
@@ -12,6 +12,7 @@
 import orjson
 from yarl import URL
 
+from oriolegauge.core.sendonce import NOT_CONNECTED_ERRORS, send_once
 from oriolegauge.objectstore.errors import (
     StoreAnswerLostError,
     StoreRateLimitError,
@@ -28,7 +29,6 @@
 HTTP_CONFLICT = 409
 HTTP_TOO_MANY = 429
 HTTP_ERROR = 400
-_CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 class HttpObjectStore:
@@ -121,9 +121,12 @@
                 data=body,
                 headers=headers,
                 timeout=self._timeout,
+                # A write that is sent again after it was applied is refused
+                # as a conflict, which must mean that it was not applied.
+                middlewares=() if method == 'GET' else (send_once,),
             ) as response:
                 payload = await response.read()
-        except _CONNECT_ERRORS as error:
+        except NOT_CONNECTED_ERRORS as error:
             raise StoreUnreachableError(
                 f'store unreachable: {error!r}'
             ) from error
--- a/tests/adapter/test_platformstore.py
+++ b/tests/adapter/test_platformstore.py
@@ -69,6 +69,19 @@
         assert stand_in.calls['POST'] == 1
         assert ('grants', 'a') in stand_in.objects
 
+    async def test_lost_answer_of_a_replacement_is_not_retried(
+        self, client, stand_in
+    ):
+        """Guards against a conflict with the own write.
+
+        The HTTP library repeats PUT requests, but not POST requests.
+        """
+        made = await client.put('grants/a', {'x': 1}, 0)
+        stand_in.lose_writes = True
+        with pytest.raises(StoreAnswerLostError):
+            await client.put('grants/a', {'x': 2}, made.version)
+        assert stand_in.calls['PUT'] == 1
+
     async def test_write_without_connection_is_not_unknown(
         self, client, stand_in
     ):
