Derive the version of a stream only if no period can have been missed

Cause: the history was taken as proof without asking whether it is current, covers the time of the stream, and is followed by all.

Change: a stream is derived only if the store told the history, or peers that reach it have been heard for 2 s, within the last 5 s and without a suspension; if no peer without periods was linked for as long as a stream may last; and if the record was read. The time before the first period counts as one of unknown versions unless the fleet starts for the first time. Otherwise leaders are asked, as for ambiguous streams, and new streams are reported to them.

Also: a list that returns to the confirmed versions ends the state in which new streams don't wait for the store; a server that announces in a reply that it leaves is noticed at once; weights are compared as scaled (one server beside 64 made a period every 5 s); a stream that is whole is forgotten.

Evidence: TestWhatDaemonsCanNotKnow and TestUnevenVersions, failing before.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -439,6 +439,16 @@
             for name in mesh.names
         )
 
+    def hears_of_changes(self) -> bool:
+        """State whether a change of the periods would be heard of soon.
+
+        Without the store, daemons that all reach each other miss none.
+        """
+        if self._reaches_store() or self.reaching_store():
+            return True
+        mesh = self._mesh
+        return mesh is not None and self.linked_peers() >= set(mesh.names)
+
     def _known_periods(self) -> dict[str, int]:
         mesh = self._mesh
         if mesh is None:
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -117,7 +117,7 @@
         self.lifecycle = Lifecycle()
         self._leaving_instances = LeavingInstances(
             self._clock,
-            on_leaving_instance=lambda: self._links.announce_change(),
+            on_leaving_instance=self._note_leaving_instance,
         )
         self._directory = ServerDirectory(self._clock, self._leaving_instances)
         self._pauses = ServerPauses(self._rng)
@@ -182,6 +182,7 @@
             links=self._links,
             in_service=self._versions_in_service,
             longest_stream_s=lambda: self._longest_stream_s,
+            is_first_start=settings.is_first_start,
             on_change=self._records.announce_versions,
             clock=_boot_clock(host_clocks),
         )
@@ -519,6 +520,10 @@
     def _note_connected(self, instance: str, ok: bool) -> None:
         self._chooser.connected(instance, ok=ok, now=self._clock())
 
+    def _note_leaving_instance(self) -> None:
+        self._versions.servers_changed()
+        self._links.announce_change()
+
     def _note_limit(self, instance: str) -> None:
         self._pauses.release(instance)
         self._permits.changed()
--- a/packages/gateway/src/oriolegauge/gateway/versionexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/versionexchange.py
@@ -19,6 +19,7 @@
 from oriolegauge.core.errors import NoServerError, OriolegaugeError
 from oriolegauge.routing.streamorigins import StreamOrigin, StreamOrigins
 from oriolegauge.routing.versionhistory import (
+    ANY_VERSION,
     VersionHistory,
     VersionPeriod,
     Weights,
@@ -40,6 +41,10 @@
 PLACEMENT_WAIT_S = 0.5
 # For some heartbeats, also in a large fleet.
 LATE_REPORT_S = 3.0
+# A daemon that has not run for this time may have been suspended.
+SUSPENSION_S = 1.0
+# News that was missed arrives within this time, with the next heartbeats.
+SETTLE_S = 2.0
 RETRY_AFTER_NO_VERSION_S = 0.5
 REPORT_PERIOD_S = 0.1
 QUERY_TIMEOUT_S = 0.1
@@ -67,6 +72,9 @@
     def has_peer_without_periods(self) -> bool:
         """State whether a linked peer is of a build without periods."""
 
+    def hears_of_changes(self) -> bool:
+        """State whether a change of the periods would be heard of soon."""
+
     def announce_change(self) -> None:
         """Send a heartbeat soon."""
 
@@ -88,6 +96,7 @@
         links: VersionLinks,
         in_service: Callable[[], Mapping[str, Weights]],
         longest_stream_s: Callable[[], float],
+        is_first_start: bool,
         on_change: Callable[[], None],
         clock: Callable[[], float],
     ) -> None:
@@ -102,7 +111,13 @@
         self._longest_stream_s = longest_stream_s
         self._on_change = on_change
         self._clock = clock
-        self._history = VersionHistory(clock)
+        self._history = VersionHistory(clock, is_first_start=is_first_start)
+        # Times at which no change of periods could be missed, and at which a
+        # peer was seen that sends streams to any version.
+        self._current_at = -math.inf
+        self._hears_since = math.inf
+        self._old_build_at = -math.inf
+        self._looked_at = clock()
         # Streams that this daemon began, and those that the history does not
         # tell, of all daemons.
         self._own = StreamOrigins(clock)
@@ -138,7 +153,9 @@
 
     def servers_changed(self) -> None:
         """Note that the list of servers has changed."""
-        if self.proposal() != self._history.periods:
+        if self.proposal() == self._history.periods:
+            self._is_overdue = False
+        else:
             self._note_unconfirmed()
             self._on_change()
         self._wake()
@@ -166,6 +183,10 @@
         self._links.announce_change()
         self._wake()
 
+    def note_current(self) -> None:
+        """Note that the store has told its history now."""
+        self._current_at = self._clock()
+
     def remember(
         self, attempt: str, service: str, version: str, *, age_s: float = 0
     ) -> None:
@@ -199,7 +220,7 @@
         if version is None:
             possible = self._possible(service, attempt)
             outcome = 'derived'
-            if len(possible) == 1:
+            if len(possible) == 1 and ANY_VERSION not in possible:
                 version = next(iter(possible))
         if version is None and attempt is not None:
             outcome = 'told by a peer'
@@ -229,6 +250,7 @@
     def note_whole(self, attempt: str) -> None:
         """Note that a caller has the whole stream."""
         self._own.forget(attempt)
+        self._remembered.forget(attempt)
         self._unreported.pop(attempt, None)
 
     def answer(self, message: StreamStarts | StreamStartQuery) -> Message:
@@ -268,9 +290,35 @@
         """Report streams to the daemons that remember them."""
         while True:
             await asyncio.sleep(REPORT_PERIOD_S)
+            self._look_at_peers()
             if self._unreported:
                 self._report()
 
+    def _look_at_peers(self) -> None:
+        """Note whether the history is current, and who ignores it."""
+        now = self._clock()
+        was_suspended = now - self._looked_at > SUSPENSION_S
+        self._looked_at = now
+        if self._links.has_peer_without_periods():
+            self._old_build_at = now
+        if was_suspended or not self._links.hears_of_changes():
+            self._hears_since = math.inf
+            return
+        self._hears_since = min(self._hears_since, now)
+        if now - self._hears_since > SETTLE_S:
+            self._current_at = now
+
+    def _is_derivable(self) -> bool:
+        """State whether all streams began by the known periods."""
+        now = self._clock()
+        if self._links.has_peer_without_periods():
+            return False
+        is_current = (
+            now - self._current_at < LAG_MARGIN_S
+            and now - self._looked_at < SUSPENSION_S
+        )
+        return is_current and now - self._old_build_at > self.max_age_s
+
     def _rows(self, period: VersionPeriod) -> Iterator[VersionShare]:
         ended_age_ms = NEVER_MS
         if period.ended_at is not None:
@@ -344,11 +392,9 @@
         """Return the versions that may have begun the stream."""
         present = self._history.present
         if present is None or service not in present.weights:
-            return frozenset(self._in_service().get(service, ()))
-        # Peers without periods send a stream to any version.
-        is_derivable = not self._links.has_peer_without_periods()
-        if not is_derivable:
-            attempt = None
+            return frozenset((ANY_VERSION,))
+        if not self._is_derivable():
+            return frozenset((ANY_VERSION, *present.weights[service]))
         unconfirmed = [
             period.versions_for(service, attempt)
             for period in self._unconfirmed
--- a/packages/gateway/src/oriolegauge/gateway/versionrecord.py
+++ b/packages/gateway/src/oriolegauge/gateway/versionrecord.py
@@ -84,6 +84,7 @@
 
     def refresh(self, recorded: VersionState) -> None:
         """Use the recorded history if another daemon has changed it."""
+        self._versions.note_current()
         self._versions.adopt(recorded.periods, _SOURCE)
 
     def confirm(self, state: VersionState) -> None:
--- a/packages/gateway/tests/test_versionexchange.py
+++ b/packages/gateway/tests/test_versionexchange.py
@@ -16,6 +16,7 @@
 )
 from oriolegauge.gateway.versionrecord import VersionRecord
 from oriolegauge.objectstore import StoreUnavailableError
+from oriolegauge.routing.versionhistory import VersionHistory
 from oriolegauge.testkit import MemoryObjectStore
 from oriolegauge.wire import PeerUnreachableError
 from oriolegauge.wire.messages import Heartbeat
@@ -71,6 +72,7 @@
             links=self,
             in_service=lambda: {SERVICE: self.servers},
             longest_stream_s=lambda: LONGEST_STREAM_S,
+            is_first_start=fleet.is_first_start,
             on_change=lambda: self.record.announce_change(),
             clock=clock,
         )
@@ -114,6 +116,13 @@
     def has_peer_without_periods(self):
         return any(one.is_old_build for one in self.reached())
 
+    def hears_of_changes(self):
+        is_whole = all(one.side == self.side for one in self.alive())
+        return is_whole or any(not one.store.is_cut for one in self.reached())
+
+    def alive(self):
+        return [one for one in self.fleet.daemons.values() if one.is_alive]
+
     def announce_change(self):
         self.fleet.spawn(self.send_heartbeat())
 
@@ -166,6 +175,7 @@
 
     def __init__(self, size=5, **servers):
         self.rng = random.Random(1)
+        self.is_first_start = True
         self.store = MemoryObjectStore()
         self.servers = servers
         self.daemons = {}
@@ -221,6 +231,7 @@
         return found
 
     async def restart_all(self, down_s=1.0):
+        self.is_first_start = False
         names = list(self.daemons)
         for name in names:
             self.daemons[name].kill()
@@ -473,3 +484,77 @@
         stored = await fleet.store.get('streams/versions')
         assert stored.value['periods'][0]['weights'] == {SERVICE: {'v1': 3}}
         fleet.stop()
+
+
+@pytest.mark.looptime
+class TestWhatDaemonsCanNotKnow:
+    @pytest.mark.parametrize('heals', [False, True])
+    async def test_daemon_that_missed_a_release_derives_nothing(self, heals):
+        """Guards against a take-up at a daemon with an older history."""
+        async with settled_fleet() as settled:
+            cut = settled.daemons['d4']
+            cut.side = 1
+            cut.store.is_cut = True
+            settled.release(v1=3, v2=3, v3=6)
+            await asyncio.sleep(8)
+            streams = await settled.begin(60, ['d0', 'd1', 'd2'])
+            if heals:
+                cut.side = 0
+                cut.store.is_cut = False
+            found = await settled.take_up(streams, ['d4'])
+            assert found['joined'] == 0
+
+    async def test_streams_of_an_old_build_that_ended_are_not_derived(self):
+        """Guards against the end of the last daemon that ignores versions."""
+        async with settled_fleet() as settled:
+            settled.daemons['d0'].is_old_build = True
+            await asyncio.sleep(1)
+            streams = [
+                (settled.new_attempt(), settled.rng.choice(['v1', 'v2']))
+                for _ in range(100)
+            ]
+            settled.daemons['d0'].kill()
+            found = await settled.take_up(streams)
+            assert found == {'refused': 100}
+
+    async def test_streams_of_before_the_first_period_are_not_derived(self):
+        """Guards against a lost record, and an upgrade of all at once."""
+        fleet = SimulatedFleet(0, v1=3, v2=3)
+        fleet.is_first_start = False
+        streams = [
+            (fleet.new_attempt(), fleet.rng.choice(['v1', 'v2']))
+            for _ in range(100)
+        ]
+        for number in range(5):
+            fleet.start(f'd{number}')
+        await asyncio.sleep(1.5)
+        assert await fleet.take_up(streams) == {'refused': 100}
+        await asyncio.sleep(SETTLED_S)
+        later = await fleet.begin(100)
+        assert await fleet.take_up(later) == {'goes on': 100}
+        fleet.stop()
+
+    async def test_nothing_is_derived_before_the_record_is_read(self):
+        """Guards against a guess from the list while the store is away."""
+        async with settled_fleet() as settled:
+            streams = await settled.begin(100)
+            settled.release(v2=6)
+            await asyncio.sleep(2)
+            for daemon in settled.daemons.values():
+                daemon.kill()
+            settled.is_first_start = False
+            for name in list(settled.daemons):
+                settled.start(name).store.is_cut = True
+            await asyncio.sleep(0.5)
+            assert await settled.take_up(streams) == {'refused': 100}
+
+
+class TestUnevenVersions:
+    def test_one_server_beside_many_gets_no_new_period(self):
+        """Guards against a write every few seconds in a large fleet."""
+        now = [0.0]
+        history = VersionHistory(lambda: now[0])
+        counts = {SERVICE: {'v1': 64, 'v2': 1}}
+        history.adopt(history.proposal(counts))
+        now[0] = 60.0
+        assert history.proposal(counts) == history.periods
--- a/packages/routing/src/oriolegauge/routing/versionhistory.py
+++ b/packages/routing/src/oriolegauge/routing/versionhistory.py
@@ -24,6 +24,10 @@
 WEIGHT_TOLERANCE = 1.5
 MIN_REWEIGHT_S = 5.0
 
+# Stands for the versions of a time that no daemon knows.
+ANY_VERSION = '*'
+UNKNOWN_PERIOD = 0
+
 Weights = Mapping[str, int]
 
 
@@ -53,6 +57,8 @@
         self, service: str, attempt: str | None
     ) -> Collection[str]:
         """Return the version of a stream, or all for an unknown attempt."""
+        if self.number == UNKNOWN_PERIOD:
+            return (ANY_VERSION,)
         if attempt is None:
             return self.weights.get(service, {}).keys()
         version = self.version_for(service, attempt)
@@ -62,12 +68,17 @@
 class VersionHistory:
     """Hold the present period and those that ended not long ago."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], *, is_first_start: bool = True
+    ) -> None:
         """Start without a period.
 
-        `clock` must also count the time in which the process is suspended.
+        Unless `is_first_start`, earlier daemons may have begun streams at any
+        version. `clock` must also count the time in which the process is
+        suspended.
         """
         self._clock = clock
+        self._is_first_start = is_first_start
         self._periods: tuple[VersionPeriod, ...] = ()
 
     @property
@@ -129,9 +140,7 @@
             service: counts for service, counts in in_service.items() if counts
         }
         if present is None:
-            if not listed:
-                return ()
-            return (VersionPeriod(number=1, weights=_scaled(listed)),)
+            return self._first_periods(listed) if listed else ()
         now = self._clock()
         changed = {
             service: counts
@@ -170,6 +179,19 @@
             found.update(period.versions_for(service, attempt))
         return frozenset(found)
 
+    def _first_periods(
+        self, listed: Mapping[str, Weights]
+    ) -> tuple[VersionPeriod, ...]:
+        first_period = VersionPeriod(number=1, weights=_scaled(listed))
+        if self._is_first_start:
+            return (first_period,)
+        unknown = VersionPeriod(
+            number=UNKNOWN_PERIOD,
+            weights={'': {ANY_VERSION: 1}},
+            ended_at=self._clock(),
+        )
+        return unknown, first_period
+
     def _differs(
         self,
         present: VersionPeriod,
@@ -185,9 +207,10 @@
         )
         if now - last_end < MIN_REWEIGHT_S:
             return False
+        scaled = _scaled({service: counts})[service]
         return any(
             not 1 / WEIGHT_TOLERANCE
-            < _share(counts, version) / _share(weights, version)
+            < _share(scaled, version) / _share(weights, version)
             < WEIGHT_TOLERANCE
             for version in counts
         )
