Trust the history of versions only while peers are heard

What callers saw (simulated fleet): a daemon that had been cut off 2 s ago still derived versions by its older history: 23 of 60 streams taken up there were joined.

Cause: what a daemon knows of its contact to the store is up to some seconds old, as a silent cut is noticed only at the end of a poll, and the history counted as current for 5 s more.

Change: a daemon with peers must have heard one within three heartbeats, and the history is current for 0.5 s after it was last seen to be. A record that was just read settles this at the start, so streams go on right after a restart.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -31,6 +31,7 @@
 from oriolegauge.gateway.documentexchange import DocumentExchange
 from oriolegauge.gateway.fleetlayout import (
     has_zone_aggregators,
+    heartbeat_period_s,
     ring_neighbours,
 )
 from oriolegauge.gateway.limitexchange import LimitExchange
@@ -62,6 +63,8 @@
 
 # Loads in an older heartbeat are ignored.
 LOAD_REPORT_MAX_AGE_S = 1.7
+# A peer is heard if its last heartbeat is no older than this many periods.
+FRESH_PERIODS = 3
 # A peer that was unreachable for this time counts as replaced.
 FORGET_PEER_S = 60.0
 # A lost peer may serve others behind a partition, and still owns its share of
@@ -442,12 +445,24 @@
     def hears_of_changes(self) -> bool:
         """State whether a change of the periods would be heard of soon.
 
-        Without the store, daemons that all reach each other miss none.
+        A daemon that hears no peer may be cut off, whatever it last knew of the
+        store. Without the store, daemons that all hear each other miss none.
         """
-        if self._reaches_store() or self.reaching_store():
-            return True
         mesh = self._mesh
-        return mesh is not None and self.linked_peers() >= set(mesh.names)
+        if mesh is None or not mesh.names:
+            return self._reaches_store()
+        oldest = self._clock() - FRESH_PERIODS * heartbeat_period_s(
+            self.members
+        )
+        heard = {
+            name: received.heartbeat.watches_store
+            for name, received in mesh.heartbeats.items()
+            if received.received_at > oldest
+        }
+        if not heard:
+            return False
+        reaches_store = self._reaches_store() or any(heard.values())
+        return reaches_store or heard.keys() >= set(mesh.names)
 
     def _known_periods(self) -> dict[str, int]:
         mesh = self._mesh
--- a/packages/gateway/src/oriolegauge/gateway/versionexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/versionexchange.py
@@ -45,6 +45,8 @@
 SUSPENSION_S = 1.0
 # News that was missed arrives within this time, with the next heartbeats.
 SETTLE_S = 2.0
+# The history is current for this time after it was last seen to be.
+CURRENT_S = 0.5
 RETRY_AFTER_NO_VERSION_S = 0.5
 REPORT_PERIOD_S = 0.1
 QUERY_TIMEOUT_S = 0.1
@@ -185,7 +187,9 @@
 
     def note_current(self) -> None:
         """Note that the store has told its history now."""
-        self._current_at = self._clock()
+        now = self._clock()
+        self._current_at = now
+        self._hears_since = min(self._hears_since, now - SETTLE_S)
 
     def remember(
         self, attempt: str, service: str, version: str, *, age_s: float = 0
@@ -314,7 +318,7 @@
         if self._links.has_peer_without_periods():
             return False
         is_current = (
-            now - self._current_at < LAG_MARGIN_S
+            now - self._current_at < CURRENT_S
             and now - self._looked_at < SUSPENSION_S
         )
         return is_current and now - self._old_build_at > self.max_age_s
--- a/packages/gateway/tests/test_versionexchange.py
+++ b/packages/gateway/tests/test_versionexchange.py
@@ -117,11 +117,11 @@
         return any(one.is_old_build for one in self.reached())
 
     def hears_of_changes(self):
-        is_whole = all(one.side == self.side for one in self.alive())
-        return is_whole or any(not one.store.is_cut for one in self.reached())
-
-    def alive(self):
-        return [one for one in self.fleet.daemons.values() if one.is_alive]
+        reached = self.reached()
+        if len(reached) == 1 < len(self.fleet.daemons):
+            return False
+        is_whole = len(reached) == len(self.fleet.daemons)
+        return is_whole or any(not one.store.is_cut for one in reached)
 
     def announce_change(self):
         self.fleet.spawn(self.send_heartbeat())
@@ -489,14 +489,17 @@
 @pytest.mark.looptime
 class TestWhatDaemonsCanNotKnow:
     @pytest.mark.parametrize('heals', [False, True])
-    async def test_daemon_that_missed_a_release_derives_nothing(self, heals):
+    @pytest.mark.parametrize('after_s', [1.0, 2.0, 8.0])
+    async def test_daemon_that_missed_a_release_derives_nothing(
+        self, heals, after_s
+    ):
         """Guards against a take-up at a daemon with an older history."""
         async with settled_fleet() as settled:
             cut = settled.daemons['d4']
             cut.side = 1
             cut.store.is_cut = True
             settled.release(v1=3, v2=3, v3=6)
-            await asyncio.sleep(8)
+            await asyncio.sleep(after_s)
             streams = await settled.begin(60, ['d0', 'd1', 'd2'])
             if heals:
                 cut.side = 0
@@ -534,6 +537,18 @@
         assert await fleet.take_up(later) == {'goes on': 100}
         fleet.stop()
 
+    async def test_lost_record_makes_streams_of_before_ambiguous(self):
+        """Guards against a store restored from before the first period."""
+        async with settled_fleet() as settled:
+            streams = await settled.begin(100)
+            settled.release(v2=6)
+            await asyncio.sleep(2)
+            settled.store = MemoryObjectStore()
+            await settled.restart_all()
+            await asyncio.sleep(2)
+            found = await settled.take_up(streams)
+            assert found['joined'] == 0
+
     async def test_nothing_is_derived_before_the_record_is_read(self):
         """Guards against a guess from the list while the store is away."""
         async with settled_fleet() as settled:
