Apply each renewal of a reserve only once

Cause: a host's renewal that can't be written stays queued at the allocator that it was sent to. The host sends it again, after an outage perhaps to another allocator, and uses the reserve that this one writes. The ledger applied the queued copy a second time, with what the host believed to hold before the outage, and so returned a reserve to the pool that the host had opened. Now a renewal that was applied changes nothing when it comes again.

Figures: the test without a network delivered 56100 tokens more than 400000 before, none now; both new tests fail without the change and pass with it. All 196 tests of the package pass (two runs).

By reading only: dropping the queued renewal when the allocator can't write isn't enough, as a late one may be written there too.

--- a/packages/grants/src/oriolegauge/grants/grantledger.py
+++ b/packages/grants/src/oriolegauge/grants/grantledger.py
@@ -323,17 +323,16 @@
             part = parts.get(team, _NO_PART)
             parts[team] = replace(part, tokens=max(0, part.tokens - opened))
             self._charge(team, opened)
-        self.reserves[renewal.host] = replace(
-            row, parts=parts, number=renewal.number
-        )
+        self.reserves[renewal.host] = replace(row, parts=parts)
 
     def resize(
         self, change: ReserveChange, team_requests: Mapping[str, TeamRequest]
     ) -> None:
         renewal = change.renewal
         row = self.reserves.get(renewal.host)
-        if row and renewal.number < row.number:
-            # A later renewal was applied before it.
+        if row and renewal.number <= row.number:
+            # It was applied before, perhaps by another daemon, or a later one
+            # was. The host may hold more by now than it believed then.
             return
         held = row.parts if row else {}
         parts = {}
--- a/packages/grants/tests/test_ledgersafety.py
+++ b/packages/grants/tests/test_ledgersafety.py
@@ -25,7 +25,7 @@
 from oriolegauge.grants.hosttimes import HostTimes
 from oriolegauge.grants.reserveproof import WALL_MARGIN_S, passed_times
 from oriolegauge.testkit import StoreFault
-from oriolegauge.testkit.grantfleet import Fleet, LateStore
+from oriolegauge.testkit.grantfleet import TEAM, Fleet, LateStore
 
 OPEN_S = 8.0
 PREPAID = 400_000
@@ -152,6 +152,44 @@
     return fleet.delivered - fleet.prepaid
 
 
+async def send_all(fleet, name):
+    """Request half the budget more than there is, in small requests."""
+    for _ in range(60):
+        await send(fleet, name, PREPAID // 40)
+
+
+async def play_late_renewal():
+    """Return the tokens delivered beyond the prepaid ones.
+
+    In an outage the allocator keeps a renewal, which its host has another one
+    write first. The host opens its reserve before the old allocator writes.
+    """
+    store = LateStore(random.Random(0))
+    fleet = Fleet(store=store, prepaid=PREPAID, size=2)
+    old, host = fleet.names
+    fleet.run()
+    await send(fleet, host, 100)
+    await asyncio.sleep(1)
+    store.fault = StoreFault.OUTAGE
+    fleet.reaches_store = False
+    await asyncio.gather(*(send(fleet, host, 3_000) for _ in range(40)))
+    await asyncio.sleep(RESERVE_CLOSED_S)
+    fleet.stop(old)
+    fleet.allocator = host
+    fleet.is_cut = True
+    store.fault = StoreFault.NONE
+    fleet.reaches_store = True
+    keeper = fleet.keepers[host]
+    async with asyncio.timeout(5):
+        while keeper.remembered_ledger.ledger.reserved(TEAM) < PREPAID // 10:
+            await asyncio.sleep(0.05)
+    await asyncio.sleep(0.05)
+    fleet.stop(host)
+    await send_all(fleet, host)
+    await send_all(fleet, old)
+    return fleet.delivered - fleet.prepaid
+
+
 @pytest.mark.looptime
 class TestSafety:
     @pytest.mark.parametrize('seed', SEEDS)
@@ -164,6 +202,11 @@
         """Guards against tokens of grants that the store has forgotten."""
         assert await play_with_restores(seed, is_allocator_killed=False) <= 0
 
+    async def test_renewal_kept_in_an_outage_frees_no_open_reserve(self):
+        """Guards against a renewal that two allocators write."""
+        # Nearly all is spent, so the host has opened its reserve.
+        assert -PREPAID // 20 <= await play_late_renewal() <= 0
+
     @pytest.mark.parametrize('seed', SEEDS)
     async def test_last_writer_that_dies_takes_no_grant_along(self, seed):
         """Guards against grants that only a killed allocator remembered."""
@@ -377,6 +420,17 @@
             ledger.teams, ledger.reserves, ledger.last
         )
 
+    def test_renewal_that_comes_again_takes_nothing_from_its_host(self):
+        """Guards against a confirmed reserve that is granted again.
+
+        An allocator writes a renewal late that another one has written.
+        """
+        first = renewed(GrantLedger(), renewal(1), 300)
+        second = renewed(first, renewal(1), 0)
+        assert second.reserves == first.reserves
+        last = renewed(second, renewal(2, opened=300, boot_s=20), 0)
+        assert last.team('t').charged == 300
+
     def test_never_falls_below_what_the_host_may_open(self):
         """Guards against tokens that are free and in reserve at once."""
         ledger = renewed(GrantLedger(), renewal(1), 300)
