Reproduce two sequences that still join streams, failing

What callers would see: streams joined from two versions.

Ruled out as a quick fix: counting changes as close for a minute more after a start, which would refuse most streams after each death of all while two versions serve.

--- a/packages/gateway/tests/test_versionexchange.py
+++ b/packages/gateway/tests/test_versionexchange.py
@@ -82,7 +82,7 @@
             versions=self.versions,
             is_writer=lambda: self.leaders()[0] is self,
             clock=clock,
-            wall_clock=lambda: clock() + 1e9,
+            wall_clock=lambda: clock() + fleet.wall_offset_s,
         )
         self.tasks = [
             asyncio.create_task(job())
@@ -176,6 +176,7 @@
     def __init__(self, size=5, **servers):
         self.rng = random.Random(1)
         self.is_first_start = True
+        self.wall_offset_s = 1e9
         self.store = MemoryObjectStore()
         self.servers = servers
         self.daemons = {}
@@ -537,6 +538,20 @@
         assert await fleet.take_up(later) == {'goes on': 100}
         fleet.stop()
 
+    async def test_unconfirmed_list_that_peers_have_not_heard_of(self):
+        """Guards against streams placed by a list that died with a daemon."""
+        async with settled_fleet() as settled:
+            for daemon in settled.daemons.values():
+                daemon.store.is_cut = True
+            first = settled.daemons['d0']
+            first.side = 1
+            first.servers = {'v2': 6}
+            first.versions.servers_changed()
+            streams = await settled.begin(60, ['d0'])
+            first.kill()
+            found = await settled.take_up(streams, ['d1', 'd2'])
+            assert found['joined'] == 0
+
     async def test_lost_record_makes_streams_of_before_ambiguous(self):
         """Guards against a store restored from before the first period."""
         async with settled_fleet() as settled:
@@ -564,6 +579,37 @@
             assert await settled.take_up(streams) == {'refused': 100}
 
 
+@pytest.mark.looptime
+class TestSequencesThatStillJoin:
+    async def test_restarted_daemon_does_not_know_a_cut_off_one(self):
+        """Guards against a period that a daemon out of reach still uses."""
+        async with settled_fleet() as settled:
+            cut = settled.daemons['d4']
+            cut.side = 1
+            cut.store.is_cut = True
+            settled.release(v1=1, v2=6)
+            await asyncio.sleep(SETTLED_S)
+            settled.daemons['d1'].kill()
+            await asyncio.sleep(0.5)
+            settled.start('d1')
+            await asyncio.sleep(1.5)
+            streams = await settled.begin(60, ['d4'])
+            cut.kill()
+            found = await settled.take_up(streams, ['d1'])
+            assert found['joined'] == 0
+
+    async def test_wall_clocks_that_differ_over_a_death_of_all(self):
+        """Guards against periods that seem to have ended long ago."""
+        async with settled_fleet() as settled:
+            streams = await settled.begin(100)
+            settled.release(v2=6)
+            await asyncio.sleep(0.3)
+            settled.wall_offset_s += 30
+            await settled.restart_all()
+            found = await settled.take_up(streams)
+            assert found['joined'] == 0
+
+
 class TestUnevenVersions:
     def test_one_server_beside_many_gets_no_new_period(self):
         """Guards against a write every few seconds in a large fleet."""
