Bound the tokens that hosts not heard of hold in reserve

Cause: the targets of the reserves counted the tokens in the reserves of lost hosts as available. Each generation of hosts reserved its share of a sum that can't be used, until the pool was empty. The thresholds below which nothing is reserved used the same sum.

Change: the allocator tells renewing hosts from silent ones. Tokens of silent hosts are not available, and reserves shrink by three times as much. The ledger lets reserves grow only up to the sum that all may hold together. Stated as an invariant and checked at each write of random sequences of draws, kills, losses, cuts and restores; a variant that takes back reserves on a guess is detected.

Ruled out: taking tokens back.

--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -32,6 +32,7 @@
 from oriolegauge.grants.hosttimes import HostTimes
 from oriolegauge.grants.ledgerrecovery import LedgerCopy
 from oriolegauge.grants.ledgerwriter import LedgerWriter, Written
+from oriolegauge.grants.renewalwatch import RenewalWatch
 from oriolegauge.grants.reserveproof import passed_times
 from oriolegauge.grants.teamaccount import TeamAccount
 from oriolegauge.objectstore import (
@@ -55,8 +56,6 @@
 RESOLVE_WAIT_S = 6.0
 # Renewals that arrive within this time are written together.
 RENEWAL_BATCH_S = 0.1
-# Without a renewal for this time a host gets no share of the reserves.
-RENEWAL_EXPIRY_S = 2.0
 
 log = structlog.get_logger()
 
@@ -145,7 +144,7 @@
         self._is_closing = False
         self._empty_at: dict[str, float] = {}
         self._starts: dict[str, _ProcessStart] = {}
-        self._renewed_at: dict[str, float] = {}
+        self._watch = RenewalWatch()
         # By host: when the reserve of a crashed process was resolved, and the
         # seconds on the wall clock between its last stamp and the restart.
         self._resolved: dict[str, tuple[float, float]] = {}
@@ -211,12 +210,14 @@
         if others:
             rate += others.rate(now)
             requests += others.request_rate(now)
+        stranded = self._stranded(team)
         available_tokens = account.free + self.ledger.reserved(team)
-        available_tokens += self.ledger.free(team, prepaid)
+        available_tokens += self.ledger.free(team, prepaid) - stranded
         return holding_targets(
             rate=rate,
             request_tokens=rate / requests if requests else 0,
             available_tokens=available_tokens,
+            stranded_tokens=stranded,
             prepaid=prepaid,
         )
 
@@ -421,6 +422,7 @@
         """
         passed = self._passed_times(ledger)
         targets = self._reserve_targets()
+        limits = self._reserve_limits()
         changes = []
         for host, renewal in renewals.items():
             row = ledger.reserves.get(host)
@@ -433,6 +435,7 @@
                 ReserveChange(
                     renewal=renewal,
                     targets=targets,
+                    limits=limits,
                     passed_s=passed_s,
                 )
             )
@@ -458,9 +461,8 @@
         dead: dict[str, ReserveRow] = {}
         for host, row in ledger.reserves.items():
             start = self._starts.get(host)
-            renewed_at = self._renewed_at.get(host, -math.inf)
             is_alive = start is not None and start.holder == row.holder
-            is_renewing = self._clock() - renewed_at < RENEWAL_EXPIRY_S
+            is_renewing = self._watch.is_renewing(host, self._clock())
             if not (is_alive and is_renewing):
                 dead[host] = row
         starts = {
@@ -477,7 +479,7 @@
 
     def _note_start(self, renewal: Renewal) -> None:
         now = self._clock()
-        self._renewed_at[renewal.host] = now
+        self._watch.note(renewal.host, now)
         known = self._starts.get(renewal.host)
         if known is None or known.holder != renewal.holder:
             self._starts[renewal.host] = _ProcessStart(
@@ -488,20 +490,39 @@
         return self._clock() - self._starts[host].first_seen_at > RESOLVE_WAIT_S
 
     def _reserve_targets(self) -> dict[str, ReservePart]:
-        """Return the equal share of the reserves for each renewing host."""
+        """Return the equal share of the reserves for each renewing host.
+
+        Hosts that have not renewed since this daemon became the allocator keep
+        what they hold.
+        """
         now = self._clock()
-        hosts = sum(
-            now - renewed_at < RENEWAL_EXPIRY_S
-            for renewed_at in self._renewed_at.values()
-        )
+        hosts = self.ledger.reserves.keys()
+        kept_by = {
+            host for host in hosts if not self._watch.is_renewing(host, now)
+        }
+        kept_by -= self._watch.silent(hosts, now)
+        renewing = max(1, self._watch.renewing(now))
         targets = {}
         for team in self._teams():
             held = self.holding_targets(team)
-            tokens = held.reserve // max(1, hosts)
+            kept = self.ledger.reserved(team, kept_by)
+            tokens = max(0, held.reserve - kept) // renewing
             if tokens:
                 targets[team] = ReservePart(tokens, held.open_s)
         return targets
 
+    def _reserve_limits(self) -> dict[str, int]:
+        """Return what all hosts may hold in reserve together, by team."""
+        return {
+            team: self.holding_targets(team).reserve + self._stranded(team)
+            for team in self._teams()
+        }
+
+    def _stranded(self, team: str) -> int:
+        """Return the tokens in reserves of hosts that may never renew again."""
+        hosts = self._watch.silent(self.ledger.reserves, self._clock())
+        return self.ledger.reserved(team, hosts) if hosts else 0
+
     def _credit(self, written: Written) -> None:
         for team, granted in written.granted.items():
             self._account(team).credit(granted)
--- a/packages/grants/src/oriolegauge/grants/grantledger.py
+++ b/packages/grants/src/oriolegauge/grants/grantledger.py
@@ -9,7 +9,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -110,12 +110,14 @@
 class ReserveChange:
     """Apply a renewal and resize the reserve towards `targets`.
 
+    It grows only as long as all reserves of the team hold less than its limit.
     If another process of the host held the reserve, it may have opened it until
     `passed_s` seconds after its stamp; infinity if no bound is known.
     """
 
     renewal: Renewal
     targets: Mapping[str, ReservePart]
+    limits: Mapping[str, int] = field(default_factory=dict)
     passed_s: float = math.inf
 
 
@@ -206,9 +208,12 @@
         """Return the row of a team; empty for an unknown team."""
         return self.teams.get(team, _NO_TEAM)
 
-    def reserved(self, team: str) -> int:
-        """Return the tokens of a team in all reserves."""
-        return _reserved(self.reserves, team)
+    def reserved(self, team: str, hosts: Collection[str] | None = None) -> int:
+        """Return the tokens of a team in the reserves of `hosts`, or of all."""
+        rows = self.reserves.items()
+        return _reserved(
+            [row for host, row in rows if hosts is None or host in hosts], team
+        )
 
     def used(self, team: str) -> int:
         """Return the tokens that are charged or in reserve."""
@@ -339,11 +344,13 @@
         for team in held.keys() | change.targets.keys():
             team_request = team_requests.get(team)
             free = self._free(team, team_request.prepaid) if team_request else 0
+            limit = change.limits.get(team, math.inf)
+            room = limit - _reserved(self.reserves.values(), team)
             part = _resized(
                 held.get(team, _NO_PART),
                 change.targets.get(team, _NO_PART),
                 renewal.believed.get(team, _NO_PART),
-                free,
+                int(max(0, min(free, room))),
             )
             if part.tokens:
                 parts[team] = part
@@ -362,25 +369,27 @@
         self.teams[team] = replace(row, charged=row.charged + tokens)
 
     def _free(self, team: str, prepaid: int) -> int:
-        reserved = _reserved(self.reserves, team)
+        reserved = _reserved(self.reserves.values(), team)
         charged = self.teams.get(team, _NO_TEAM).charged
         return max(0, prepaid - charged - reserved)
 
 
-def _reserved(reserves: Mapping[str, ReserveRow], team: str) -> int:
-    parts = (row.parts.get(team, _NO_PART) for row in reserves.values())
+def _reserved(rows: Iterable[ReserveRow], team: str) -> int:
+    parts = (row.parts.get(team, _NO_PART) for row in rows)
     return sum(part.tokens for part in parts)
 
 
 def _resized(
-    held: ReservePart, target: ReservePart, believed: ReservePart, free: int
+    held: ReservePart, target: ReservePart, believed: ReservePart, room: int
 ) -> ReservePart:
     """Return the part nearest to the target that is safe.
 
+    It grows by `room` at most.
+
     The process may still open the tokens that it believed to hold, at the rate
     that it believed, so the part is no smaller and opens no slower.
     """
-    affordable = min(target.tokens, held.tokens + free)
+    affordable = min(target.tokens, held.tokens + room)
     minimum = min(held.tokens, believed.tokens)
     open_s = target.open_s
     if minimum:
--- a/packages/grants/src/oriolegauge/grants/holdingtargets.py
+++ b/packages/grants/src/oriolegauge/grants/holdingtargets.py
@@ -29,6 +29,10 @@
 # daemons crash and nothing proves what was opened of the reserves.
 WORKING_SHARE = 0.07
 RESERVE_SHARE = 0.43
+# Reserves shrink by this multiple of the tokens that hosts not heard of hold,
+# which may still open them. With more than one, a series of losses strands only
+# a part of the target.
+STRANDED_WEIGHT = 3.0
 # Below this share of the budget, or the tokens of this many requests, nothing
 # is reserved: the remaining tokens must be available in one place.
 LAST_SHARE = 0.08
@@ -60,12 +64,18 @@
 
 
 def holding_targets(
-    *, rate: float, request_tokens: float, available_tokens: int, prepaid: int
+    *,
+    rate: float,
+    request_tokens: float,
+    available_tokens: int,
+    prepaid: int,
+    stranded_tokens: int = 0,
 ) -> HoldingTargets:
     """Return the targets at a demand of `rate` tokens a second.
 
     `request_tokens` is the mean of a request. `available_tokens` counts those
-    in the pool, in the allocator's account and in reserves.
+    in the pool, in the allocator's account and in reserves of hosts that are
+    heard of; `stranded_tokens` are in the reserves of the others.
     """
     demand_tokens = max(rate * WORKING_S, prepaid * FIRST_SHARE)
     working = min(
@@ -76,6 +86,7 @@
         available_tokens * RESERVE_SHARE,
         max(0, available_tokens - rate * POOL_S),
     )
+    reserve = max(0, reserve - stranded_tokens * STRANDED_WEIGHT)
     if available_tokens < max(
         prepaid * LAST_SHARE, request_tokens * FEW_REQUESTS
     ):
--- /dev/null
+++ b/packages/grants/tests/test_strandedtokens.py
@@ -0,0 +1,318 @@
+"""Tokens that deaths strand stay a bounded share, and none are spent twice."""
+
+import asyncio
+import random
+from dataclasses import replace
+
+import pytest
+
+from oriolegauge.core.errors import OriolegaugeError
+from oriolegauge.grants.grantledger import GrantLedger
+from oriolegauge.grants.holdingtargets import RESERVE_SHARE
+from oriolegauge.grants.renewalwatch import RENEWAL_EXPIRY_S, RenewalWatch
+from oriolegauge.testkit import StoreFault
+from oriolegauge.testkit.grantfleet import TEAM, Fleet, LateStore
+
+REQUEST_TOKENS = 840
+REQUESTS_PER_S = 15
+DAY_S = 64
+NEED = DAY_S * REQUESTS_PER_S * REQUEST_TOKENS
+# Budgets, as shares of the need of a day.
+AMPLE = 1.3
+HALF = 0.5
+RECOVER_S = 12.0
+# Shares of the requests after the last loss, and of a budget of half the need.
+SERVED_SHARE = 0.9
+USED_SHARE = 0.85
+
+
+class WatchedStore(LateStore):
+    """Check that reserves grow only up to their share of what is left."""
+
+    def __init__(self, rng, prepaid, lost_share=0):
+        super().__init__(rng, lost_share)
+        self._prepaid = prepaid
+        self.is_growth_bounded = True
+        self.ledger = GrantLedger()
+
+    async def put(self, key, value, expected_version):
+        stored = await super().put(key, value, expected_version)
+        written = GrantLedger.from_value(value)
+        if written.era == self.ledger.era:
+            self._check_growth(self.ledger, written)
+        self.ledger = written
+        return stored
+
+    def _check_growth(self, before, after):
+        left = self._prepaid - after.team(TEAM).settled
+        has_grown = after.reserved(TEAM) > before.reserved(TEAM)
+        if has_grown and after.reserved(TEAM) > RESERVE_SHARE * left:
+            self.is_growth_bounded = False
+
+
+class Day:
+    """Send the requests of one team at a fixed rate to the running daemons."""
+
+    def __init__(self, budget, size, seed=1):
+        self.rng = random.Random(seed)
+        self.prepaid = int(NEED * budget)
+        self.store = WatchedStore(self.rng, self.prepaid)
+        self.fleet = Fleet(store=self.store, prepaid=self.prepaid, size=size)
+        self.only = None
+        self._outcomes = []
+        self._loop = asyncio.get_running_loop()
+        self._began_at = self._loop.time()
+
+    @property
+    def used_share(self):
+        return self.fleet.delivered / self.prepaid
+
+    async def play(self, faults):
+        """Return the share served RECOVER_S after the faults have ended."""
+        self.fleet.run()
+        calls = []
+        async with asyncio.TaskGroup() as group:
+            playing = group.create_task(self._play_faults(faults))
+            for number in range(DAY_S * REQUESTS_PER_S):
+                calls.append(group.create_task(self._send(number)))
+                next_at = self._began_at + number / REQUESTS_PER_S
+                await asyncio.sleep(max(0, next_at - self._loop.time()))
+        self.fleet.stop(*self.fleet.names)
+        late = playing.result() + RECOVER_S
+        after = [served for sent_at, served in self._outcomes if sent_at > late]
+        return sum(after) / len(after)
+
+    async def _play_faults(self, faults):
+        await faults(self)
+        return self._loop.time()
+
+    async def _send(self, number):
+        names = [n for n in self.fleet.names if n not in self.fleet.down]
+        name = self.only or names[number % len(names)]
+        if name not in self.fleet.keepers:
+            return
+        sent_at = self._loop.time()
+        try:
+            await self.fleet.request(
+                name, REQUEST_TOKENS, REQUEST_TOKENS, seconds=0.5
+            )
+        except OriolegaugeError:
+            self._outcomes.append((sent_at, False))
+        else:
+            self._outcomes.append((sent_at, True))
+
+
+async def single_losses(day):
+    """Lose nine hosts for good, one each 3 s, every other time the writer."""
+    for number in range(9):
+        await asyncio.sleep(3)
+        names = day.fleet.names
+        is_writer = number % 2 == 0
+        day.fleet.replace(
+            day.fleet.allocator if is_writer else day.rng.choice(names)
+        )
+
+
+async def losses_of_all(day):
+    """Lose all hosts for good three times."""
+    for _ in range(3):
+        await asyncio.sleep(10)
+        day.fleet.replace(*day.fleet.names)
+
+
+async def standing_still(day):
+    """Lose two hosts while a third one stands still, which then serves all."""
+    fleet = day.fleet
+    await asyncio.sleep(8)
+    still = fleet.names[2]
+    fleet.stop(still)
+    fleet.down.add(still)
+    await asyncio.sleep(3)
+    fleet.replace(*fleet.names[:2])
+    await asyncio.sleep(17)
+    fleet.down.discard(still)
+    fleet.run(still)
+    day.only = still
+    await asyncio.sleep(10)
+    day.only = None
+
+
+@pytest.mark.looptime
+class TestLossesForGood:
+    @pytest.mark.parametrize('size', [3, 6])
+    @pytest.mark.parametrize('faults', [single_losses, losses_of_all])
+    async def test_requests_are_served_after_hosts_are_lost(self, faults, size):
+        """Guards against tokens that pile up in the reserves of lost hosts."""
+        day = Day(AMPLE, size)
+        assert await day.play(faults) >= SERVED_SHARE
+        assert day.store.is_growth_bounded
+
+    @pytest.mark.parametrize('size', [3, 6])
+    @pytest.mark.parametrize('faults', [single_losses, standing_still])
+    async def test_scarce_budget_is_used_after_hosts_are_lost(
+        self, faults, size
+    ):
+        """Guards against a budget that losses of single hosts use up."""
+        day = Day(HALF, size)
+        await day.play(faults)
+        assert USED_SHARE <= day.used_share <= 1
+
+
+class Sequence:
+    """Play random draws, deaths, losses, cuts and restores of the store."""
+
+    def __init__(self, seed, *, size=5, prepaid=600_000):
+        self.rng = random.Random(seed)
+        self.store = WatchedStore(random.Random(seed), prepaid, 0.1)
+        self.fleet = Fleet(store=self.store, prepaid=prepaid, size=size)
+        self.is_restored = False
+        self._calls = []
+        self._copies = []
+
+    async def play(self, steps=150):
+        self.fleet.run()
+        for _ in range(steps):
+            for _ in range(self.rng.randint(0, 8)):
+                self._send(self.rng.choice(self.fleet.names))
+            for name in self.fleet.isolated:
+                self._send(name)
+            await asyncio.sleep(self.rng.uniform(0.05, 0.6))
+            self._copies.append(self.store.copy())
+            if self.rng.random() < 0.25:
+                await self._disturb()
+        await self._end_faults()
+
+    def _send(self, name):
+        most = self.rng.randint(200, 4_000)
+        self._calls.append(asyncio.create_task(self._request(name, most)))
+
+    async def _request(self, name, most):
+        if name not in self.fleet.keepers or name in self.fleet.down:
+            return
+        try:
+            await self.fleet.request(name, most, most, seconds=0.05)
+        except OriolegaugeError:
+            return
+
+    async def _disturb(self):
+        fleet, rng = self.fleet, self.rng
+        name = rng.choice(fleet.names)
+        match rng.randrange(9):
+            case 0:
+                is_outage = rng.random() < 0.6
+                self._set_outage(is_outage)
+            case 1:
+                fleet.replace(name)
+            case 2:
+                fleet.replace(*fleet.names)
+            case 3:
+                fleet.start(name)
+            case 4:
+                await fleet.kill_all(rng.choice([0.5, 1.6, 3]), power=False)
+            case 5:
+                # A daemon that stands still while others act.
+                fleet.stop(name)
+                fleet.down.add(name)
+                await asyncio.sleep(rng.uniform(0, 6))
+                fleet.down.discard(name)
+                fleet.run(name)
+            case 6:
+                fleet.isolated ^= {name}
+                fleet.isolated &= set(fleet.names)
+            case 7:
+                fleet.allocator = name
+                await self.store.apply_late()
+            case 8 if self.store.fault is StoreFault.NONE:
+                self._set_outage(True)
+                await asyncio.sleep(rng.uniform(0.1, 2))
+                self.store.restore(rng.choice(self._copies[-10:]))
+                self.store.late.clear()
+                self._set_outage(False)
+                self.is_restored = True
+
+    def _set_outage(self, is_outage):
+        self.store.fault = StoreFault.OUTAGE if is_outage else StoreFault.NONE
+        self.fleet.reaches_store = not is_outage
+
+    async def _end_faults(self):
+        """End all faults and request the rest of the budget."""
+        self._set_outage(False)
+        self.store.lost_share = 0
+        self.fleet.isolated.clear()
+        for _ in range(300):
+            self._send(self.rng.choice(self.fleet.names))
+            await asyncio.sleep(0.1)
+        self.fleet.stop(*self.fleet.names)
+        await asyncio.gather(*self._calls)
+
+
+APPLY = GrantLedger.apply
+
+
+def apply_with_a_guess(ledger, entry):
+    """Apply an entry after the reserves of silent hosts were taken back."""
+    stamps = [row.stamp.wall_s for row in ledger.reserves.values()]
+    expired_s = max(stamps, default=0) - RENEWAL_EXPIRY_S
+    kept = {
+        host: row
+        for host, row in ledger.reserves.items()
+        if row.stamp.wall_s >= expired_s
+    }
+    return APPLY(replace(ledger, reserves=kept), entry)
+
+
+@pytest.mark.looptime
+class TestInvariant:
+    @pytest.mark.parametrize('seed', range(40))
+    async def test_any_deaths_strand_a_bounded_share(self, seed):
+        """Guards against reserves without a bound, and tokens spent twice."""
+        sequence = Sequence(seed)
+        await sequence.play()
+        assert sequence.fleet.delivered <= sequence.fleet.prepaid
+        assert sequence.store.is_growth_bounded
+
+
+@pytest.mark.looptime
+class TestOracle:
+    async def test_detects_reserves_of_silent_hosts_that_are_taken_back(
+        self, monkeypatch
+    ):
+        """Guards against a test that can't detect a guess that hosts died."""
+        monkeypatch.setattr(GrantLedger, 'apply', apply_with_a_guess)
+        overspent = []
+        for seed in range(6):
+            sequence = Sequence(seed)
+            await sequence.play()
+            overspent.append(sequence.fleet.delivered - sequence.fleet.prepaid)
+        assert max(overspent) > 0
+
+
+class TestRenewalWatch:
+    @pytest.fixture
+    def watch(self):
+        return RenewalWatch()
+
+    def test_new_allocator_knows_of_no_silent_host(self, watch):
+        """Guards against reserves that shrink with each change of allocator."""
+        assert watch.silent({'a', 'b'}, 100) == set()
+        watch.note('a', 100)
+        assert watch.silent({'a', 'b'}, 101.9) == set()
+        watch.note('a', 101.9)
+        assert watch.silent({'a', 'b'}, 102.1) == {'b'}
+
+    def test_allocator_that_stood_still_begins_anew(self, watch):
+        """Guards against hosts that count as silent because nobody listened."""
+        for now in (100, 101, 102):
+            watch.note('a', now)
+        assert watch.silent({'b'}, 102) == {'b'}
+        assert watch.silent({'b'}, 110) == set()
+        watch.note('a', 110)
+        assert watch.silent({'b'}, 111) == set()
+
+    def test_host_counts_until_its_renewal_expires(self, watch):
+        """Guards against shares for hosts that are gone."""
+        watch.note('a', 100)
+        watch.note('b', 101)
+        assert watch.renewing(101.9) == 2
+        assert watch.renewing(102) == 1
+        assert watch.renewing(200) == 0
--- a/packages/testkit/src/oriolegauge/testkit/grantfleet.py
+++ b/packages/testkit/src/oriolegauge/testkit/grantfleet.py
@@ -101,7 +101,7 @@
 
     async def draw(self, peer: str, draw: DrawRequest) -> DrawResult | None:
         await asyncio.sleep(self._fleet.delay_s)
-        if not self._fleet.is_reached(peer):
+        if not self._fleet.is_linked(self._name, peer):
             return None
         return await self._fleet.keepers[peer].serve_draw(draw)
 
@@ -115,19 +115,19 @@
 
     async def borrow(self, peer: str, team: str, tokens: int) -> int:
         await asyncio.sleep(0)
-        if not self._fleet.is_reached(peer):
+        if not self._fleet.is_linked(self._name, peer):
             return 0
         return self._fleet.keepers[peer].lend(team, tokens)
 
     async def renew(self, peer: str, renewal: Renewal) -> Renewed | None:
         await asyncio.sleep(0)
-        if not self._fleet.is_reached(peer):
+        if not self._fleet.is_linked(self._name, peer):
             return None
         return await self._fleet.keepers[peer].renew(renewal)
 
     async def hand_over(self, peer: str, team: str, tokens: int) -> bool:
         await asyncio.sleep(0)
-        if not self._fleet.is_reached(peer):
+        if not self._fleet.is_linked(self._name, peer):
             return False
         self._fleet.keepers[peer].take_over(team, tokens)
         return True
@@ -137,7 +137,7 @@
         others = [
             name
             for name in self._fleet.reserve_hosts
-            if name != self._name and self._fleet.is_reached(name)
+            if self._fleet.is_linked(self._name, name)
         ]
         for name in others[:MAX_LEDGER_COPIES]:
             self._fleet.keepers[name].remember_ledger(copy)
@@ -147,7 +147,7 @@
         copies = [
             keeper.remembered_ledger
             for name, keeper in self._fleet.keepers.items()
-            if name != self._name and self._fleet.is_reached(name)
+            if self._fleet.is_linked(self._name, name)
         ]
         return [copy for copy in copies if copy]
 
@@ -168,15 +168,24 @@
         self.delay_s = 0.0
         self.down: set[str] = set()
         self.reaches_store = True
+        # Daemons that reach neither the store nor peers, but serve requests.
+        self.isolated: set[str] = set()
         self.stores: dict[str, MemoryObjectStore] = {}
         self._starts = 0
+        self._added = 0
         self._jobs: dict[str, list[asyncio.Task]] = {}
         for name in self.names:
             self.start(name)
 
-    def is_reached(self, name: str) -> bool:
-        """Return whether peers can reach the keeper."""
-        return not self.is_cut and name not in self.down
+    def is_linked(self, name: str, peer: str) -> bool:
+        """Return whether a keeper reaches another one."""
+        unreachable = self.down | self.isolated
+        return not (
+            self.is_cut
+            or name == peer
+            or unreachable & {name, peer}
+            or peer not in self.keepers
+        )
 
     def start(self, name: str) -> None:
         """Start or restart a keeper, which loses its state in memory."""
@@ -195,7 +204,9 @@
             ),
             peers=Peers(self, name),
             prepaid=lambda _: self.prepaid,
-            reaches_store=lambda: self.reaches_store,
+            reaches_store=lambda: (
+                self.reaches_store and name not in self.isolated
+            ),
             clock=asyncio.get_running_loop().time,
             host_clocks=clocks,
             rng=random.Random(self._starts),
@@ -223,6 +234,26 @@
             job.cancel()
         return bool(found)
 
+    def replace(self, *lost: str) -> list[str]:
+        """Remove hosts for good and add others at new addresses."""
+        added = []
+        for name in lost:
+            self.stop(name)
+            self.down.add(name)
+            del self.keepers[name]
+            self._added += 1
+            new = f'n{self._added}'
+            added.append(new)
+            self.names[self.names.index(name)] = new
+            self.clocks[new] = Clocks()
+        self.reserve_hosts = self.names[:MAX_RESERVE_HOSTS]
+        if self.allocator in lost:
+            self.allocator = self.names[0]
+        for name in added:
+            self.start(name)
+            self.run(name)
+        return added
+
     async def kill_all(self, down_s: float, *, power: bool) -> None:
         """Kill all keepers and restart them after `down_s`.
 
@@ -250,7 +281,7 @@
         keeper = self.keepers[name]
         held = await keeper.reserve(TEAM, most)
         assert held is not None
-        if self.keepers[name] is not keeper:
+        if self.keepers.get(name) is not keeper:
             # The daemon was killed during the reservation and delivers nothing.
             return
         self.delivered += used
