Hand surplus tokens over only to a peer that has just answered

Cause: each daemon sends its surplus to the allocator once a second. Without an answer the peer may have it, so it is not kept. A host without power does not answer for seconds, and all that the others sent it meanwhile was lost.

Change: a daemon asks the peer first, with a hand-over of no tokens, and sends the surplus after its answer. A hand-over without an answer is logged. The test failed before (0 of 200,000 tokens left).

Ruled out: returns by a write of each daemon. They can't be lost, but the store writes grew with the fleet (test_store_writes_do_not_grow_with_the_fleet failed).

--- a/packages/gateway/src/oriolegauge/gateway/grantlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/grantlinks.py
@@ -222,6 +222,21 @@
             return 0
         return answer.tokens if isinstance(answer, GrantGiven) else 0
 
+    async def is_answering(self, peer: str, team: str) -> bool:
+        """Ask a peer to take over no tokens; return whether it answers."""
+        message = GrantHandOver(team=team, tokens=0)
+        try:
+            answer = await self._links.call(peer, message, HAND_OVER_TIMEOUT_S)
+        except OriolegaugeError as error:
+            log.info(
+                'no hand-over, since the peer does not answer',
+                team=team,
+                peer=peer,
+                error=error.message,
+            )
+            return False
+        return isinstance(answer, Ack) and answer.accepted
+
     async def hand_over(self, peer: str, team: str, tokens: int) -> bool:
         """Send tokens to the peer; return False only if it never got them."""
         if not tokens:
@@ -230,6 +245,14 @@
         try:
             await self._links.call(peer, message, HAND_OVER_TIMEOUT_S)
         except OriolegaugeError as error:
+            log.warning(
+                'hand-over not confirmed',
+                team=team,
+                peer=peer,
+                tokens=tokens,
+                error=error.message,
+                run_state=error.run_state,
+            )
             return error.run_state is not RunState.NOT_RUN
         return True
 
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -129,6 +129,9 @@
     async def renew(self, peer: str, renewal: Renewal) -> Renewed | None:
         """Have a peer renew a reserve; return None unless it is confirmed."""
 
+    async def is_answering(self, peer: str, team: str) -> bool:
+        """Ask whether a peer can take over tokens of the team now."""
+
     async def hand_over(self, peer: str, team: str, tokens: int) -> bool:
         """Transfer tokens; return False only if the peer can't have them."""
 
@@ -364,12 +367,26 @@
             await self._renew_reserve()
 
     async def _hand_over_account(self, team: str) -> None:
-        account = self._account(team)
-        tokens = account.take_free(account.free)
         allocator = self._peers.allocator()
-        if allocator and await self._peers.hand_over(allocator, team, tokens):
+        if allocator:
+            await self._hand_over(
+                allocator, team, lambda: self._account(team).free
+            )
+
+    async def _hand_over(
+        self, peer: str, team: str, tokens: Callable[[], int]
+    ) -> None:
+        """Transfer free tokens to a peer that has just answered.
+
+        Tokens sent to a peer that has died are lost: without an answer, it may
+        have received and spent them.
+        """
+        if not await self._peers.is_answering(peer, team):
             return
-        account.credit(tokens)
+        account = self._account(team)
+        taken = account.take_free(tokens())
+        if not await self._peers.hand_over(peer, team, taken):
+            account.credit(taken)
 
     async def _renew_reserve(self) -> None:
         renewal = self._reserve.renewal(self._host_clocks.now())
@@ -425,24 +442,25 @@
             return
         account = self._account(team)
         target = self._target(team)
-        surplus = account.free - int(target * RETURN_ABOVE_RATIO)
-        if surplus > prepaid * MIN_RETURN_SHARE:
-            self._tasks.spawn(self._return_surplus(allocator, team, surplus))
+        if self._surplus(team):
+            self._tasks.spawn(self._return_surplus(allocator, team))
         elif account.free < target * REFILL_BELOW_RATIO:
             self._tasks.spawn(self._draw_tokens(team, 0))
 
-    async def _return_surplus(
-        self, allocator: str, team: str, tokens: int
-    ) -> None:
+    def _surplus(self, team: str) -> int:
+        """Return the free tokens that this daemon should return."""
+        most = int(self._target(team) * RETURN_ABOVE_RATIO)
+        surplus = self._account(team).free - most
+        least = (self._prepaid(team) or 0) * MIN_RETURN_SHARE
+        return surplus if surplus > least else 0
+
+    async def _return_surplus(self, allocator: str, team: str) -> None:
         now = self._clock()
         last = self._returned_at.get(team, -math.inf)
         if now - last < RETURN_INTERVAL_S:
             return
         self._returned_at[team] = now
-        account = self._account(team)
-        taken = account.take_free(tokens)
-        if not await self._peers.hand_over(allocator, team, taken):
-            account.credit(taken)
+        await self._hand_over(allocator, team, lambda: self._surplus(team))
 
     async def _open_and_borrow(self, team: str, missing: int) -> None:
         """Open the own reserve, then borrow the rest from peers."""
--- a/packages/grants/tests/test_strandedtokens.py
+++ b/packages/grants/tests/test_strandedtokens.py
@@ -316,3 +316,19 @@
         assert watch.renewing(101.9) == 2
         assert watch.renewing(102) == 1
         assert watch.renewing(200) == 0
+
+
+@pytest.mark.looptime
+class TestHandOver:
+    async def test_surplus_is_not_sent_to_a_host_without_power(self):
+        """Guards against tokens sent to an allocator that has just died."""
+        fleet = Fleet(
+            store=LateStore(random.Random(1)), prepaid=1_000_000, size=2
+        )
+        allocator, holder = fleet.names
+        fleet.run(holder)
+        for _ in range(4):
+            fleet.keepers[holder].take_over(TEAM, 50_000)
+        fleet.down.add(allocator)
+        await asyncio.sleep(3)
+        assert fleet.keepers[holder].free == {TEAM: 200_000}
--- a/packages/testkit/src/oriolegauge/testkit/grantfleet.py
+++ b/packages/testkit/src/oriolegauge/testkit/grantfleet.py
@@ -125,8 +125,15 @@
             return None
         return await self._fleet.keepers[peer].renew(renewal)
 
+    async def is_answering(self, peer: str, team: str) -> bool:
+        await asyncio.sleep(0)
+        return self._fleet.is_linked(self._name, peer)
+
     async def hand_over(self, peer: str, team: str, tokens: int) -> bool:
         await asyncio.sleep(0)
+        if peer in self._fleet.down:
+            # A host that does not answer may have received the tokens.
+            return True
         if not self._fleet.is_linked(self._name, peer):
             return False
         self._fleet.keepers[peer].take_over(team, tokens)
