Draw tokens ahead of demand only at the allocator

Cause: a daemon that writes the ledger for one request, since the allocator does not answer, drew the working tokens of an allocator for all teams too. After a death of the allocator three daemons held these 1.5% of each budget at once, and lost them when they died in turn.

Change: only a daemon that leads the fleet draws ahead or returns a surplus against that target. The test failed before.

--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -104,6 +104,7 @@
         key: str,
         holder: str,
         account: Callable[[str], TeamAccount],
+        leads: Callable[[], bool],
         prepaid: Callable[[str], int | None],
         reaches_store: Callable[[], bool],
         is_first_start: bool,
@@ -113,7 +114,8 @@
     ) -> None:
         """Write as `holder`; credit granted tokens to the `account` of a team.
 
-        `share` has peers remember a written ledger.
+        `share` has peers remember a written ledger. Only a daemon that `leads`
+        the fleet as its allocator draws tokens ahead of demand.
 
         `prepaid` returns a team's budget in tokens, None if it has none.
         """
@@ -129,6 +131,7 @@
         self._holder = holder
         self._share = share
         self._account = account
+        self._leads = leads
         self._prepaid = prepaid
         self._reaches_store = reaches_store
         self._clock = clock
@@ -397,17 +400,18 @@
         if prepaid is None:
             return None
         account = self._account(team)
-        held = self.holding_targets(team)
         reports[team] += account.take_unreported()
-        surplus = account.free - int(RETURN_ABOVE_RATIO * held.working)
-        if surplus > 0:
+        ahead = 0
+        if self._leads():
+            working = self.holding_targets(team).working
+            surplus = account.free - int(RETURN_ABOVE_RATIO * working)
             wanted.returned[team] += account.take_free(surplus)
-        need = max(0, wanted.needs[team] - account.free)
-        after = max(0, account.free - wanted.needs[team])
+            after = max(0, account.free - wanted.needs[team])
+            ahead = max(0, working - after)
         return TeamRequest(
             prepaid=prepaid,
-            need=need,
-            ahead=max(0, held.working - after),
+            need=max(0, wanted.needs[team] - account.free),
+            ahead=ahead,
             returned=wanted.returned[team],
             settled=reports[team],
         )
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -213,6 +213,7 @@
             key=f'{kind}/{LEDGER}',
             holder=process.holder,
             account=self._account,
+            leads=lambda: peers.allocator() is None,
             prepaid=prepaid,
             reaches_store=reaches_store,
             is_first_start=process.is_first_start,
--- a/packages/grants/tests/test_strandedtokens.py
+++ b/packages/grants/tests/test_strandedtokens.py
@@ -332,3 +332,14 @@
         fleet.down.add(allocator)
         await asyncio.sleep(3)
         assert fleet.keepers[holder].free == {TEAM: 200_000}
+
+    async def test_daemon_that_does_not_lead_draws_only_what_is_needed(self):
+        """Guards against tokens ahead of demand at several daemons."""
+        fleet = Fleet(
+            store=LateStore(random.Random(1)), prepaid=1_000_000, size=3
+        )
+        fleet.down.add(fleet.allocator)
+        for name in fleet.names[1:]:
+            await fleet.request(name, 1_000, 1_000)
+        charged = fleet.store.objects['grants/ledger'].value['teams'][TEAM][0]
+        assert charged == fleet.delivered
