Hold less while the reserve of an ended process is unresolved

Cause: after a loss of power nothing proves what the ended process had opened of its reserve until other hosts restart, or 6 s have passed with the same allocator. Its row counted as available meanwhile, since the host renews again.

Change: such a row counts as stranded, so reserves shrink, and the working tokens shrink in the same proportion, to a quarter at the least. The arguments of the allocator that name its process are one value now.

The test of the reserves failed before.

--- a/packages/grants/src/oriolegauge/grants/__init__.py
+++ b/packages/grants/src/oriolegauge/grants/__init__.py
@@ -10,11 +10,11 @@
     DrawResult,
     GrantKeeper,
     GrantPeers,
-    GrantProcess,
     HostClocks,
     Reservation,
 )
 from oriolegauge.grants.grantledger import GrantLedger, Renewal, ReservePart
+from oriolegauge.grants.grantprocess import GrantProcess
 from oriolegauge.grants.hosttimes import HostTimes
 from oriolegauge.grants.ledgerrecovery import LedgerCopy
 
--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -24,6 +24,7 @@
     ReserveRow,
     TeamRequest,
 )
+from oriolegauge.grants.grantprocess import GrantProcess
 from oriolegauge.grants.holdingtargets import (
     WRITE_PERIOD_S,
     HoldingTargets,
@@ -102,17 +103,16 @@
         *,
         store: RestorableStore,
         key: str,
-        holder: str,
+        process: GrantProcess,
         account: Callable[[str], TeamAccount],
         leads: Callable[[], bool],
         prepaid: Callable[[str], int | None],
         reaches_store: Callable[[], bool],
-        is_first_start: bool,
         remembered_by_peers: Callable[[], Awaitable[Sequence[LedgerCopy]]],
         share: Callable[[LedgerCopy], Awaitable[None]],
         clock: Callable[[], float],
     ) -> None:
-        """Write as `holder`; credit granted tokens to the `account` of a team.
+        """Write as `process`; credit granted tokens to the `account` of a team.
 
         `share` has peers remember a written ledger. Only a daemon that `leads`
         the fleet as its allocator draws tokens ahead of demand.
@@ -122,13 +122,13 @@
         self._writer = LedgerWriter(
             store=store,
             key=key,
-            holder=holder,
+            holder=process.holder,
             on_resolved=self._resolve,
-            is_first_start=is_first_start,
+            is_first_start=process.is_first_start,
             remembered_by_peers=remembered_by_peers,
             prepaid=prepaid,
         )
-        self._holder = holder
+        self._holder = process.holder
         self._share = share
         self._account = account
         self._leads = leads
@@ -523,10 +523,19 @@
         }
 
     def _stranded(self, team: str) -> int:
-        """Return the tokens in reserves of hosts that may never renew again."""
-        hosts = self._watch.silent(self.ledger.reserves, self._clock())
+        """Return the tokens in reserves that may never be renewed again."""
+        rows = self.ledger.reserves
+        hosts = self._watch.silent(rows, self._clock())
+        hosts |= {
+            host for host, row in rows.items() if self._has_ended(host, row)
+        }
         return self.ledger.reserved(team, hosts) if hosts else 0
 
+    def _has_ended(self, host: str, row: ReserveRow) -> bool:
+        """State whether another process of the host has started since."""
+        start = self._starts.get(host)
+        return start is not None and start.holder != row.holder
+
     def _credit(self, written: Written) -> None:
         for team, granted in written.granted.items():
             self._account(team).credit(granted)
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -21,6 +21,7 @@
 )
 from oriolegauge.grants.grantallocator import GrantAllocator, Renewed
 from oriolegauge.grants.grantledger import Renewal
+from oriolegauge.grants.grantprocess import GrantProcess
 from oriolegauge.grants.holdingtargets import DAEMON_AHEAD_S, WRITE_PERIOD_S
 from oriolegauge.grants.hostreserve import HostReserve
 from oriolegauge.grants.hosttimes import HostTimes
@@ -161,20 +162,6 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GrantProcess:
-    """Identify a process that holds grants.
-
-    `holder` is a name that no other process start ever uses; the next process
-    of the `host` has the same host and clocks. `is_first_start` states that no
-    daemon of the fleet has run before.
-    """
-
-    host: str
-    holder: str
-    is_first_start: bool
-
-
 class GrantKeeper:
     """Reserve and settle tokens of requests; hold tokens ahead of demand."""
 
@@ -211,12 +198,11 @@
         self._allocator = GrantAllocator(
             store=store,
             key=f'{kind}/{LEDGER}',
-            holder=process.holder,
+            process=process,
             account=self._account,
             leads=lambda: peers.allocator() is None,
             prepaid=prepaid,
             reaches_store=reaches_store,
-            is_first_start=process.is_first_start,
             remembered_by_peers=peers.remembered_ledgers,
             share=peers.share_ledger,
             clock=clock,
--- a/packages/grants/src/oriolegauge/grants/holdingtargets.py
+++ b/packages/grants/src/oriolegauge/grants/holdingtargets.py
@@ -33,6 +33,8 @@
 # which may still open them. With more than one, a series of losses strands only
 # a part of the target.
 STRANDED_WEIGHT = 3.0
+# Working tokens shrink in the same proportion as reserves, to this share.
+LEAST_WORKING_SHARE = 0.25
 # Below this share of the budget, or the tokens of this many requests, nothing
 # is reserved: the remaining tokens must be available in one place.
 LAST_SHARE = 0.08
@@ -86,7 +88,11 @@
         available_tokens * RESERVE_SHARE,
         max(0, available_tokens - rate * POOL_S),
     )
-    reserve = max(0, reserve - stranded_tokens * STRANDED_WEIGHT)
+    if stranded_tokens:
+        # Hosts are being lost: the next one may be the allocator.
+        kept = max(0, reserve - stranded_tokens * STRANDED_WEIGHT)
+        working *= max(LEAST_WORKING_SHARE, kept / max(1, reserve))
+        reserve = kept
     if available_tokens < max(
         prepaid * LAST_SHARE, request_tokens * FEW_REQUESTS
     ):
--- a/packages/grants/tests/test_strandedtokens.py
+++ b/packages/grants/tests/test_strandedtokens.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import replace
 
 import pytest
 
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.grants.grantledger import GrantLedger
-from oriolegauge.grants.holdingtargets import RESERVE_SHARE
+from oriolegauge.grants.holdingtargets import RESERVE_SHARE, holding_targets
 from oriolegauge.grants.renewalwatch import RENEWAL_EXPIRY_S, RenewalWatch
 from oriolegauge.testkit import StoreFault
 from oriolegauge.testkit.grantfleet import TEAM, Fleet, LateStore
@@ -343,3 +344,55 @@
             await fleet.request(name, 1_000, 1_000)
         charged = fleet.store.objects['grants/ledger'].value['teams'][TEAM][0]
         assert charged == fleet.delivered
+
+
+@pytest.mark.looptime
+class TestUnresolvedReserves:
+    async def test_reserves_shrink_beside_one_that_nobody_can_resolve(self):
+        """Guards against reserves that count what an ended process held."""
+        fleet = Fleet(
+            store=LateStore(random.Random(1)), prepaid=1_000_000, size=3
+        )
+        fleet.run()
+        host = fleet.names[2]
+        for _ in range(30):
+            await fleet.request(fleet.names[0], 4_000, 4_000)
+        await asyncio.sleep(1)
+        before = reserves(fleet)
+        # A loss of power leaves no clock that proves what was opened.
+        fleet.stop(host)
+        fleet.clocks[host].boot_id = 'other'
+        fleet.start(host)
+        fleet.run(host)
+        for _ in range(40):
+            await fleet.request(fleet.names[0], 4_000, 4_000)
+        after = reserves(fleet)
+        fleet.stop(*fleet.names)
+        assert after[host] == before[host]
+        assert after.total() <= before.total() / 2
+
+
+def reserves(fleet):
+    """Return the tokens in the reserve of each host."""
+    rows = fleet.store.objects['grants/ledger'].value['reserves']
+    return Counter(
+        {host: row['parts'].get(TEAM, (0, 0))[0] for host, row in rows.items()}
+    )
+
+
+class TestTargets:
+    def test_stranded_tokens_lower_all_targets(self):
+        """Guards against a death that strands as much as the one before."""
+        held = [
+            holding_targets(
+                rate=10_000,
+                request_tokens=1_000,
+                available_tokens=900_000,
+                stranded_tokens=stranded,
+                prepaid=1_000_000,
+            )
+            for stranded in (0, 10_000, 20_000, 200_000)
+        ]
+        targets = [(target.reserve, target.working) for target in held]
+        assert targets == sorted(targets, reverse=True)
+        assert held[-1].reserve == 0 < held[-1].working
