Answer requests of teams whatever characters their names have

Cause: encoding the name raised an error after a connection had been taken from the pool, which then counted as lent for ever.

Change: names of the configuration and of servers are sent in UTF-8, with control characters replaced. Whatever ends a send returns its connection; a cancelled one had left it too.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+import re
 from collections.abc import Callable, Collection, Sequence
+from contextlib import ExitStack
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -37,6 +39,7 @@
 # its requests has ended.
 RETRY_AFTER_REJECTED_S = 0.15
 MS_PER_S = 1000
+CONTROL_CHARACTERS = re.compile(r'[\x00-\x1f\x7f]')
 FIRST_SERVER_ERROR = 500
 # A server that has sent this many parts of a stream has not crashed by
 # beginning to write it.
@@ -181,7 +184,6 @@
             except ServerUnreachableError as error:
                 trace.note(server.instance, f'not sent ({error.message})')
                 self._permits.give_back(server.server_instance)
-                self._pool.give_back(server, connection)
         raise self._no_server(
             context,
             'no server accepts a connection',
@@ -360,14 +362,17 @@
         connection: ServerConnection,
         extra_headers: Sequence[tuple[str, str]],
     ) -> Attempt:
-        now = self._clock()
-        if now >= context.deadline:
-            self._permits.give_back(server.server_instance)
-            self._pool.give_back(server, connection)
-            raise NoServerError('no time is left')
-        data = self._encode(context, server, extra_headers, now)
-        limit_mark = self._limits.mark(server.server_instance)
-        await connection.send(data, context.request_id)
+        """Send the request; return the connection to the pool if that fails."""
+        with ExitStack() as undo:
+            undo.callback(self._pool.give_back, server, connection)
+            now = self._clock()
+            if now >= context.deadline:
+                self._permits.give_back(server.server_instance)
+                raise NoServerError('no time is left')
+            data = self._encode(context, server, extra_headers, now)
+            limit_mark = self._limits.mark(server.server_instance)
+            await connection.send(data, context.request_id)
+            undo.pop_all()
         trace.note_sent(
             server.instance, self._clock() - context.request.received_at
         )
@@ -392,14 +397,19 @@
         names = self._names
         left_ms = max(1, int((context.deadline - now) * MS_PER_S))
         own_headers = [
-            (names.deadline_ms, str(left_ms)),
-            (names.target_instance, server.instance),
-            *extra_headers,
+            (names.deadline_ms, b'%d' % left_ms),
+            (names.target_instance, _encoded(server.instance)),
+        ]
+        # These texts were decoded as Latin-1, so that no byte changes.
+        own_headers += [
+            (name, text.encode('latin-1')) for name, text in extra_headers
         ]
         if context.workspace is not None:
-            own_headers.append((names.workspace, context.workspace))
+            own_headers.append((names.workspace, _encoded(context.workspace)))
         if context.work.is_prompt:
-            own_headers.append((names.server_priority, str(context.priority)))
+            own_headers.append(
+                (names.server_priority, str(context.priority).encode())
+            )
         request = context.request
         dropped = [
             *(name for name, _ in own_headers),
@@ -413,7 +423,7 @@
         lines = [b'%b %b HTTP/1.1' % (request.method, request.target)]
         lines += [b'%b: %b' % header for header in forwarded]
         lines += [
-            f'{name}: {text}'.encode('latin-1') for name, text in own_headers
+            b'%b: %b' % (name.encode(), text) for name, text in own_headers
         ]
         if request.body or request.method not in {b'GET', b'HEAD'}:
             lines.append(b'Content-Length: %d' % len(request.body))
@@ -422,3 +432,11 @@
 
 def _of_version(version: str | None) -> str:
     return '' if version is None else f' at version {version}'
+
+
+def _encoded(name: str) -> bytes:
+    """Return a header's value in UTF-8.
+
+    Control characters, which could begin another header, become question marks.
+    """
+    return CONTROL_CHARACTERS.sub('?', name).encode(errors='replace')
--- a/packages/forwarding/tests/test_forwarder.py
+++ b/packages/forwarding/tests/test_forwarder.py
@@ -1,10 +1,13 @@
 """Answers and retries while backend servers fail in many ways."""
 
 import asyncio
+import contextlib
 import math
 
 import pytest
 
+from oriolegauge.forwarding.dispatcher import Dispatcher
+
 from .serverscripts import (
     cut_reply,
     encoded,
@@ -189,6 +192,43 @@
             assert headers['x-other'] == 'kept'
             assert 0 < int(headers['x-deadline-ms']) <= 900
 
+    @pytest.mark.parametrize(
+        ('workspace', 'sent'),
+        [
+            ('Bak\u0131m', 'Bak\u0131m'),
+            ('été', 'été'),
+            ('a\r\nX-Api-Key: b', 'a??X-Api-Key: b'),
+            ('\ud800', '?'),
+        ],
+    )
+    async def test_any_name_of_a_workspace_reaches_the_server(
+        self, workspace, sent
+    ):
+        """Guards against requests without an answer because of a name."""
+        server = ScriptedServer()
+        async with World(server, workspace=workspace) as world:
+            answer = await world.call('/safe/x')
+            assert ' 200 ' in answer.first_line
+            header = server.seen[0].headers['x-team']
+            assert header.encode('latin-1').decode() == sent
+
+    async def test_failed_send_returns_its_connection(self, monkeypatch):
+        """Guards against connections that count as lent for ever."""
+        server = ScriptedServer()
+        async with World(server) as world:
+
+            def fail_to_encode(*_):
+                raise UnicodeError
+
+            with monkeypatch.context() as patched:
+                patched.setattr(Dispatcher, '_encode', fail_to_encode)
+                for number in range(5):
+                    with contextlib.suppress(asyncio.IncompleteReadError):
+                        await world.call('/safe/x', request_id=f'r{number}')
+            assert not sum(world.pool._lent.values())
+            answer = await world.call('/safe/x')
+            assert ' 200 ' in answer.first_line
+
     async def test_second_attempt_has_less_time(self):
         """Guards against sending a deadline beyond the caller's."""
 
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -284,12 +284,20 @@
 class World:
     """Run a forwarder in front of scripted servers."""
 
-    def __init__(self, *servers, limits=None, routes=ROUTES, credit=10):
+    def __init__(
+        self,
+        *servers,
+        limits=None,
+        routes=ROUTES,
+        credit=10,
+        workspace='team',
+    ):
         self.servers = servers
         self.budget = FakeBudget()
         self.limits = limits or CallerLimits()
         self.routes = routes
         self.credit = credit
+        self.workspace = workspace
         self.versions = FakeVersions()
         # Of each server, if they differ.
         self.server_versions = {}
@@ -371,7 +379,9 @@
                         ),
                     ),
                     workspaces=(
-                        Workspace(name='team', caller_keys=frozenset((KEY,))),
+                        Workspace(
+                            name=self.workspace, caller_keys=frozenset((KEY,))
+                        ),
                     ),
                     limits=self.limits,
                 )
