Read lists of the store whatever a single entry contains

Cause: the lenient reading of a list repaired the oddities that were known; all others made the whole list unreadable, and daemons kept the old one.

--- a/tests/adapter/test_platformstore.py
+++ b/tests/adapter/test_platformstore.py
@@ -241,6 +241,13 @@
             b'{"a": "' + b'[{' * 50_000 + b'", "slots": 1e999}',
             b'{"zone": "\xff\xfe"}',
             b'{"zone": "\\ud800"}',
+            b'{"zone": "\x00\x01\xff"}',
+            b'{"zone": "a\nb"}',
+            b'{"slots": NaN}',
+            b'{"slots": -Infinity}',
+            b'{"zone": \x01}',
+            b'{"zone": }',
+            b'{"slots": 1, 2}',
         ],
     )
     async def test_entry_that_can_not_be_read_hides_no_other(self, spec):
@@ -265,6 +272,21 @@
             changes = await client.changes('servers', 0, 0)
         assert len(changes.changed) == 3
 
+    async def test_entry_without_a_readable_name_hides_no_other(self):
+        """Guards against a list that is not followed because of one name."""
+        row = b'{"metadata": {"name": "a", "revision": 1}, "spec": 1}'
+        odd = b'{"metadata": {"name": \x01}, "spec": 2}'
+        page = b'{"items": [%b, %b], "hasMore": false, "asOf": 3}' % (row, odd)
+        async with FixedAnswerStore(page) as client:
+            found = await client.snapshot('servers')
+        assert [entry.key for entry in found.objects] == ['servers/a']
+        page = b'{"events": [%b, %b], "asOf": 3}' % tuple(
+            b'{"object": %b, "deleted": false}' % one for one in (row, odd)
+        )
+        async with FixedAnswerStore(page) as client:
+            changes = await client.changes('servers', 0, 0)
+        assert [entry.key for entry in changes.changed] == ['servers/a']
+
 
 class TestMalformedAnswers:
     @pytest.mark.parametrize(
