Hold requests that were at all crashes that are explained

Cause: requests that crash servers moved together from server to server. What the crashes have in common were then the fingerprints of several requests; a request is held only if it has all of them, so none was held, and the third and fourth crash were caused by repeats. A retry could also be sent before the crash of its server was known.

Change: a request that was itself at all of the explained crashes is held. One whose connection was lost waits for the check of its server, 50 ms at most.

Ruled out as the cause: new requests with the part (only the fifth crash); daemons that know different suspects (they agreed after 55 ms).

--- a/packages/forwarding/src/oriolegauge/forwarding/crashdetector.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/crashdetector.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 from typing import Protocol
 
 import structlog
@@ -17,11 +18,13 @@
 from oriolegauge.forwarding.leavinginstances import ServerInstance
 from oriolegauge.forwarding.requestcontext import RequestContext
 from oriolegauge.routing.crashquarantine import QuarantinedError
-from oriolegauge.routing.crashsuspects import CrashSuspects
+from oriolegauge.routing.crashsuspects import REQUEST_PREFIX, CrashSuspects
 
 # In this time all connections of a crashed server have ended, and it has
 # stopped to listen.
 CHECK_DELAY_S = 0.01
+# A host that does not answer delays a retry by this at most.
+MAX_CHECK_WAIT_S = 0.05
 MAX_LOGGED_SUSPECTS = 32
 
 log = structlog.get_logger()
@@ -45,10 +48,16 @@
         self._probe = probe
         self._suspects = suspects
         self._unchecked: dict[ServerInstance, set[str]] = {}
+        self._checks: dict[ServerInstance, asyncio.Task[None]] = {}
         self._tasks = TaskSet()
 
-    def check(self, context: RequestContext) -> None:
-        """Raise QuarantinedError if the request may crash a server."""
+    async def check(self, context: RequestContext) -> None:
+        """Raise QuarantinedError if the request may crash a server.
+
+        A request whose connection was lost waits for the check of its server.
+        """
+        if self._unchecked:
+            await self._wait_for_checks(fingerprints(context))
         if self._suspects.is_empty:
             return
         held = self._suspects.held(fingerprints(context))
@@ -71,7 +80,17 @@
             known |= fingerprints(context)
             return
         self._unchecked[server.server_instance] = set(fingerprints(context))
-        self._tasks.spawn(self._check(server))
+        check = self._tasks.spawn(self._check(server))
+        self._checks[server.server_instance] = check
+
+    async def _wait_for_checks(self, sent: frozenset[str]) -> None:
+        checks = [
+            self._checks[instance]
+            for instance, lost in self._unchecked.items()
+            if _whole_requests(lost & sent)
+        ]
+        if checks:
+            await asyncio.wait(checks, timeout=MAX_CHECK_WAIT_S)
 
     async def _check(self, server: BackendServer) -> None:
         await asyncio.sleep(CHECK_DELAY_S)
@@ -83,6 +102,7 @@
             is_refused = error.is_refused
             reason = error.message
         suspects = frozenset(self._unchecked.pop(server.server_instance))
+        del self._checks[server.server_instance]
         log.info(
             'server crashed' if is_refused else 'connection lost, no crash',
             server=server.instance,
@@ -92,3 +112,7 @@
         )
         if is_refused:
             self._suspects.note((server.instance, server.started_ms), suspects)
+
+
+def _whole_requests(names: Iterable[str]) -> list[str]:
+    return [name for name in names if name.startswith(REQUEST_PREFIX)]
--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -156,7 +156,7 @@
         QuarantinedError if it may crash a server. Add servers that accept
         no connection to `excluded`.
         """
-        self._crashes.check(context)
+        await self._crashes.check(context)
         is_index_current = False
         # A request without a prompt takes less time than fetching the loads.
         if context.work.is_prompt:
--- a/packages/forwarding/tests/test_crashdetector.py
+++ b/packages/forwarding/tests/test_crashdetector.py
@@ -1,8 +1,14 @@
 """Detection of servers that crash while they run requests."""
 
 import asyncio
+from types import SimpleNamespace
 
-from oriolegauge.routing.crashsuspects import SAME_CAUSE_S
+import pytest
+
+from oriolegauge.forwarding import crashdetector
+from oriolegauge.forwarding.errors import ServerUnreachableError
+from oriolegauge.routing.crashquarantine import QuarantinedError
+from oriolegauge.routing.crashsuspects import SAME_CAUSE_S, CrashSuspects
 
 from .world import (
     ScriptedServer,
@@ -137,3 +143,39 @@
             held = await review(world, 'r2')
         assert ' 200 ' in answer.first_line
         assert ' 503 ' in held.first_line
+
+
+class CrashedServers:
+    """Refuse all connections."""
+
+    async def probe(self, server):
+        raise ServerUnreachableError('refused', is_refused=True)
+
+
+class TestRetries:
+    async def test_retry_waits_until_the_crash_is_known(self, monkeypatch):
+        """Guards against a retry that is sent before its server is checked."""
+        monkeypatch.setattr(crashdetector, 'fingerprints', frozenset)
+        loop = asyncio.get_running_loop()
+        detector = crashdetector.CrashDetector(
+            probe=CrashedServers(),
+            suspects=CrashSuspects(
+                clock=loop.time,
+                has_turn=lambda _: True,
+                on_change=lambda: None,
+            ),
+        )
+        retried, other = ['request:a', 'part:p'], ['request:b', 'part:p']
+        for number in range(2):
+            await detector.check(retried)
+            server = SimpleNamespace(
+                instance=f's{number}',
+                started_ms=1,
+                server_instance=(f's{number}', 1),
+            )
+            detector.note_lost(server, retried)
+        began_at = loop.time()
+        await detector.check(other)
+        assert loop.time() - began_at < crashdetector.CHECK_DELAY_S / 2
+        with pytest.raises(QuarantinedError):
+            await detector.check(retried)
--- a/packages/routing/src/oriolegauge/routing/crashsuspects.py
+++ b/packages/routing/src/oriolegauge/routing/crashsuspects.py
@@ -4,8 +4,9 @@
 suspects the fingerprints of the requests that the server had not begun to
 answer. An answer to a request clears its fingerprints of all crashes before.
 The suspects that the same two or more crashes leave explain them: requests with
-all of these are held. Requests with some of them pass, and so tell which of
-them is harmful.
+all of these are held, and those that were themselves at all of these crashes,
+which may have moved from server to server together. Other requests with some of
+them pass, and so tell which of them is harmful.
 """
 
 from collections import Counter
@@ -101,6 +102,13 @@
     moments: int
     last_at: float
 
+    def is_met_by(self, fingerprints: frozenset[str]) -> bool:
+        """State whether a request with these may have caused the crashes."""
+        shared = self.fingerprints & fingerprints
+        return shared == self.fingerprints or any(
+            one.startswith(REQUEST_PREFIX) for one in shared
+        )
+
     @property
     def severity(self) -> int:
         """Return the crashes that decide on the length of the hold."""
@@ -178,7 +186,7 @@
         now = self._clock()
         self._forget_old(now)
         for one in self._explanations:
-            if one.fingerprints <= fingerprints:
+            if one.is_met_by(fingerprints):
                 wait_s = self._wait_s(one, now)
                 if wait_s > 0:
                     return Held(wait_s, len(one.keys), one.fingerprints)
--- a/packages/routing/tests/test_crashsuspects.py
+++ b/packages/routing/tests/test_crashsuspects.py
@@ -63,6 +63,22 @@
         assert daemon.is_held('first', 'deadly', 'z')
         assert not daemon.is_held('first', 'z')
 
+    def test_requests_that_move_together_are_held(self):
+        """Guards against suspects that crash one server after the other.
+
+        Found on kyklos-episkevi: four requests were sent to the same servers in
+        turn, and none had the fingerprints of all.
+        """
+        daemon = Daemon()
+        for server in ('s1', 's2'):
+            daemon.crash(
+                server, 'deadly', 'sound', 'request:a', 'request:b', 'request:c'
+            )
+        assert daemon.is_held('deadly', 'request:a')
+        assert daemon.is_held('deadly', 'request:b')
+        assert daemon.is_held('sound', 'request:c')
+        assert not daemon.is_held('sound', 'request:d')
+
     def test_request_with_the_deadly_part_alone_tells_it_from_the_others(self):
         """Guards against a harmful part that hides among its companions."""
         daemon = Daemon()
