--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -151,6 +151,7 @@
         self._uncovered: dict[str, tuple[float, int]] = {}
         self._starts: dict[str, _ProcessStart] = {}
         self._watch = RenewalWatch()
+        self._known_lost: frozenset[str] = frozenset()
         # By host: when the reserve of a crashed process was resolved, and the
         # seconds on the wall clock between its last stamp and the restart.
         self._resolved: dict[str, tuple[float, float]] = {}
@@ -545,12 +546,24 @@
 
     def _stranded(self, team: str) -> int:
         """Return the tokens in reserves that may never be renewed again."""
+        hosts = self._lost_hosts()
+        return self.ledger.reserved(team, hosts) if hosts else 0
+
+    def _lost_hosts(self) -> frozenset[str]:
+        """Return the hosts whose reserves may never be renewed again."""
         rows = self.ledger.reserves
-        hosts = self._watch.silent(rows, self._clock())
-        hosts |= {
+        hosts = frozenset(self._watch.silent(rows, self._clock())).union(
             host for host, row in rows.items() if self._has_ended(host, row)
-        }
-        return self.ledger.reserved(team, hosts) if hosts else 0
+        )
+        if hosts != self._known_lost:
+            self._known_lost = hosts
+            log.info(
+                'reserves count as stranded',
+                hosts=sorted(hosts),
+                reserves=len(rows),
+                version=self.version,
+            )
+        return hosts
 
     def _has_ended(self, host: str, row: ReserveRow) -> bool:
         """State whether another process of the host has started since."""
