Use a load table for the prompts of the next 30 ms too

A daemon asked the load aggregator before each prompt. On the crowded deployment one caller sends 100 requests a second to one host with a link of 5 Mbit/s; a table of 94 servers has 1.5 to 1.9 KB when encoded, a question with 60 rows 1.1 KB, so the calls of 80 prompts a second take a quarter of the link, on which connections to servers then time out.

Reports of other daemons reach the aggregator at most every 30 ms, and own placements are counted at once, so an older table than that says nothing less. Prompts with long shared parts that were not asked for within a second still ask. Ruled out: a longer age, since daemons would choose the same server, and a table without the servers that a daemon does not use, since it chooses among all.

The new test of a busy daemon fails before.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -25,7 +25,11 @@
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.forwarding.serversignals import MISDIRECTED
 from oriolegauge.routing.retryschedule import RetrySchedule
-from oriolegauge.routing.serverchooser import Candidate, ServerChooser
+from oriolegauge.routing.serverchooser import (
+    Candidate,
+    PromptPart,
+    ServerChooser,
+)
 from oriolegauge.routing.serverpauses import ServerPauses
 
 # Servers tried in turn while none accepts a connection.
@@ -49,7 +53,7 @@
 class FleetLoads(Protocol):
     """Exchange the load on each server with the other daemons."""
 
-    async def refresh(self, parts: Sequence[str] = ()) -> bool:
+    async def refresh(self, parts: Sequence[PromptPart] = ()) -> bool:
         """Fetch the loads and the servers that have cached the prompt parts.
 
         Return whether they are known.
@@ -161,7 +165,7 @@
         # A request without a prompt takes less time than fetching the loads.
         if context.work.is_prompt:
             is_index_current = await self._loads.refresh(
-                [part.name for part in context.work.shared_parts]
+                context.work.shared_parts
             )
         for _ in range(MAX_CONNECTS):
             server = await self._choose_permitted(
--- a/packages/gateway/src/oriolegauge/gateway/loadexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/loadexchange.py
@@ -25,6 +25,7 @@
 from oriolegauge.routing.serverchooser import (
     MAX_UNREPORTED_PARTS,
     PeerLoad,
+    PromptPart,
     ServerChooser,
 )
 from oriolegauge.wire.messages import (
@@ -41,6 +42,18 @@
 AGGREGATOR_PAUSE_S = 1.0
 # Changes within this time are reported together.
 REPORT_GAP_S = 0.03
+# A table this recent is used for the next prompts too: the aggregator hears of
+# changes no sooner, and this daemon counts its own placements at once. A busy
+# daemon placed 80 prompts a second, and the tables, 2 KB each, took a quarter
+# of its link of 5 Mbit/s.
+TABLE_REUSE_S = REPORT_GAP_S
+# Time after which the aggregator is asked again which servers have cached a
+# prompt part.
+PART_REUSE_S = 1.0
+MAX_ASKED_PARTS = 1_000
+# Parts of so few tokens are not worth a call: an engine reads them in some
+# milliseconds.
+FEW_TOKENS = 500
 # Below the time after which the aggregator drops a report.
 REPEAT_S = 1.0
 # Period of the sums between aggregators. The reasons to send a prompt to
@@ -94,6 +107,8 @@
         self._unsent: tuple[PartHeld, ...] = ()
         self._learned_at = -math.inf
         self._failed_at = -math.inf
+        # Times at which the aggregator was last asked for prompt parts.
+        self._asked_at: dict[str, float] = {}
 
     @property
     def is_fresh(self) -> bool:
@@ -119,7 +134,7 @@
             read=self._aggregator.parts.holders_of(report.wanted),
         )
 
-    async def refresh(self, parts: Sequence[str] = ()) -> bool:
+    async def refresh(self, parts: Sequence[PromptPart] = ()) -> bool:
         """Get the loads of the others, and which servers read the prompt parts.
 
         Return whether the aggregator answered.
@@ -127,6 +142,8 @@
         if self._clock() - self._failed_at < AGGREGATOR_PAUSE_S:
             return False
         host = self._links.aggregator_host()
+        if host is not None and self._is_table_recent(host, parts):
+            return True
         read = self._parts_to_report(host)
         if host is None:
             self._last_aggregator = None
@@ -134,10 +151,35 @@
             self._aggregator.parts.note_all(read)
             self._apply_loads(self._loads_of_others(self._name, self._clock()))
             self._chooser.parts.note_all(
-                self._aggregator.parts.holders_of(parts)
+                self._aggregator.parts.holders_of(_names(parts))
             )
             return True
-        return await self._query_aggregator(host, read, parts)
+        return await self._query_aggregator(host, read, _names(parts))
+
+    def _is_table_recent(self, host: str, parts: Sequence[PromptPart]) -> bool:
+        now = self._clock()
+        if (
+            host != self._last_aggregator
+            or now - self._learned_at >= TABLE_REUSE_S
+        ):
+            return False
+        unknown_tokens = sum(
+            part.tokens
+            for part in parts
+            if now - self._asked_at.get(part.name, -math.inf) >= PART_REUSE_S
+        )
+        return unknown_tokens <= FEW_TOKENS
+
+    def _note_asked(self, parts: Sequence[str]) -> None:
+        now = self._clock()
+        for part in parts:
+            self._asked_at[part] = now
+        if len(self._asked_at) > MAX_ASKED_PARTS:
+            self._asked_at = {
+                part: asked_at
+                for part, asked_at in self._asked_at.items()
+                if now - asked_at < PART_REUSE_S
+            }
 
     def _parts_to_report(self, host: str | None) -> tuple[PartHeld, ...]:
         """Return prompt parts read that the aggregator doesn't know yet."""
@@ -170,6 +212,7 @@
         self._unsent = ()
         self._apply_loads(in_flight_loads(table.in_flight))
         self._chooser.parts.note_all(table.read)
+        self._note_asked(parts)
         return True
 
     def _loads_of_others(
@@ -253,6 +296,10 @@
         self._chooser.note_peers(loads)
 
 
+def _names(parts: Sequence[PromptPart]) -> tuple[str, ...]:
+    return tuple(part.name for part in parts)
+
+
 def in_flight_rows(
     loads: Mapping[str, PeerLoad],
 ) -> tuple[ServerInFlight, ...]:
--- a/packages/gateway/tests/test_loadexchange.py
+++ b/packages/gateway/tests/test_loadexchange.py
@@ -7,6 +7,7 @@
 
 from oriolegauge.gateway.loadexchange import (
     REPEAT_S,
+    REPORT_GAP_S,
     SUMS_PERIOD_S,
     LoadExchange,
 )
@@ -185,9 +186,7 @@
 @pytest.mark.looptime
 class TestLoadExchange:
     async def place(self, choosers, exchanges, placed, name, work=LONG):
-        is_index_current = await exchanges[name].refresh(
-            [part.name for part in work.shared_parts]
-        )
+        is_index_current = await exchanges[name].refresh(work.shared_parts)
         now = asyncio.get_running_loop().time()
         server = choosers[name].choose(
             ENGINES, work, now, is_index_current=is_index_current
@@ -295,3 +294,39 @@
             task.cancel()
         assert links.calls == 30
         assert links.one_way_sent <= 3 * 30
+
+    async def test_busy_daemon_does_not_fill_its_link_with_tables(self):
+        """Guards against a table for each prompt of a host with a small link.
+
+        One caller sent 80 prompts a second to a host with 5 Mbit/s; tables of
+        2 KB took a quarter of it, and connections to servers timed out.
+        """
+        links, choosers, exchanges = make_fleet(3)
+        chat = Work(
+            prompt_tokens=826,
+            output_tokens=300,
+            shared_parts=(PromptPart('greeting', 119), PromptPart('s', 79)),
+        )
+        began = asyncio.get_running_loop().time()
+        for _ in range(80):
+            await self.place(choosers, exchanges, [], 'd1', chat)
+            await asyncio.sleep(0.01)
+        seconds = asyncio.get_running_loop().time() - began
+        assert links.calls <= 1 + seconds / REPORT_GAP_S
+
+    async def test_recent_table_is_not_used_for_unknown_long_parts(self):
+        """Guards against long shared parts that are read again elsewhere."""
+        links, choosers, exchanges = make_fleet(3)
+        session = review('s1')
+        unread = choosers['d2'].started('e7', session)
+        choosers['d2'].ended('e7', unread, was_answered=False, ok=True, now=0)
+        exchanges['d2'].changed()
+        task = asyncio.create_task(exchanges['d2'].run())
+        await asyncio.sleep(0.1)
+        await exchanges['d1'].refresh()
+        server, unread = await self.place(
+            choosers, exchanges, [], 'd1', session
+        )
+        task.cancel()
+        assert links.calls == 2
+        assert (server, unread) == ('e7', OWN_TOKENS)
