Report the room that a service has for a request

The admission gate of docs/design/scarce-and-uneven-capacity.md decides by the expected wait, the slots taken and the backlog of reading of a service; only the chooser knows the loads of all daemons.

--- a/packages/routing/src/oriolegauge/routing/serverchooser.py
+++ b/packages/routing/src/oriolegauge/routing/serverchooser.py
@@ -16,6 +16,7 @@
 
 from oriolegauge.core.rendezvous import first
 from oriolegauge.routing.partindex import PartHeld, PartIndex
+from oriolegauge.routing.room import Room
 
 # Prompt tokens that an engine reads per second: the slower of the two engines
 # in use, which read 42.8 and 69.8 tokens a millisecond.
@@ -177,6 +178,25 @@
                 )
         return min(costs, key=costs.__getitem__)
 
+    def room(
+        self, candidates: Sequence[Candidate], work: Work, now: float
+    ) -> Room:
+        """Return the room that the servers have for the request."""
+        waits, reading = [], 0.0
+        running = 0
+        for candidate in candidates:
+            record = self._record(candidate.name)
+            peer = self._peer(candidate.name)
+            running += record.running + peer.requests
+            reading += record.pending_tokens + peer.prompt_tokens
+            waits.append(self._cost(candidate, work, None, now))
+        slots = sum(candidate.slots for candidate in candidates)
+        return Room(
+            wait_s=min(waits, default=math.inf),
+            busy_share=running / max(1, slots),
+            reading_s=reading / PREFILL_TOKENS_PER_S / max(1, len(candidates)),
+        )
+
     def load(self, name: str) -> int:
         """Return the requests of all daemons known to run on the server."""
         return self._record(name).running + self._peer(name).requests
--- a/packages/routing/tests/test_serverchooser.py
+++ b/packages/routing/tests/test_serverchooser.py
@@ -215,3 +215,21 @@
                     held.prompt_tokens + load.prompt_tokens,
                 )
         return sums
+
+
+class TestRoom:
+    def test_counts_the_requests_of_all_daemons(self):
+        """Guards against an admission that sees only its own daemon's load."""
+        daemon = chooser()
+        daemon.note_peers({'s0': PeerLoad(96, 8_560)})
+        daemon.started('s1', CHAT)
+        room = daemon.room(SERVERS, CHAT, 0)
+        assert room.busy_share == 97 / (6 * 64)
+        assert room.reading_s == (8_560 + 800) / PREFILL_TOKENS_PER_S / 6
+        assert 0 < room.wait_s < 0.2
+
+    def test_there_is_no_room_without_servers(self):
+        """Guards against a request that waits for servers of no service."""
+        room = chooser().room([], CHAT, 0)
+        assert room.wait_s == float('inf')
+        assert room.busy_share == 0
