Place prompts by learned speeds where settings call for it

With adapts_to_load the reading speed and the time of plain calls are learned per service, servers are divided between long and short prompts only where the reading of a long prompt can make a stream late, and the requests of all daemons spread before the slots of a server are taken. Without it nothing changes. Candidate, PeerLoad and Work get modules of their own, since the new ones use them without the chooser.

Cause: the fixed fifth of the servers for short prompts has too few slots on crowded deployments.

Not finished: memory of other daemons' requests, servers that join, slowness told to other daemons.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -24,8 +24,9 @@
 from oriolegauge.forwarding.serverlimits import ServerLimits
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.forwarding.serversignals import MISDIRECTED
+from oriolegauge.routing.candidate import Candidate
 from oriolegauge.routing.retryschedule import RetrySchedule
-from oriolegauge.routing.serverchooser import Candidate, ServerChooser
+from oriolegauge.routing.serverchooser import ServerChooser
 from oriolegauge.routing.serverpauses import ServerPauses
 
 # Servers tried in turn while none accepts a connection.
@@ -76,6 +77,7 @@
 class Attempt:
     """Hold one send to a server until `Dispatcher.close`.
 
+    `waiting_tokens` are those that the server had to read before it.
     `limit_mark` tells what was known of the server's limit when it was sent.
     `is_harmless` states that the server has survived the start of its answer.
     """
@@ -85,6 +87,7 @@
     connection: ServerConnection
     unread_tokens: int
     sent_at: float
+    waiting_tokens: int = 0
     limit_mark: int = 0
     was_answered: bool = False
     parts: int = 0
@@ -215,6 +218,7 @@
             attempt.unread_tokens,
             seconds=now - attempt.sent_at,
             now=now,
+            waiting_tokens=attempt.waiting_tokens,
         )
         self._loads.changed()
 
@@ -243,6 +247,7 @@
             was_answered=attempt.was_answered,
             ok=attempt.ok,
             now=self._clock(),
+            work=attempt.context.work,
         )
         self._loads.changed()
 
@@ -286,12 +291,7 @@
     ) -> BackendServer:
         servers = self._candidates(context.service, excluded, version)
         name = self._chooser.choose(
-            [
-                Candidate(
-                    name=server.instance, zone=server.zone, slots=server.slots
-                )
-                for server in servers.values()
-            ],
+            [_candidate(server) for server in servers.values()],
             context.work,
             self._clock(),
             is_index_current=is_index_current,
@@ -376,6 +376,10 @@
         trace.note_sent(
             server.instance, self._clock() - context.request.received_at
         )
+        trace.expected_s = self._chooser.expected_s(
+            _candidate(server), context.work, now
+        )
+        waiting_tokens = self._chooser.waiting_tokens(server.instance)
         unread = self._chooser.started(server.instance, context.work)
         self._loads.changed()
         return Attempt(
@@ -384,6 +388,7 @@
             connection=connection,
             unread_tokens=unread,
             sent_at=now,
+            waiting_tokens=waiting_tokens,
             limit_mark=limit_mark,
         )
 
@@ -430,6 +435,15 @@
         return b'\r\n'.join((*lines, b'', request.body))
 
 
+def _candidate(server: BackendServer) -> Candidate:
+    return Candidate(
+        name=server.instance,
+        zone=server.zone,
+        slots=server.slots,
+        service=server.service,
+    )
+
+
 def _of_version(version: str | None) -> str:
     return '' if version is None else f' at version {version}'
 
--- a/packages/forwarding/src/oriolegauge/forwarding/fingerprints.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/fingerprints.py
@@ -4,7 +4,7 @@
 
 from oriolegauge.forwarding.requestcontext import RequestContext
 from oriolegauge.routing.crashsuspects import REQUEST_PREFIX
-from oriolegauge.routing.serverchooser import PromptPart
+from oriolegauge.routing.work import PromptPart
 
 # A longer name of a prompt part is replaced by its hash.
 MAX_PART_NAME_CHARS = 40
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -45,7 +45,7 @@
 from oriolegauge.forwarding.wholeexchange import WholeExchange
 from oriolegauge.grants import Reservation
 from oriolegauge.routing.retrybudgets import RetryBudgets
-from oriolegauge.routing.serverchooser import Work
+from oriolegauge.routing.work import Work
 
 STARTING_RETRY_AFTER_S = 0.5
 # If the tokens per event of a service are unknown, an event is billed as the
@@ -250,9 +250,14 @@
     def _work(self, request: CallerRequest, route: Route) -> Work:
         bounds = request.header(self._names.token_bounds)
         if not (route.has_prompt or bounds):
-            return Work()
+            return Work(objective_s=route.objective_s)
         work = parse_work(bounds, request.header(self._names.prompt_parts))
-        return replace(work, body_bytes=len(request.body))
+        return replace(
+            work,
+            body_bytes=len(request.body),
+            objective_s=route.objective_s,
+            longest_pause_s=route.longest_pause_s,
+        )
 
     def _check_drain(self, context: RequestContext) -> None:
         plan = self._drain_plan
@@ -363,6 +368,7 @@
             events=trace.events,
             sent_s=_rounded(trace.first_send_s),
             first_s=_rounded(trace.first_answer_s),
+            expected_s=_rounded(trace.expected_s),
             longest_pause_s=_rounded(trace.longest_pause_s),
             prompt_tokens=context.work.prompt_tokens if context else 0,
             whole_s=_rounded(whole_s),
--- a/packages/forwarding/src/oriolegauge/forwarding/forwardingconfig.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwardingconfig.py
@@ -11,13 +11,15 @@
 
     `max_connections` applies to each server. `tokens_per_event` is the most
     output tokens of one stream event, and `slots` the number of requests that a
-    server runs at once; both are None if unknown.
+    server runs at once; both are None if unknown. `memory_tokens` is the number
+    of tokens that an engine can hold, 0 if unknown.
     """
 
     name: str
     max_connections: int
     tokens_per_event: int | None = None
     slots: int | None = None
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
@@ -5,7 +5,7 @@
 from oriolegauge.core.errors import InvalidRequestError
 from oriolegauge.forwarding.callerrequest import CallerRequest
 from oriolegauge.forwarding.route import Route
-from oriolegauge.routing.serverchooser import PromptPart, Work
+from oriolegauge.routing.work import PromptPart, Work
 
 MAX_PROMPT_PARTS = 64
 
@@ -35,7 +35,8 @@
     """Record the attempts and events of a request for logging and billing.
 
     `version` is that of the servers which may answer a stream, `resumes` the
-    caller's attempt that began it.
+    caller's attempt that began it. `expected_s` is the expected time to the
+    first answer at the last send.
     """
 
     attempts: list[str] = field(default_factory=list)
@@ -44,6 +45,7 @@
     events: int = 0
     first_send_s: float | None = None
     first_answer_s: float | None = None
+    expected_s: float | None = None
     longest_pause_s: float = 0
     last_event_at: float | None = None
     version: str | None = None
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -46,7 +46,8 @@
 from oriolegauge.mesh import PeerMesh
 from oriolegauge.routing.crashsuspects import CrashSuspects
 from oriolegauge.routing.loadaggregator import LoadAggregator
-from oriolegauge.routing.serverchooser import PeerLoad, ServerChooser
+from oriolegauge.routing.peerload import PeerLoad
+from oriolegauge.routing.serverchooser import ServerChooser
 from oriolegauge.wire import PeerTimeoutError, PeerUnreachableError, Sender
 from oriolegauge.wire.messages import (
     UNLIMITED_PER_S,
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -129,7 +129,11 @@
             has_turn=lambda number: self._links.has_turn(number),
             on_change=lambda: self._links.announce_change(),
         )
-        self._chooser = ServerChooser(zone=settings.zone, rng=self._rng)
+        self._chooser = ServerChooser(
+            zone=settings.zone,
+            rng=self._rng,
+            adapts_to_load=settings.adapts_to_load,
+        )
         self._pool = ConnectionPool(
             request_id_header=names.request_id,
             connect_timeout_s=settings.connect_timeout_s,
@@ -434,6 +438,9 @@
             return
         route_table = RouteTable(config)
         self._forwarder.set_route_table(route_table)
+        self._chooser.note_memory(
+            {one.name: one.memory_tokens for one in config.services}
+        )
         self._note_longest_stream(route_table)
         self._versions.servers_changed()
         log.info(
--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -25,6 +25,7 @@
     `memory_bytes` is the memory that the process may use.
     `grace_s` is the time between SIGTERM and the exit of the process.
     `is_first_start` states that the whole fleet starts for the first time.
+    `adapts_to_load` states that prompts are placed by learned speeds.
     """
 
     name: str
@@ -53,6 +54,7 @@
     peer_timeout_s: float = 0.6
     max_peer_message_bytes: int = 8 * 1024 * 1024
     connect_timeout_s: float = 0.3
+    adapts_to_load: bool = False
 
     def drain_plan(self, began_at: float) -> DrainPlan:
         """Return the plan of a stop that began at the loop time (s)."""
--- a/packages/gateway/src/oriolegauge/gateway/loadexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/loadexchange.py
@@ -22,9 +22,9 @@
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.routing.loadaggregator import LoadAggregator
 from oriolegauge.routing.partindex import PartHeld
+from oriolegauge.routing.peerload import PeerLoad
 from oriolegauge.routing.serverchooser import (
     MAX_UNREPORTED_PARTS,
-    PeerLoad,
     ServerChooser,
 )
 from oriolegauge.wire.messages import (
--- a/packages/gateway/tests/test_loadexchange.py
+++ b/packages/gateway/tests/test_loadexchange.py
@@ -10,15 +10,14 @@
     SUMS_PERIOD_S,
     LoadExchange,
 )
+from oriolegauge.routing.candidate import Candidate
 from oriolegauge.routing.loadaggregator import REPORT_EXPIRY_S, LoadAggregator
+from oriolegauge.routing.peerload import PeerLoad
 from oriolegauge.routing.serverchooser import (
     PREFILL_TOKENS_PER_S,
-    Candidate,
-    PeerLoad,
-    PromptPart,
     ServerChooser,
-    Work,
 )
+from oriolegauge.routing.work import PromptPart, Work
 from oriolegauge.wire import PeerUnreachableError
 
 ENGINES = [
--- a/packages/routing/src/oriolegauge/routing/loadaggregator.py
+++ b/packages/routing/src/oriolegauge/routing/loadaggregator.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from oriolegauge.routing.partindex import PartIndex
-from oriolegauge.routing.serverchooser import PeerLoad
+from oriolegauge.routing.peerload import PeerLoad
 
 # A daemon with running requests reports once a second. Without a report for
 # this time it has crashed, which ended its requests.
--- a/packages/routing/src/oriolegauge/routing/partindex.py
+++ b/packages/routing/src/oriolegauge/routing/partindex.py
@@ -48,6 +48,12 @@
         """State whether the server has read the part."""
         return part in self._parts.get(server, ())
 
+    def holders(self, part: str) -> frozenset[str]:
+        """Return the servers that hold the part."""
+        return frozenset(
+            server for server, held in self._parts.items() if part in held
+        )
+
     def holders_of(self, parts: Iterable[str]) -> tuple[PartHeld, ...]:
         """Return the servers that hold these parts, one entry each."""
         return tuple(
--- a/packages/routing/src/oriolegauge/routing/serverchooser.py
+++ b/packages/routing/src/oriolegauge/routing/serverchooser.py
@@ -15,8 +15,14 @@
 from operator import attrgetter, itemgetter
 
 from oriolegauge.core.rendezvous import first
+from oriolegauge.routing.candidate import Candidate
+from oriolegauge.routing.learnedcosts import LearnedCosts
 from oriolegauge.routing.partindex import PartHeld, PartIndex
+from oriolegauge.routing.peerload import PeerLoad
 from oriolegauge.routing.room import Room
+from oriolegauge.routing.serverspeeds import ServerSpeeds
+from oriolegauge.routing.serverstate import ServerState
+from oriolegauge.routing.work import Work
 
 # Prompt tokens that an engine reads per second: the slower of the two engines
 # in use, which read 42.8 and 69.8 tokens a millisecond.
@@ -48,9 +54,6 @@
 SLOWNESS_WEIGHT = 0.3
 SLOWNESS_HALF_LIFE_S = 1.5
 MAX_SLOWNESS = 20.0
-# An engine reads a prompt of this many tokens in 70 ms or more, several times
-# the interval between two tokens of the streams that it delays.
-LONG_PROMPT_TOKENS = 3_000
 # Share of the servers that is preferred for long prompts, which have nine
 # tenths of the tokens to read. Short streams need slots only.
 LONG_PROMPT_SHARE = 0.8
@@ -68,60 +71,19 @@
 MAX_UNREPORTED_PARTS = 2_000
 # Random share of the cost, so that daemons with equal data choose differently.
 JITTER = 0.05
-
-
-@dataclass(frozen=True, slots=True)
-class PromptPart:
-    """Name a part of a prompt and its tokens."""
-
-    name: str
-    tokens: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Work:
-    """Describe a request to place; calls of services have no prompt."""
-
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    body_bytes: int = 0
-    shared_parts: tuple[PromptPart, ...] = ()
-
-    @property
-    def is_prompt(self) -> bool:
-        """State whether an engine generates the answer."""
-        return self.prompt_tokens > 0
-
-    @property
-    def is_long(self) -> bool:
-        """State whether reading the prompt delays other streams much."""
-        return self.prompt_tokens >= LONG_PROMPT_TOKENS
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Candidate:
-    """Describe a server that may take the request."""
-
-    name: str
-    zone: str
-    slots: int = 1
-
-
-@dataclass(frozen=True, slots=True)
-class PeerLoad:
-    """Sum up the requests of other daemons on a server.
-
-    `prompt_tokens` are those still to be read.
-    """
-
-    requests: int = 0
-    prompt_tokens: int = 0
+# Servers whose cost exceeds the least one by this share and time are chosen as
+# often: daemons that place at the same time don't know of one another.
+SPREAD_SHARE = 0.05
+SPREAD_S = 0.004
+_NO_LOAD = PeerLoad()
 
 
 @dataclass(slots=True)
 class _Record:
     running: int = 0
     pending_tokens: int = 0
+    held_tokens: int = 0
+    service: str = ''
     failure_share: float = 0
     failed_at: float = 0
     slowness: float = 1
@@ -133,10 +95,22 @@
 class ServerChooser:
     """Track loads, failures and prompt parts of servers; choose one."""
 
-    def __init__(self, *, zone: str, rng: random.Random) -> None:
-        """Prefer servers of availability zone `zone`, all else equal."""
+    def __init__(
+        self,
+        *,
+        zone: str,
+        rng: random.Random,
+        adapts_to_load: bool = False,
+    ) -> None:
+        """Prefer servers of availability zone `zone`, all else equal.
+
+        With `adapts_to_load` servers are weighed by learned speeds.
+        """
         self._zone = zone
         self._rng = rng
+        self._adapts_to_load = adapts_to_load
+        self._speeds = ServerSpeeds()
+        self._learned_costs = LearnedCosts(self._speeds)
         self._records: dict[str, _Record] = {}
         self._peers: Mapping[str, PeerLoad] = {}
         self._unreported_parts: deque[PartHeld] = deque(
@@ -164,6 +138,10 @@
         ] or list(candidates)
         if not reachable:
             return None
+        if self._adapts_to_load:
+            return self._choose_learned(
+                reachable, work, now, is_index_current=is_index_current
+            )
         preferred = _preferred(reachable, work)
         home = None if is_index_current else self._home_server(preferred, work)
         costs = {
@@ -178,24 +156,95 @@
                 )
         return min(costs, key=costs.__getitem__)
 
+    def _choose_learned(
+        self,
+        reachable: Sequence[Candidate],
+        work: Work,
+        now: float,
+        *,
+        is_index_current: bool,
+    ) -> str:
+        home = None if is_index_current else self._home_server(reachable, work)
+        states = self._states(reachable, work, home, now)
+        costs = self._learned_costs.costs(reachable, states, work, now)
+        random_share = self._rng.random
+        least = min(costs)
+        margin = SPREAD_SHARE * least + SPREAD_S
+        near = [
+            candidate.name
+            for candidate, cost in zip(reachable, costs, strict=True)
+            if cost <= least + margin
+        ]
+        return near[int(random_share() * len(near))]
+
+    def _states(
+        self,
+        candidates: Sequence[Candidate],
+        work: Work,
+        home: str | None,
+        now: float,
+    ) -> list[ServerState]:
+        unread = self._unread_by_server(work, home)
+        prompt_tokens = work.prompt_tokens
+        other_zone_s = (
+            OTHER_ZONE_COST_S + work.body_bytes * OTHER_ZONE_COST_S_PER_BYTE
+        )
+        states = []
+        for candidate in candidates:
+            name = candidate.name
+            record = self._records.get(name) or self._record(name)
+            record.service = candidate.service
+            peer = self._peers.get(name, _NO_LOAD)
+            extra_s = 0 if candidate.zone == self._zone else other_zone_s
+            if record.failure_share:
+                extra_s += FAILURE_COST_S * self._failure_share(record, now)
+            states.append(
+                ServerState(
+                    record.running + peer.requests,
+                    record.pending_tokens + peer.prompt_tokens,
+                    record.held_tokens + peer.held_tokens,
+                    unread.get(name, prompt_tokens),
+                    self._speeds.slowness(name, now),
+                    extra_s,
+                )
+            )
+        return states
+
+    def _unread_by_server(self, work: Work, home: str | None) -> dict[str, int]:
+        """Return the tokens left to read at servers that hold parts."""
+        unread: dict[str, int] = {}
+        left = work.prompt_tokens
+        holders = None
+        for part in work.shared_parts:
+            left -= part.tokens
+            found = self.parts.holders(part.name)
+            # An engine can use a part only together with all parts before it.
+            holders = found if holders is None else holders & found
+            unread |= dict.fromkeys(holders, max(0, left))
+        if home is not None:
+            unread[home] = self._unshared_tokens(work)
+        return unread
+
+    def expected_s(
+        self, candidate: Candidate, work: Work, now: float
+    ) -> float | None:
+        """Return the expected time to the server's first answer, if learned."""
+        if not self._adapts_to_load:
+            return None
+        states = self._states([candidate], work, None, now)
+        return self._learned_costs.expected_s(candidate, states[0], work)
+
     def room(
         self, candidates: Sequence[Candidate], work: Work, now: float
     ) -> Room:
-        """Return the room that the servers have for the request."""
-        waits, reading = [], 0.0
-        running = 0
-        for candidate in candidates:
-            record = self._record(candidate.name)
-            peer = self._peer(candidate.name)
-            running += record.running + peer.requests
-            reading += record.pending_tokens + peer.prompt_tokens
-            waits.append(self._cost(candidate, work, None, now))
-        slots = sum(candidate.slots for candidate in candidates)
-        return Room(
-            wait_s=min(waits, default=math.inf),
-            busy_share=running / max(1, slots),
-            reading_s=reading / PREFILL_TOKENS_PER_S / max(1, len(candidates)),
-        )
+        """Return the room that the servers have for the request.
+
+        Without `adapts_to_load` the speeds are start values.
+        """
+        if not candidates:
+            return Room(wait_s=math.inf, busy_share=0, reading_s=0)
+        states = self._states(candidates, work, None, now)
+        return self._learned_costs.room(candidates, states, work)
 
     def load(self, name: str) -> int:
         """Return the requests of all daemons known to run on the server."""
@@ -204,7 +253,9 @@
     def own_loads(self) -> dict[str, PeerLoad]:
         """Return the load of this daemon by server, for its peers."""
         return {
-            name: PeerLoad(record.running, record.pending_tokens)
+            name: PeerLoad(
+                record.running, record.pending_tokens, record.held_tokens
+            )
             for name, record in self._records.items()
             if record.running
         }
@@ -219,6 +270,9 @@
         unread = self._unread(name, work)
         record.running += 1
         record.pending_tokens += unread
+        record.held_tokens += work.tokens
+        if self._adapts_to_load:
+            self._learned_costs.started(record.service, work)
         for part in work.shared_parts:
             held = PartHeld(part.name, name)
             if self.parts.note(held):
@@ -231,21 +285,59 @@
         self._unreported_parts.clear()
         return read
 
+    def waiting_tokens(self, name: str) -> int:
+        """Return the prompt tokens that the server has still to read."""
+        return (
+            self._record(name).pending_tokens + self._peer(name).prompt_tokens
+        )
+
     def answered(
-        self, name: str, unread: int, *, seconds: float, now: float
+        self,
+        name: str,
+        unread: int,
+        *,
+        seconds: float,
+        now: float,
+        waiting_tokens: int = 0,
     ) -> None:
         """Record the time to the first answer of a request.
 
-        `unread` is the return value of `started`.
+        `unread` is the return value of `started`, `waiting_tokens` that of the
+        method of this name before it.
         """
         record = self._record(name)
         record.pending_tokens -= unread
+        if self._adapts_to_load:
+            self._learn(record, name, unread, waiting_tokens, seconds, now)
+            return
         expected = PLAIN_CALL_S + unread / PREFILL_TOKENS_PER_S
         ratio = min(MAX_SLOWNESS, seconds / expected)
         known = self._slowness(record, now)
         record.slowness = known + SLOWNESS_WEIGHT * (ratio - known)
         record.slow_at = now
 
+    def _learn(
+        self,
+        record: _Record,
+        name: str,
+        unread: int,
+        waiting_tokens: int,
+        seconds: float,
+        now: float,
+    ) -> None:
+        if unread:
+            self._speeds.note_prompt(
+                record.service,
+                name,
+                tokens=unread + waiting_tokens,
+                seconds=seconds,
+                now=now,
+            )
+        else:
+            self._speeds.note_call(
+                record.service, name, seconds=seconds, now=now
+            )
+
     def ended(
         self,
         name: str,
@@ -254,10 +346,21 @@
         was_answered: bool,
         ok: bool,
         now: float,
+        work: Work | None = None,
     ) -> None:
-        """Record the end of a request; `ok` is false if the server failed."""
+        """Record the end of a request; `ok` is false if the server failed.
+
+        Without its `work` the request counts as one of mean size.
+        """
         record = self._record(name)
+        record.held_tokens -= (
+            record.held_tokens // record.running
+            if work is None
+            else work.tokens
+        )
         record.running -= 1
+        if self._adapts_to_load and work is not None:
+            self._learned_costs.ended(record.service, work)
         if not was_answered:
             record.pending_tokens -= unread
         known = self._failure_share(record, now)
@@ -275,6 +378,10 @@
         record.backoff_s = min(MAX_BACKOFF_S, 2 * record.backoff_s)
         self.parts.forget_server(name)
 
+    def note_memory(self, memory_tokens: Mapping[str, int]) -> None:
+        """Replace the tokens that an engine can hold, by service."""
+        self._learned_costs.memory_tokens = memory_tokens
+
     def restarted(self, name: str) -> None:
         """Drop the prompt parts of a server that was restarted."""
         self.parts.forget_server(name)
--- a/packages/routing/tests/test_serverchooser.py
+++ b/packages/routing/tests/test_serverchooser.py
@@ -3,15 +3,17 @@
 import random
 from collections import Counter
 
+import pytest
+
+from oriolegauge.routing.candidate import Candidate
+from oriolegauge.routing.peerload import PeerLoad
 from oriolegauge.routing.serverchooser import (
     LONG_PROMPT_SHARE,
     PREFILL_TOKENS_PER_S,
-    Candidate,
-    PeerLoad,
-    PromptPart,
     ServerChooser,
-    Work,
 )
+from oriolegauge.routing.serverspeeds import INITIAL_START_S, INITIAL_TOKEN_S
+from oriolegauge.routing.work import PromptPart, Work
 
 SERVERS = [
     Candidate(name=f's{number}', zone=f'z{number % 3}', slots=64)
@@ -225,8 +227,9 @@
         daemon.started('s1', CHAT)
         room = daemon.room(SERVERS, CHAT, 0)
         assert room.busy_share == 97 / (6 * 64)
-        assert room.reading_s == (8_560 + 800) / PREFILL_TOKENS_PER_S / 6
-        assert 0 < room.wait_s < 0.2
+        token_s = INITIAL_TOKEN_S
+        assert room.reading_s == pytest.approx((8_560 + 800) * token_s / 6)
+        assert room.wait_s == pytest.approx(INITIAL_START_S + 800 * token_s)
 
     def test_there_is_no_room_without_servers(self):
         """Guards against a request that waits for servers of no service."""
