Tell other daemons held tokens and speeds of servers; start new ones slowly

One of 64 daemons sees a server answer once in ten seconds, too seldom to learn its slowness, so load reports and tables carry the seconds measured and expected on each server, and the tokens held there. Daemons of the previous version read the messages without these fields and send none; without adapts_to_load none are sent.

--- a/packages/gateway/src/oriolegauge/gateway/loadexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/loadexchange.py
@@ -11,7 +11,6 @@
 from collections.abc import (
     Callable,
     Collection,
-    Iterable,
     Mapping,
     Sequence,
 )
@@ -32,6 +31,7 @@
     LoadTable,
     Message,
     ServerInFlight,
+    ServerLoadDetail,
 )
 
 # Limits how long a placement waits for the aggregator: a small part of 400 ms,
@@ -48,6 +48,9 @@
 SUMS_PERIOD_S = 0.25
 # Heartbeats of a full mesh are more accurate than tables older than this.
 FRESH_S = 0.5
+MS_PER_S = 1000
+# The largest number of a message's 32-bit field.
+MAX_DETAIL = 2**32 - 1
 
 log = structlog.get_logger()
 
@@ -103,20 +106,21 @@
     def answer(self, daemon: str, report: LoadReport) -> LoadTable | None:
         """Note a peer's report; return the others' loads on request."""
         now = self._clock()
+        reported = in_flight_loads(report.in_flight, report.load_details)
         if report.is_zone_sum:
-            self._other_zones.note(
-                daemon, in_flight_loads(report.in_flight), now
-            )
+            self._other_zones.note(daemon, reported, now)
             return None
-        self._aggregator.note(daemon, in_flight_loads(report.in_flight), now)
+        self._aggregator.note(daemon, reported, now)
         self._aggregator.parts.note_all(report.read)
         if not report.is_question:
             return None
-        self._aggregator.note(self._name, self._chooser.own_loads(), now)
+        self._aggregator.note(self._name, self._chooser.own_loads(now), now)
         self._aggregator.parts.note_all(self._chooser.take_unreported_parts())
+        loads = self._loads_of_others(daemon, now)
         return LoadTable(
-            in_flight=in_flight_rows(self._loads_of_others(daemon, now)),
+            in_flight=in_flight_rows(loads),
             read=self._aggregator.parts.holders_of(report.wanted),
+            load_details=detail_rows(loads),
         )
 
     async def refresh(self, parts: Sequence[str] = ()) -> bool:
@@ -152,11 +156,13 @@
     ) -> bool:
         # Repeated with the next report if this call fails or is cancelled.
         self._unsent = tuple(read[-MAX_UNREPORTED_PARTS:])
+        loads = self._chooser.own_loads(self._clock())
         report = LoadReport(
-            in_flight=in_flight_rows(self._chooser.own_loads()),
+            in_flight=in_flight_rows(loads),
             read=tuple(read),
             wanted=tuple(parts),
             is_question=True,
+            load_details=detail_rows(loads),
         )
         try:
             table = await self._links.call(host, report, AGGREGATOR_TIMEOUT_S)
@@ -168,7 +174,7 @@
             return False
         self._last_aggregator = host
         self._unsent = ()
-        self._apply_loads(in_flight_loads(table.in_flight))
+        self._apply_loads(in_flight_loads(table.in_flight, table.load_details))
         self._chooser.parts.note_all(table.read)
         return True
 
@@ -178,11 +184,8 @@
         """Return the load of each server by all daemons but `daemon`."""
         found = dict(self._aggregator.other_loads(daemon, now))
         for server, load in self._other_zones.other_loads('', now).items():
-            held = found.get(server, PeerLoad())
-            found[server] = PeerLoad(
-                held.requests + load.requests,
-                held.prompt_tokens + load.prompt_tokens,
-            )
+            held = found.get(server)
+            found[server] = held.plus(load) if held else load
         return found
 
     def restarted(self, server: str) -> None:
@@ -222,10 +225,12 @@
             if not others:
                 continue
             now = self._clock()
-            self._aggregator.note(self._name, self._chooser.own_loads(), now)
+            self._aggregator.note(self._name, self._chooser.own_loads(now), now)
+            loads = self._aggregator.other_loads('', now)
             report = LoadReport(
-                in_flight=in_flight_rows(self._aggregator.other_loads('', now)),
+                in_flight=in_flight_rows(loads),
                 is_zone_sum=True,
+                load_details=detail_rows(loads),
             )
             for peer in others:
                 self._links.send_one_way(peer, report)
@@ -234,9 +239,11 @@
         host = self._links.aggregator_host()
         if host is None:
             return
+        loads = self._chooser.own_loads(self._clock())
         report = LoadReport(
-            in_flight=in_flight_rows(self._chooser.own_loads()),
+            in_flight=in_flight_rows(loads),
             read=self._parts_to_report(host),
+            load_details=detail_rows(loads),
         )
         self._unsent = ()
         self._last_aggregator = host
@@ -263,8 +270,42 @@
     )
 
 
+def detail_rows(
+    loads: Mapping[str, PeerLoad],
+) -> tuple[ServerLoadDetail, ...]:
+    """Convert what loads tell beside the requests, if any has it."""
+    if not any(load.held_tokens for load in loads.values()):
+        return ()
+    return tuple(
+        ServerLoadDetail(
+            _bounded(load.held_tokens),
+            _bounded(load.measured_s * MS_PER_S),
+            _bounded(load.expected_s * MS_PER_S),
+        )
+        for load in loads.values()
+    )
+
+
 def in_flight_loads(
-    rows: Iterable[ServerInFlight],
+    rows: Sequence[ServerInFlight], details: Sequence[ServerLoadDetail] = ()
 ) -> Mapping[str, PeerLoad]:
-    """Convert rows of a message to loads."""
-    return {row.server: PeerLoad(row.requests, row.tokens) for row in rows}
+    """Convert rows of a message to loads.
+
+    Daemons of earlier versions send no details.
+    """
+    if len(details) != len(rows):
+        return {row.server: PeerLoad(row.requests, row.tokens) for row in rows}
+    return {
+        row.server: PeerLoad(
+            row.requests,
+            row.tokens,
+            detail.held_tokens,
+            detail.measured_ms / MS_PER_S,
+            detail.expected_ms / MS_PER_S,
+        )
+        for row, detail in zip(rows, details, strict=True)
+    }
+
+
+def _bounded(number: float) -> int:
+    return min(MAX_DETAIL, max(0, round(number)))
--- a/packages/gateway/tests/test_loadexchange.py
+++ b/packages/gateway/tests/test_loadexchange.py
@@ -135,13 +135,15 @@
 
 @pytest.mark.looptime
 class TestZoneAggregators:
-    def make(self):
+    def make(self, **settings):
         clock = asyncio.get_running_loop().time
         exchanges, choosers = {}, {}
         links = Links(exchanges)
         links.crossings = 0
         for name in ('a0', 'a1', 'a2', 'b0', 'b1'):
-            choosers[name] = ServerChooser(zone=name[0], rng=random.Random(1))
+            choosers[name] = ServerChooser(
+                zone=name[0], rng=random.Random(1), **settings
+            )
             exchanges[name] = LoadExchange(
                 name=name,
                 links=ZoneLinks(links, name),
@@ -180,6 +182,32 @@
             task.cancel()
         assert links.crossings <= 2 * 11 / SUMS_PERIOD_S
 
+    @pytest.mark.parametrize('adapts_to_load', [False, True])
+    async def test_held_tokens_and_speeds_reach_all_zones(self, adapts_to_load):
+        """Guards against a slow or full engine that only one daemon knows.
+
+        And against longer reports in fleets that don't place by them.
+        """
+        _, choosers, exchanges = self.make(adapts_to_load=adapts_to_load)
+        tasks = [
+            asyncio.create_task(job)
+            for exchange in exchanges.values()
+            for job in (exchange.run(), exchange.run_sums())
+        ]
+        unread = choosers['a1'].started('e1', LONG)
+        now = asyncio.get_running_loop().time()
+        choosers['a1'].answered('e1', unread, seconds=2.0, now=now)
+        exchanges['a1'].changed()
+        await asyncio.sleep(0.05 + SUMS_PERIOD_S)
+        for name in ('a2', 'b1'):
+            await exchanges[name].refresh()
+            assert choosers[name].load('e1') == 1
+            load = choosers[name]._peer('e1')
+            assert load.held_tokens == LONG.tokens * adapts_to_load
+            assert (load.measured_s > 2 * load.expected_s) is adapts_to_load
+        for task in tasks:
+            task.cancel()
+
 
 @pytest.mark.looptime
 class TestLoadExchange:
--- a/packages/routing/src/oriolegauge/routing/loadaggregator.py
+++ b/packages/routing/src/oriolegauge/routing/loadaggregator.py
@@ -4,7 +4,6 @@
 must know the ones before it, and heartbeats would tell it too late.
 """
 
-from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -22,6 +21,42 @@
     noted_at: float
 
 
+@dataclass(slots=True)
+class _Sum:
+    reports: int = 0
+    requests: int = 0
+    prompt_tokens: int = 0
+    held_tokens: int = 0
+    measured_s: float = 0
+    expected_s: float = 0
+
+    def add(self, load: PeerLoad) -> None:
+        self.reports += 1
+        self.requests += load.requests
+        self.prompt_tokens += load.prompt_tokens
+        self.held_tokens += load.held_tokens
+        self.measured_s += load.measured_s
+        self.expected_s += load.expected_s
+
+    def take_away(self, load: PeerLoad) -> None:
+        self.reports -= 1
+        self.requests -= load.requests
+        self.prompt_tokens -= load.prompt_tokens
+        self.held_tokens -= load.held_tokens
+        self.measured_s -= load.measured_s
+        self.expected_s -= load.expected_s
+
+    def without(self, own: PeerLoad) -> PeerLoad:
+        return PeerLoad(
+            self.requests - own.requests,
+            self.prompt_tokens - own.prompt_tokens,
+            self.held_tokens - own.held_tokens,
+            # Differences of rounded sums may be a little below 0.
+            max(0, self.measured_s - own.measured_s),
+            max(0, self.expected_s - own.expected_s),
+        )
+
+
 _NO_LOAD = PeerLoad()
 
 
@@ -33,8 +68,7 @@
         self._reports: dict[str, _Report] = {}
         # Sums by server, updated with each report: a large fleet sends and
         # queries hundreds of reports a second.
-        self._requests: Counter[str] = Counter()
-        self._tokens: Counter[str] = Counter()
+        self._sums: dict[str, _Sum] = {}
         self.parts = PartIndex()
 
     def note(
@@ -44,8 +78,10 @@
         self._drop(daemon)
         self._reports[daemon] = _Report(loads, now)
         for server, load in loads.items():
-            self._requests[server] += load.requests
-            self._tokens[server] += load.prompt_tokens
+            total = self._sums.get(server)
+            if total is None:
+                total = self._sums[server] = _Sum()
+            total.add(load)
 
     def other_loads(self, daemon: str, now: float) -> Mapping[str, PeerLoad]:
         """Return the load of each server without that of one daemon."""
@@ -53,12 +89,9 @@
         found = self._reports.get(daemon)
         own = found.loads if found else {}
         return {
-            server: PeerLoad(
-                count - own.get(server, _NO_LOAD).requests,
-                self._tokens[server] - own.get(server, _NO_LOAD).prompt_tokens,
-            )
-            for server, count in self._requests.items()
-            if count > own.get(server, _NO_LOAD).requests
+            server: total.without(own.get(server, _NO_LOAD))
+            for server, total in self._sums.items()
+            if total.requests > own.get(server, _NO_LOAD).requests
         }
 
     def _drop(self, daemon: str) -> None:
@@ -66,10 +99,10 @@
         if found is None:
             return
         for server, load in found.loads.items():
-            self._requests[server] -= load.requests
-            self._tokens[server] -= load.prompt_tokens
-            if not self._requests[server]:
-                del self._requests[server], self._tokens[server]
+            total = self._sums[server]
+            total.take_away(load)
+            if not total.reports:
+                del self._sums[server]
 
     def _forget(self, now: float) -> None:
         # Reports are ordered by time, as a new one is put at the end.
--- a/packages/routing/src/oriolegauge/routing/serverchooser.py
+++ b/packages/routing/src/oriolegauge/routing/serverchooser.py
@@ -22,6 +22,7 @@
 from oriolegauge.routing.room import Room
 from oriolegauge.routing.serverspeeds import ServerSpeeds
 from oriolegauge.routing.serverstate import ServerState
+from oriolegauge.routing.slowstart import SlowStart
 from oriolegauge.routing.work import Work
 
 # Prompt tokens that an engine reads per second: the slower of the two engines
@@ -111,6 +112,7 @@
         self._adapts_to_load = adapts_to_load
         self._speeds = ServerSpeeds()
         self._learned_costs = LearnedCosts(self._speeds)
+        self._slow_start = SlowStart(rng)
         self._records: dict[str, _Record] = {}
         self._peers: Mapping[str, PeerLoad] = {}
         self._unreported_parts: deque[PartHeld] = deque(
@@ -140,7 +142,10 @@
             return None
         if self._adapts_to_load:
             return self._choose_learned(
-                reachable, work, now, is_index_current=is_index_current
+                self._slow_start.ready(reachable, now),
+                work,
+                now,
+                is_index_current=is_index_current,
             )
         preferred = _preferred(reachable, work)
         home = None if is_index_current else self._home_server(preferred, work)
@@ -167,15 +172,15 @@
         home = None if is_index_current else self._home_server(reachable, work)
         states = self._states(reachable, work, home, now)
         costs = self._learned_costs.costs(reachable, states, work, now)
-        random_share = self._rng.random
         least = min(costs)
-        margin = SPREAD_SHARE * least + SPREAD_S
-        near = [
-            candidate.name
-            for candidate, cost in zip(reachable, costs, strict=True)
-            if cost <= least + margin
-        ]
-        return near[int(random_share() * len(near))]
+        limit = least + SPREAD_SHARE * least + SPREAD_S
+        return self._rng.choice(
+            [
+                candidate.name
+                for candidate, cost in zip(reachable, costs, strict=True)
+                if cost <= limit
+            ]
+        )
 
     def _states(
         self,
@@ -189,6 +194,7 @@
         other_zone_s = (
             OTHER_ZONE_COST_S + work.body_bytes * OTHER_ZONE_COST_S_PER_BYTE
         )
+        slowness = self._speeds.slowness
         states = []
         for candidate in candidates:
             name = candidate.name
@@ -204,7 +210,12 @@
                     record.pending_tokens + peer.prompt_tokens,
                     record.held_tokens + peer.held_tokens,
                     unread.get(name, prompt_tokens),
-                    self._speeds.slowness(name, now),
+                    slowness(
+                        name,
+                        now,
+                        measured_s=peer.measured_s,
+                        expected_s=peer.expected_s,
+                    ),
                     extra_s,
                 )
             )
@@ -250,11 +261,24 @@
         """Return the requests of all daemons known to run on the server."""
         return self._record(name).running + self._peer(name).requests
 
-    def own_loads(self) -> dict[str, PeerLoad]:
-        """Return the load of this daemon by server, for its peers."""
+    def own_loads(self, now: float | None = None) -> dict[str, PeerLoad]:
+        """Return the load of this daemon by server, for its peers.
+
+        With a time, and if this daemon places by them, held tokens and speeds
+        are told too.
+        """
+        if now is None or not self._adapts_to_load:
+            return {
+                name: PeerLoad(record.running, record.pending_tokens)
+                for name, record in self._records.items()
+                if record.running
+            }
         return {
             name: PeerLoad(
-                record.running, record.pending_tokens, record.held_tokens
+                record.running,
+                record.pending_tokens,
+                record.held_tokens,
+                *self._speeds.samples(name, now),
             )
             for name, record in self._records.items()
             if record.running
@@ -383,7 +407,9 @@
         self._learned_costs.memory_tokens = memory_tokens
 
     def restarted(self, name: str) -> None:
-        """Drop the prompt parts of a server that was restarted."""
+        """Drop what is known of a server that was restarted."""
+        self._speeds.forget(name)
+        self._slow_start.forget(name)
         self.parts.forget_server(name)
 
     def keep_only(self, names: Collection[str]) -> None:
@@ -391,6 +417,8 @@
         for name in list(self._records):
             if name not in names and not self._records[name].running:
                 del self._records[name]
+                self._speeds.forget(name)
+        self._slow_start.keep_only(names)
         self.parts.keep_only(names)
 
     def _cost(
--- a/packages/routing/src/oriolegauge/routing/serverspeeds.py
+++ b/packages/routing/src/oriolegauge/routing/serverspeeds.py
@@ -18,18 +18,26 @@
 MIN_TOKEN_S, MAX_TOKEN_S = 1e-7, 2e-3
 MIN_START_S, MAX_START_S = 1e-4, 1.0
 MIN_CALL_S, MAX_CALL_S = 1e-4, 5.0
-# The start values count as this many samples, at 0 and at these tokens.
-INITIAL_WEIGHT = 1.0
-INITIAL_TOKENS = 4_000
-# Weight that older samples keep with each new one: some 60 samples count.
-KEPT_WEIGHT = 0.984
+# The start values count as this many samples, at 0 and at these tokens; later,
+# as the least number, so that requests of one size leave a slope. With a start
+# weight of 1 slopes of the first seconds were 0 to 1.8 times the true one.
+INITIAL_WEIGHT = 8.0
+LEAST_WEIGHT = 1.0
+INITIAL_TOKENS = 6_000
+# Weight that older samples keep with each new one: some 100 samples count.
+KEPT_WEIGHT = 0.99
 # A single sample counts as at most this multiple of the expected time, so that
 # answers of preempted requests don't pass for slow reading.
 MAX_OUTLIER = 3.0
-SLOWNESS_WEIGHT = 0.3
-# A server's slowness fades towards that of its service in this time.
-SLOWNESS_HALF_LIFE_S = 1.5
-MIN_SLOWNESS, MAX_SLOWNESS = 0.25, 20.0
+# Samples of a server lose half of their weight in this time, so that its
+# slowness follows a change within two seconds.
+SLOWNESS_HALF_LIFE_S = 0.7
+# One sample says at most that a server is this much slower.
+MAX_SLOWNESS = 8.0
+# Expected time of samples that say as much as knowing nothing, some six
+# requests: with 0.1 s chance made engines look slow (1.19 times the mean load
+# on the busiest of 90 instead of 1.13).
+SLOWNESS_PRIOR_S = 0.6
 
 
 @dataclass(slots=True)
@@ -54,7 +62,6 @@
         """Add a sample; fit the line to all of them."""
         expected = self.start_s + tokens * self.token_s
         taken = min(seconds, MAX_OUTLIER * expected)
-        initial = _INITIAL
         for name, added in (
             ('weight', 1.0),
             ('tokens', tokens),
@@ -62,8 +69,8 @@
             ('seconds', taken),
             ('products', tokens * taken),
         ):
-            start = initial[name]
-            kept = start + KEPT_WEIGHT * (getattr(self, name) - start)
+            least = _LEAST[name]
+            kept = least + KEPT_WEIGHT * (getattr(self, name) - least)
             setattr(self, name, kept + added)
         spread = self.squares - self.tokens**2 / self.weight
         slope = (
@@ -81,8 +88,9 @@
 
 
 @dataclass(slots=True)
-class _Slowness:
-    factor: float
+class _Samples:
+    measured_s: float
+    expected_s: float
     noted_at: float
 
 
@@ -92,7 +100,7 @@
     def __init__(self) -> None:
         """Start with neutral values."""
         self._services: defaultdict[str, _Service] = defaultdict(_Service)
-        self._slowness: dict[str, _Slowness] = {}
+        self._samples: dict[str, _Samples] = {}
 
     def token_s(self, service: str) -> float:
         """Return the seconds that reading one token takes."""
@@ -123,7 +131,7 @@
             return
         line = self._services[service].line
         expected = line.start_s + tokens * line.token_s
-        self._note_slowness(server, seconds / expected, now)
+        self._note_sample(server, seconds, expected, now)
         line.add(max(0, tokens), seconds)
 
     def note_call(
@@ -133,32 +141,53 @@
         if not seconds > 0:
             return
         known = self._services[service]
-        self._note_slowness(server, seconds / known.call_s, now)
+        self._note_sample(server, seconds, known.call_s, now)
         taken = min(seconds, MAX_OUTLIER * known.call_s)
         call_s = KEPT_WEIGHT * known.call_s + (1 - KEPT_WEIGHT) * taken
         known.call_s = min(MAX_CALL_S, max(MIN_CALL_S, call_s))
 
-    def slowness(self, server: str, now: float) -> float:
-        """Return the factor by which the server is slower than its peers."""
-        known = self._slowness.get(server)
+    def samples(self, server: str, now: float) -> tuple[float, float]:
+        """Return the measured and expected seconds of recent requests."""
+        known = self._samples.get(server)
         if known is None:
-            return 1.0
-        age = max(0, now - known.noted_at)
-        return 1.0 + (known.factor - 1.0) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+            return 0, 0
+        fade = 0.5 ** (max(0, now - known.noted_at) / SLOWNESS_HALF_LIFE_S)
+        return known.measured_s * fade, known.expected_s * fade
+
+    def slowness(
+        self,
+        server: str,
+        now: float,
+        *,
+        measured_s: float = 0,
+        expected_s: float = 0,
+    ) -> float:
+        """Return the factor by which the server is slower than its service.
+
+        Other daemons measured `measured_s` where they expected `expected_s`.
+        """
+        if server in self._samples:
+            own = self.samples(server, now)
+            measured_s += own[0]
+            expected_s += own[1]
+        return (measured_s + SLOWNESS_PRIOR_S) / (expected_s + SLOWNESS_PRIOR_S)
 
     def forget(self, server: str) -> None:
         """Forget a server that is gone or has started again."""
-        self._slowness.pop(server, None)
+        self._samples.pop(server, None)
 
-    def _note_slowness(self, server: str, ratio: float, now: float) -> None:
-        known = self.slowness(server, now)
-        bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
-        self._slowness[server] = _Slowness(
-            known + SLOWNESS_WEIGHT * (bounded - known), now
+    def _note_sample(
+        self, server: str, seconds: float, expected_s: float, now: float
+    ) -> None:
+        measured_s, all_s = self.samples(server, now)
+        self._samples[server] = _Samples(
+            measured_s + min(seconds, MAX_SLOWNESS * expected_s),
+            all_s + expected_s,
+            now,
         )
 
 
-_INITIAL = {
-    name: getattr(_Line(), name)
+_LEAST = {
+    name: getattr(_Line(), name) * LEAST_WEIGHT / INITIAL_WEIGHT
     for name in ('weight', 'tokens', 'squares', 'seconds', 'products')
 }
--- a/packages/routing/tests/enginefleet.py
+++ b/packages/routing/tests/enginefleet.py
@@ -332,7 +332,7 @@
     def _report(self, now, daemon):
         self.has_report.discard(daemon)
         aggregator = self.aggregators[self.zone_of[daemon]]
-        aggregator.note(daemon, daemon.own_loads(), now)
+        aggregator.note(daemon, daemon.own_loads(now), now)
         aggregator.parts.note_all(daemon.take_unreported_parts())
 
     def _sum_up(self, now):
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -277,8 +277,18 @@
   wanted @2 :List(Text);
   isQuestion @3 :Bool;
   isZoneSum @4 :Bool;
+  loadDetails @5 :ServerLoadDetails;
+}
+struct LoadTable {
+  inFlight @0 :ServersInFlight;
+  read @1 :PartsRead;
+  loadDetails @2 :ServerLoadDetails;
+}
+struct ServerLoadDetails {
+  heldTokens @0 :List(UInt32);
+  measuredMs @1 :List(UInt32);
+  expectedMs @2 :List(UInt32);
 }
-struct LoadTable { inFlight @0 :ServersInFlight; read @1 :PartsRead; }
 
 struct PermitRequest {
   server @0 :Text;
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -49,6 +49,19 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLoadDetail:
+    """Describe the requests in flight on a server, for placing prompts.
+
+    `held_tokens` are their prompt and output tokens. Recent answers took
+    `measured_ms` where `expected_ms` were expected.
+    """
+
+    held_tokens: int
+    measured_ms: int
+    expected_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServerSuspects:
     """List the fingerprints of suspect requests that run on a server."""
@@ -356,7 +369,8 @@
     `read` lists the prompt parts that servers read since the last report. With
     `is_question` the answer is a LoadTable, which covers the `wanted` parts.
     With `is_zone_sum` the report covers all daemons of the sender's
-    availability zone.
+    availability zone. `load_details` has a row for each of `in_flight`, or none
+    if the sender doesn't place by them.
     """
 
     in_flight: tuple[ServerInFlight, ...] = ()
@@ -364,14 +378,19 @@
     wanted: tuple[str, ...] = ()
     is_question: bool = False
     is_zone_sum: bool = False
+    load_details: tuple[ServerLoadDetail, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class LoadTable:
-    """Report what all other daemons run, and which servers read which parts."""
+    """Report what all other daemons run, and which servers read which parts.
+
+    `load_details` has a row for each of `in_flight`, or none.
+    """
 
     in_flight: tuple[ServerInFlight, ...] = ()
     read: tuple[PartHeld, ...] = ()
+    load_details: tuple[ServerLoadDetail, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wire/tests/test_olderbuilds.py
+++ b/packages/wire/tests/test_olderbuilds.py
@@ -15,7 +15,10 @@
     NEVER_MS,
     Ack,
     Heartbeat,
+    LoadReport,
+    LoadTable,
     ServerInFlight,
+    ServerLoadDetail,
     StreamStart,
     StreamStartQuery,
     StreamStarts,
@@ -26,12 +29,15 @@
 
 STREAMS = 'oriolegauge.streams'
 PERMITS = 'oriolegauge.permits'
-# The lines of the schema that builds without STREAMS do not have.
+# The lines of the schema that builds without STREAMS, or without details of
+# loads, do not have.
 LATER_LINES = (
     'versionPeriod @17',
     'versionShares @18',
     'streamStarts @42',
     'streamStartQuery @43',
+    'loadDetails @5',
+    'loadDetails @2',
 )
 SCHEMA_ID = '@0xd3a1c6f07b52e948'
 OLDER_SCHEMA_ID = '@0xd3a1c6f07b52e949'
@@ -180,6 +186,47 @@
             reader.which()
 
 
+class TestLoadsOfOlderBuilds:
+    IN_FLIGHT = (ServerInFlight('e1', 3, 900), ServerInFlight('e2', 1, 0))
+    DETAILS = (ServerLoadDetail(2_000, 150, 90), ServerLoadDetail(800, 0, 0))
+
+    @pytest.mark.parametrize(
+        'message',
+        [
+            LoadReport(in_flight=IN_FLIGHT, load_details=DETAILS),
+            LoadTable(in_flight=IN_FLIGHT, load_details=DETAILS),
+            LoadReport(in_flight=IN_FLIGHT),
+        ],
+    )
+    def test_decoding_restores_details(self, message):
+        """Guards against a detail that belongs to another server."""
+        assert decode(encode(envelope(message))).message == message
+
+    @pytest.mark.parametrize('name', ['loadReport', 'loadTable'])
+    def test_older_build_reads_loads_with_details(self, older_schema, name):
+        """Guards against an aggregator that knows only newer daemons."""
+        kind = {'loadReport': LoadReport, 'loadTable': LoadTable}[name]
+        message = kind(in_flight=self.IN_FLIGHT, load_details=self.DETAILS)
+        body = body_of(encode(envelope(message)))
+        with older_schema.Envelope.from_bytes(body) as reader:
+            assert str(reader.which()) == name
+            in_flight = getattr(reader, name).inFlight
+            assert list(in_flight.server) == ['e1', 'e2']
+            assert list(in_flight.tokens) == [900, 0]
+
+    def test_report_of_an_older_build_has_no_details(self, older_schema):
+        """Guards against a report that is refused for a missing column."""
+        builder = older_schema.Envelope.new_message(
+            messageId=3, sender='d1', incarnation='i1'
+        )
+        columns = builder.init('loadReport').init('inFlight')
+        columns.server = ['e1', 'e2']
+        columns.requests = [3, 1]
+        columns.tokens = [900, 0]
+        message = decode(b'\0' + builder.to_bytes()).message
+        assert message == LoadReport(in_flight=self.IN_FLIGHT)
+
+
 @contextlib.asynccontextmanager
 async def older_server(protocols: tuple[str, ...]) -> AsyncIterator[int]:
     """Answer each call with an Ack on a link of an older build."""
