--- a/bench/slopesofcpu.py
+++ b/bench/slopesofcpu.py
@@ -24,6 +24,10 @@
 from oriolegauge.daemon.serverpool import ServerPool
 from oriolegauge.objectstore import StoredObject
 from oriolegauge.routing import Router, ServerView
+from oriolegauge.routing.candidate import Candidate
+from oriolegauge.routing.peerload import PeerLoad
+from oriolegauge.routing.serverchooser import ServerChooser
+from oriolegauge.routing.work import PromptPart, Work
 from oriolegauge.wire import decode
 from oriolegauge.wire.messages import Heard, Heartbeat
 
@@ -343,6 +347,14 @@
             lambda x: _choose(x, 'prefix-1'),
             'candidate',
         ),
+        _time_task(
+            'place_prompt_us',
+            (6, 70, 200, 800),
+            _place_prompt,
+            'candidate',
+            'one placement by learned speeds of a prompt with two shared '
+            'parts, all servers loaded; ' + CPU_METHOD,
+        ),
         _time_task(
             'router_progress_us',
             (6, 200, 800, 2_500),
@@ -378,6 +390,39 @@
     return lambda: router.choose(views, prefix, NOW)
 
 
+def _place_prompt(count: int) -> Callable[[], Any]:
+    chooser = ServerChooser(
+        zone='zone-0', rng=random.Random(1), adapts_to_load=True
+    )
+    servers = [
+        Candidate(
+            name=f'engine-{number:04}',
+            zone=f'zone-{number % 3}',
+            slots=12,
+            service=MODEL,
+        )
+        for number in range(count)
+    ]
+    work = Work(
+        prompt_tokens=9_000,
+        output_tokens=60,
+        body_bytes=9_000,
+        shared_parts=(PromptPart('manual', 2_500), PromptPart('s1', 3_800)),
+        objective_s=0.6,
+        longest_pause_s=0.4,
+    )
+    chooser.note_peers(
+        {
+            server.name: PeerLoad(5, 3_000, 40_000, 0.4, 0.4)
+            for server in servers
+        }
+    )
+    for server in servers[::3]:
+        unread = chooser.started(server.name, work)
+        chooser.answered(server.name, unread, seconds=0.2, now=NOW)
+    return lambda: chooser.choose(servers, work, NOW, is_index_current=True)
+
+
 def _progress(count: int) -> Callable[[], Any]:
     router = _router_with_samples(count)
     return lambda: router.progress('engine-0000', 16, 0.1, NOW)
--- a/packages/routing/src/oriolegauge/routing/learnedcosts.py
+++ b/packages/routing/src/oriolegauge/routing/learnedcosts.py
@@ -13,9 +13,13 @@
 
 # Share of the longest pause of a route that reading may take, since engines
 # are up to twice as slow at times and a pause has other causes too.
-HARMLESS_PAUSE_SHARE = 0.5
+HARMLESS_PAUSE_SHARE = 0.6
 # Share of the reading time of a prompt that delays each running stream.
 DISTURBANCE_SHARE = 0.05
+# Cost of an engine's time that is missing to later prompts, as a share of the
+# mean number of prompts that wait at an engine, and the largest such number.
+LATER_SHARE = 3.0
+MAX_LATER = 4.0
 # Cost of the mean number of requests, as a share of the objective. It grows
 # with the square of a server's requests, so that requests spread before slots
 # are taken, but stay with their shared parts at small differences.
@@ -97,8 +101,17 @@
     ) -> list[float]:
         """Return the cost of each server in seconds."""
         if work.is_prompt:
-            costs = self._reading_costs(candidates[0].service, states, work)
-            preferred, spill_s = self._preferred(candidates, states, work, now)
+            reading = sum([is_reading(one.pending_tokens) for one in states])
+            self._shares.follow(
+                candidates,
+                reading=reading,
+                running=sum([one.running for one in states]),
+                now=now,
+            )
+            costs = self._reading_costs(
+                candidates[0].service, states, work, reading
+            )
+            preferred, spill_s = self._preferred(candidates, work)
         else:
             costs = self._call_costs(candidates, states)
             preferred, spill_s = None, 0
@@ -145,24 +158,14 @@
         ]
 
     def _preferred(
-        self,
-        candidates: Sequence[Candidate],
-        states: Sequence[ServerState],
-        work: Work,
-        now: float,
+        self, candidates: Sequence[Candidate], work: Work
     ) -> tuple[frozenset[str] | None, float]:
         """Return the preferred servers and the cost of any other."""
         service = candidates[0].service
         strength = self._shares.strength(service, self._speeds.token_s(service))
         if not strength:
             return None, 0
-        names = self._shares.preferred(
-            candidates,
-            work,
-            reading=sum([is_reading(one.pending_tokens) for one in states]),
-            running=sum([one.running for one in states]),
-            now=now,
-        )
+        names = self._shares.preferred(candidates, work)
         if not names:
             return None, 0
         spill_s = (
@@ -173,22 +176,36 @@
         return names, strength * spill_s
 
     def _reading_costs(
-        self, service: str, states: Sequence[ServerState], work: Work
+        self,
+        service: str,
+        states: Sequence[ServerState],
+        work: Work,
+        reading: int,
     ) -> list[float]:
-        """Return the time of reading and its harm to running streams."""
+        """Return the time of reading and its harm to other requests.
+
+        `reading` servers read long prompts now.
+        """
         token_s = self._speeds.token_s(service)
+        # Reading takes time from the prompts that come later.
+        later = LATER_SHARE * min(
+            MAX_LATER, reading / (len(states) + 1 - reading)
+        )
         limit_s = work.longest_pause_s * HARMLESS_PAUSE_SHARE
         costs = []
         for state in states:
             server_token_s = token_s * max(1.0, state.slowness)
             own_s = state.unread_tokens * server_token_s
             reading_s = own_s + state.pending_tokens * server_token_s
-            cost = reading_s + DISTURBANCE_SHARE * own_s * state.running
+            cost = reading_s + own_s * (
+                later + DISTURBANCE_SHARE * state.running
+            )
             if limit_s and reading_s > limit_s:
-                # A long prompt delays the streams there, and a short one is
-                # delayed itself.
-                delayed = state.running if work.is_long else 1
-                cost += (reading_s - limit_s) * (1 + delayed)
+                excess_s = reading_s - limit_s
+                if work.is_long:
+                    # Streams there wait for the prompts before it anyway.
+                    excess_s = min(own_s, excess_s) * (1 + state.running)
+                cost += excess_s
             costs.append(cost)
         return costs
 
--- a/packages/routing/src/oriolegauge/routing/promptshares.py
+++ b/packages/routing/src/oriolegauge/routing/promptshares.py
@@ -15,12 +15,15 @@
 from oriolegauge.routing.candidate import Candidate
 from oriolegauge.routing.work import LONG_PROMPT_TOKENS, Work
 
-# Share of the longest pause of a route that the reading of a long prompt may
-# take before servers are divided, and from which they are divided fully: an
-# engine is up to twice as slow at times. In between the preference grows, so
-# that daemons whose learned speeds differ a little behave alike.
-DIVIDES_FROM = 0.5
-DIVIDES_FULLY_AT = 0.7
+# Share of the longest pause of a route that the reading of a long prompt, and
+# of those that wait with it, may take before servers are divided, and from
+# which they are divided fully: an engine is up to twice as slow at times. In
+# between the preference grows, so that daemons whose learned speeds differ a
+# little behave alike.
+DIVIDES_FROM = 0.55
+DIVIDES_FULLY_AT = 0.75
+# More busy servers than this are taken for this share, as counts lag behind.
+MAX_BUSY_SHARE = 0.9
 # Shares of their time that servers for long prompts read, and of their slots
 # that servers for short ones fill, if both sorts have equal room.
 READING_SHARE = 0.5
@@ -46,7 +49,8 @@
     mean_long_running: float = 0
     mean_short_running: float = 0
     share: float = INITIAL_SHARE
-    share_at: float = -math.inf
+    busy_share: float = 0
+    followed_at: float = -math.inf
     long_servers: int = 0
     servers: int = 0
     ordered: tuple[str, ...] = ()
@@ -89,74 +93,73 @@
         else:
             known.short_running = max(0, known.short_running - 1)
 
-    def strength(self, service: str, token_s: float) -> float:
-        """Return how much long and short prompts should be apart, up to 1."""
-        known = self._services.get(service)
-        if known is None:
-            return 0
-        reading_share = known.long_tokens * token_s / known.longest_pause_s
-        return min(
-            1.0,
-            max(0, reading_share - DIVIDES_FROM)
-            / (DIVIDES_FULLY_AT - DIVIDES_FROM),
-        )
-
-    def preferred(
+    def follow(
         self,
         candidates: Sequence[Candidate],
-        work: Work,
         *,
         reading: int,
         running: int,
         now: float,
-    ) -> frozenset[str]:
-        """Return the servers preferred for the request.
+    ) -> None:
+        """Follow the loads of a service.
 
-        All daemons that see the same loads get the same result: `reading`
-        servers read long prompts now, and `running` requests run on all.
+        `reading` servers read long prompts now, and `running` requests run on
+        all of them. All daemons that see the same loads get the same share.
         """
         known = self._services.setdefault(candidates[0].service, _Service())
-        names = tuple([candidate.name for candidate in candidates])
-        if names != known.names:
-            known.names = names
-            known.ordered = _zones_in_turn(candidates)
-        self._follow(known, candidates, reading, running, now)
-        count = known.long_servers
-        ordered = known.ordered
-        return frozenset(ordered[:count] if work.is_long else ordered[count:])
-
-    def _follow(
-        self,
-        known: _Service,
-        candidates: Sequence[Candidate],
-        reading: int,
-        running: int,
-        now: float,
-    ) -> None:
+        count = len(candidates)
         own = known.mean_long_running + known.mean_short_running
         short = running * (known.mean_short_running / own if own else 1)
         for_long = reading / READING_SHARE
         for_short = short / SLOT_SHARE / max(1, candidates[0].slots)
+        age = max(0, now - known.followed_at)
+        weight = (
+            SAMPLE_WEIGHT
+            if math.isinf(age)
+            else 1 - math.exp(-age / SHARE_TIME_CONSTANT_S)
+        )
+        known.followed_at = now
+        known.busy_share += weight * (reading / count - known.busy_share)
         if for_long + for_short:
             wanted = for_long / (for_long + for_short)
             wanted = min(MAX_SHARE, max(MIN_SHARE, wanted))
-            age = max(0, now - known.share_at)
-            weight = (
-                SAMPLE_WEIGHT
-                if math.isinf(age)
-                else 1 - math.exp(-age / SHARE_TIME_CONSTANT_S)
-            )
             known.share += weight * (wanted - known.share)
-            known.share_at = now
-        count = known.share * len(candidates)
+
+    def strength(self, service: str, token_s: float) -> float:
+        """Return how much long and short prompts should be apart, up to 1."""
+        known = self._services.get(service)
+        if known is None:
+            return 0
+        busy_share = min(MAX_BUSY_SHARE, known.busy_share)
+        waiting = (busy_share / (1 - busy_share)) ** 2
+        reading_s = known.long_tokens * token_s * (1 + waiting)
+        return min(
+            1.0,
+            max(0, reading_s / known.longest_pause_s - DIVIDES_FROM)
+            / (DIVIDES_FULLY_AT - DIVIDES_FROM),
+        )
+
+    def preferred(
+        self, candidates: Sequence[Candidate], work: Work
+    ) -> frozenset[str]:
+        """Return the servers preferred for the request."""
+        known = self._services.setdefault(candidates[0].service, _Service())
+        names = tuple([candidate.name for candidate in candidates])
+        if names != known.names:
+            known.names = names
+            known.ordered = _zones_in_turn(candidates)
+        wanted = known.share * len(names)
         if (
-            len(candidates) != known.servers
-            or abs(count - known.long_servers) > HYSTERESIS_SERVERS
+            len(names) != known.servers
+            or abs(wanted - known.long_servers) > HYSTERESIS_SERVERS
         ):
-            known.servers = len(candidates)
+            known.servers = len(names)
             known.long_servers = min(
-                max(1, round(count)), max(1, len(candidates) - 1)
+                max(1, round(wanted)), max(1, len(names) - 1)
             )
+        count = known.long_servers
+        ordered = known.ordered
+        return frozenset(ordered[:count] if work.is_long else ordered[count:])
 
 
 def is_reading(pending_tokens: int) -> bool:
--- a/packages/routing/src/oriolegauge/routing/serverchooser.py
+++ b/packages/routing/src/oriolegauge/routing/serverchooser.py
@@ -210,12 +210,7 @@
                     record.pending_tokens + peer.prompt_tokens,
                     record.held_tokens + peer.held_tokens,
                     unread.get(name, prompt_tokens),
-                    slowness(
-                        name,
-                        now,
-                        measured_s=peer.measured_s,
-                        expected_s=peer.expected_s,
-                    ),
+                    slowness(name, now, peer.measured_s, peer.expected_s),
                     extra_s,
                 )
             )
--- a/packages/routing/src/oriolegauge/routing/serverspeeds.py
+++ b/packages/routing/src/oriolegauge/routing/serverspeeds.py
@@ -158,7 +158,6 @@
         self,
         server: str,
         now: float,
-        *,
         measured_s: float = 0,
         expected_s: float = 0,
     ) -> float:
