--- a/packages/routing/src/oriolegauge/routing/serverspeeds.py
+++ b/packages/routing/src/oriolegauge/routing/serverspeeds.py
@@ -169,7 +169,10 @@
             own = self.samples(server, now)
             measured_s += own[0]
             expected_s += own[1]
-        return (measured_s + SLOWNESS_PRIOR_S) / (expected_s + SLOWNESS_PRIOR_S)
+        return min(
+            MAX_SLOWNESS,
+            (measured_s + SLOWNESS_PRIOR_S) / (expected_s + SLOWNESS_PRIOR_S),
+        )
 
     def forget(self, server: str) -> None:
         """Forget a server that is gone or has started again."""
