Keep plain calls in their zone among servers of like cost

Servers within 4 ms of the least cost were chosen as often, as much as another zone costs a call without a body.

--- a/packages/routing/src/oriolegauge/routing/learnedcosts.py
+++ b/packages/routing/src/oriolegauge/routing/learnedcosts.py
@@ -51,7 +51,7 @@
         """Return the expected time to the first answer."""
         speeds = self._speeds
         service = candidate.service
-        slowness = max(1.0, state.slowness)
+        slowness = state.slowness
         if not work.is_prompt:
             turns = 1 + state.running // max(1, candidate.slots)
             return speeds.call_s(service) * slowness * turns
@@ -77,10 +77,7 @@
         """Return the room that the servers have for the request."""
         token_s = self._speeds.token_s(candidates[0].service)
         reading_s = sum(
-            [
-                one.pending_tokens * max(1.0, one.slowness) * token_s
-                for one in states
-            ]
+            [one.pending_tokens * one.slowness * token_s for one in states]
         )
         slots = sum([candidate.slots for candidate in candidates])
         waits_s = map(
@@ -151,9 +148,7 @@
     ) -> list[float]:
         call_s = self._speeds.call_s(candidates[0].service)
         return [
-            max(1.0, state.slowness)
-            * call_s
-            * (1 + state.running / candidate.slots)
+            state.slowness * call_s * (1 + state.running / candidate.slots)
             for candidate, state in zip(candidates, states, strict=True)
         ]
 
@@ -194,7 +189,7 @@
         limit_s = work.longest_pause_s * HARMLESS_PAUSE_SHARE
         costs = []
         for state in states:
-            server_token_s = token_s * max(1.0, state.slowness)
+            server_token_s = token_s * state.slowness
             own_s = state.unread_tokens * server_token_s
             reading_s = own_s + state.pending_tokens * server_token_s
             cost = reading_s + own_s * (
--- a/packages/routing/src/oriolegauge/routing/serverchooser.py
+++ b/packages/routing/src/oriolegauge/routing/serverchooser.py
@@ -76,6 +76,8 @@
 # often: daemons that place at the same time don't know of one another.
 SPREAD_SHARE = 0.05
 SPREAD_S = 0.004
+# The most for calls without a prompt: less than the cost of another zone.
+MAX_CALL_SPREAD_S = 0.003
 _NO_LOAD = PeerLoad()
 
 
@@ -173,7 +175,10 @@
         states = self._states(reachable, work, home, now)
         costs = self._learned_costs.costs(reachable, states, work, now)
         least = min(costs)
-        limit = least + SPREAD_SHARE * least + SPREAD_S
+        spread = SPREAD_SHARE * least + SPREAD_S
+        limit = least + (
+            spread if work.is_prompt else min(MAX_CALL_SPREAD_S, spread)
+        )
         return self._rng.choice(
             [
                 candidate.name
@@ -195,12 +200,13 @@
             OTHER_ZONE_COST_S + work.body_bytes * OTHER_ZONE_COST_S_PER_BYTE
         )
         slowness = self._speeds.slowness
+        peers = self._peers
         states = []
         for candidate in candidates:
             name = candidate.name
-            record = self._records.get(name) or self._record(name)
+            record = self._record(name)
             record.service = candidate.service
-            peer = self._peers.get(name, _NO_LOAD)
+            peer = peers.get(name, _NO_LOAD)
             extra_s = 0 if candidate.zone == self._zone else other_zone_s
             if record.failure_share:
                 extra_s += FAILURE_COST_S * self._failure_share(record, now)
@@ -480,7 +486,10 @@
         return self._peers.get(name, PeerLoad())
 
     def _record(self, name: str) -> _Record:
-        return self._records.setdefault(name, _Record())
+        record = self._records.get(name)
+        if record is None:
+            record = self._records[name] = _Record()
+        return record
 
 
 def _preferred(
--- a/packages/routing/src/oriolegauge/routing/serverspeeds.py
+++ b/packages/routing/src/oriolegauge/routing/serverspeeds.py
@@ -163,16 +163,19 @@
     ) -> float:
         """Return the factor by which the server is slower than its service.
 
+        It is 1 for faster ones, which get more work as theirs ends sooner.
         Other daemons measured `measured_s` where they expected `expected_s`.
         """
         if server in self._samples:
             own = self.samples(server, now)
             measured_s += own[0]
             expected_s += own[1]
-        return min(
-            MAX_SLOWNESS,
-            (measured_s + SLOWNESS_PRIOR_S) / (expected_s + SLOWNESS_PRIOR_S),
+        factor = (measured_s + SLOWNESS_PRIOR_S) / (
+            expected_s + SLOWNESS_PRIOR_S
         )
+        if factor < 1:
+            return 1
+        return factor if factor < MAX_SLOWNESS else MAX_SLOWNESS
 
     def forget(self, server: str) -> None:
         """Forget a server that is gone or has started again."""
--- a/packages/routing/tests/test_learnedplacement.py
+++ b/packages/routing/tests/test_learnedplacement.py
@@ -233,3 +233,50 @@
         daemon.note_peers(backlog | idle)
         assert chosen(daemon, LONG)['e0'] == 0
         assert chosen(daemon, CHAT)['e0'] == 0
+
+
+class TestPlainCalls:
+    SERVERS = [
+        Candidate(name=f'p{number}', zone=f'z{number}', slots=6, service='p')
+        for number in range(3)
+    ]
+
+    def test_calls_stay_in_their_zone_and_spread_over_slots(self):
+        """Guards against bytes between zones, and a queue beside free slots."""
+        daemon = ServerChooser(
+            zone='z0', rng=random.Random(1), adapts_to_load=True
+        )
+        work = Work(objective_s=0.16)
+        assert chosen(daemon, work, servers=self.SERVERS)['p0'] == 60
+        names = Counter()
+        for _ in range(15):
+            name = daemon.choose(self.SERVERS, work, 0)
+            daemon.started(name, work)
+            names[name] += 1
+        assert max(names.values()) <= 6
+
+    @pytest.mark.parametrize('call_s', [0.0225, 0.09])
+    def test_slow_server_gets_fewer_calls(self, call_s):
+        """Guards against a time of calls that is a constant of one fleet."""
+        daemon = chooser()
+        work = Work(objective_s=0.4)
+        servers = [
+            dataclasses.replace(server, zone='z') for server in self.SERVERS
+        ]
+        taken = []
+        for number in range(300):
+            name = daemon.choose(servers, work, number / 10)
+            daemon.started(name, work)
+            seconds = call_s * (3 if name == 'p1' else 1)
+            taken.append(seconds)
+            now = number / 10 + seconds
+            daemon.answered(name, 0, seconds=seconds, now=now)
+            daemon.ended(
+                name, 0, was_answered=True, ok=True, now=now, work=work
+            )
+        counts = chosen(daemon, work, now=30.5, servers=servers)
+        mean = sum(taken[-100:]) / 100
+        assert daemon.expected_s(servers[0], work, 60) == pytest.approx(
+            mean, rel=0.2
+        )
+        assert counts['p1'] < counts['p0']
