--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -24,13 +24,11 @@
 from oriolegauge.forwarding.serverlimits import ServerLimits
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.forwarding.serversignals import MISDIRECTED
+from oriolegauge.routing.candidate import Candidate
 from oriolegauge.routing.retryschedule import RetrySchedule
-from oriolegauge.routing.serverchooser import (
-    Candidate,
-    PromptPart,
-    ServerChooser,
-)
+from oriolegauge.routing.serverchooser import ServerChooser
 from oriolegauge.routing.serverpauses import ServerPauses
+from oriolegauge.routing.work import PromptPart
 
 # Servers tried in turn while none accepts a connection.
 MAX_CONNECTS = 3
@@ -80,6 +78,7 @@
 class Attempt:
     """Hold one send to a server until `Dispatcher.close`.
 
+    `waiting_tokens` are those that the server had to read before it.
     `limit_mark` tells what was known of the server's limit when it was sent.
     `is_harmless` states that the server has survived the start of its answer.
     """
@@ -89,6 +88,7 @@
     connection: ServerConnection
     unread_tokens: int
     sent_at: float
+    waiting_tokens: int = 0
     limit_mark: int = 0
     was_answered: bool = False
     parts: int = 0
@@ -219,6 +219,7 @@
             attempt.unread_tokens,
             seconds=now - attempt.sent_at,
             now=now,
+            waiting_tokens=attempt.waiting_tokens,
         )
         self._loads.changed()
 
@@ -247,6 +248,7 @@
             was_answered=attempt.was_answered,
             ok=attempt.ok,
             now=self._clock(),
+            work=attempt.context.work,
         )
         self._loads.changed()
 
@@ -290,12 +292,7 @@
     ) -> BackendServer:
         servers = self._candidates(context.service, excluded, version)
         name = self._chooser.choose(
-            [
-                Candidate(
-                    name=server.instance, zone=server.zone, slots=server.slots
-                )
-                for server in servers.values()
-            ],
+            [_candidate(server) for server in servers.values()],
             context.work,
             self._clock(),
             is_index_current=is_index_current,
@@ -380,6 +377,10 @@
         trace.note_sent(
             server.instance, self._clock() - context.request.received_at
         )
+        trace.expected_s = self._chooser.expected_s(
+            _candidate(server), context.work, now
+        )
+        waiting_tokens = self._chooser.waiting_tokens(server.instance)
         unread = self._chooser.started(server.instance, context.work)
         self._loads.changed()
         return Attempt(
@@ -388,6 +389,7 @@
             connection=connection,
             unread_tokens=unread,
             sent_at=now,
+            waiting_tokens=waiting_tokens,
             limit_mark=limit_mark,
         )
 
@@ -434,6 +436,15 @@
         return b'\r\n'.join((*lines, b'', request.body))
 
 
+def _candidate(server: BackendServer) -> Candidate:
+    return Candidate(
+        name=server.instance,
+        zone=server.zone,
+        slots=server.slots,
+        service=server.service,
+    )
+
+
 def _of_version(version: str | None) -> str:
     return '' if version is None else f' at version {version}'
 
