Send no requests to evacuated zones

Cause: operators had no way to empty an availability zone; daemons sent to its servers as long as these were listed.

Change: with the setting evacuations_kind (contract places) each daemon follows the objects evacuations/ZONE, and its directory leaves out the servers there. A daemon uses its servers only once it knows the evacuations, at the latest 3 s after a first store call that failed. The servers of a zone that returns count as cold. The setting adapts_to_load is added; nothing reads it yet.

A daemon of the previous version fetches any document of which it reads in a heartbeat and then fails with a KeyError, as it has no follower for this one. So its revision goes into a new heartbeat field, and a document without a follower is ignored from now on. Ruled out: the older fields, with a failed task in the log of each older daemon at each change.

test_olderbuilds counts the words that heartbeats have gained: three fields now, 24 bytes instead of 16, with the same bound for the deflated size. A test with the schema of the previous build is new.

--- a/packages/cli/src/oriolegauge/cli/fleetverbs.py
+++ b/packages/cli/src/oriolegauge/cli/fleetverbs.py
@@ -14,6 +14,7 @@
 from oriolegauge.objectstore import ObjectStore
 
 Row = dict[str, Any]
+EVACUATIONS_PREFIX = 'evacuations/'
 
 
 class FleetVerbs:
@@ -24,7 +25,7 @@
         self._session = session
 
     def status(self) -> dict[str, list[Row]]:
-        """Show daemons, backend servers and budgets."""
+        """Show daemons, backend servers, budgets and evacuated zones."""
 
         async def read(
             operator: Operator, store: ObjectStore, admin: AdminClient
@@ -40,12 +41,20 @@
             )
             servers = objects.get(SERVERS_KEY)
             shards = await operator.list_objects('budgets/')
+            evacuations = await operator.list_objects(EVACUATIONS_PREFIX)
             return {
                 'daemons': list(daemons),
                 'servers': _server_rows(servers.value if servers else {}),
                 'budgets': [
                     row for shard in shards for row in budget_rows(shard.value)
                 ],
+                'evacuations': [
+                    {
+                        'zone': stored.key.removeprefix(EVACUATIONS_PREFIX),
+                        'revision': stored.version,
+                    }
+                    for stored in evacuations
+                ],
             }
 
         return self._session.run_with_daemons(read)
--- a/packages/cli/tests/test_command_line.py
+++ b/packages/cli/tests/test_command_line.py
@@ -165,6 +165,19 @@
         assert tool('team', 'create', 'cafes', '--token', row['token'])[0] == 0
 
 
+class TestStatus:
+    def test_evacuated_zones_are_listed(self, tool, loopback):
+        """Guards against an evacuation that an operator does not see."""
+        assert tool('status')[1]['evacuations'] == []
+        loopback.platform.objects['evacuations/z2'] = {
+            'key': 'evacuations/z2',
+            'version': 7,
+            'value': {},
+        }
+        rows = tool('status')[1]['evacuations']
+        assert rows == [{'zone': 'z2', 'revision': 7}]
+
+
 class TestRaces:
     """Guard against changes that operators overwrite or lose."""
 
--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -15,6 +15,7 @@
 from oriolegauge.forwarding.connectionpool import ConnectionPool
 from oriolegauge.forwarding.crashdetector import CrashDetector
 from oriolegauge.forwarding.errors import ServerUnreachableError
+from oriolegauge.forwarding.evacuatedzones import shown
 from oriolegauge.forwarding.headernames import HeaderNames
 from oriolegauge.forwarding.headers import end_to_end
 from oriolegauge.forwarding.leavinginstances import ServerInstance
@@ -38,6 +39,8 @@
 # A full server that sent no Retry-After accepts work again as soon as one of
 # its requests has ended.
 RETRY_AFTER_REJECTED_S = 0.15
+# Evacuations last; callers that return sooner only cost time.
+RETRY_AFTER_EVACUATED_S = 2.0
 MS_PER_S = 1000
 CONTROL_CHARACTERS = re.compile(r'[\x00-\x1f\x7f]')
 FIRST_SERVER_ERROR = 500
@@ -297,6 +300,7 @@
             is_index_current=is_index_current,
         )
         if name is None:
+            self._check_evacuated(context.service)
             raise self._no_server(
                 context,
                 f'no server of {context.service}{_of_version(version)} '
@@ -305,6 +309,16 @@
             )
         return servers[name]
 
+    def _check_evacuated(self, service: str) -> None:
+        """Raise NoServerError if all servers are in evacuated zones."""
+        zones = self._directory.evacuated_zones_of(service)
+        if zones and not self._directory.of_service(service):
+            raise NoServerError(
+                f'all servers of {service} are in evacuated zones: '
+                f'{shown(zones)}',
+                retry_after_s=RETRY_AFTER_EVACUATED_S,
+            )
+
     def _no_server(
         self, context: RequestContext, reason: str, default_s: float
     ) -> NoServerError:
--- a/packages/forwarding/src/oriolegauge/forwarding/serverdirectory.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverdirectory.py
@@ -12,11 +12,15 @@
     """Hold the servers of the newest known revision of the list."""
 
     def __init__(
-        self, clock: Callable[[], float], leaving_instances: LeavingInstances
+        self,
+        clock: Callable[[], float],
+        leaving_instances: LeavingInstances,
+        evacuated_zones: Collection[str] = (),
     ) -> None:
-        """Start without servers."""
+        """Start without servers; those in evacuated zones get no new work."""
         self._clock = clock
         self._leaving_instances = leaving_instances
+        self._evacuated_zones = evacuated_zones
         self._by_service: dict[str, list[BackendServer]] = {}
         self._servers: dict[str, BackendServer] = {}
         self._missing_until: dict[str, float] = {}
@@ -39,14 +43,20 @@
 
     def of_service(self, service: str) -> list[BackendServer]:
         """Return the servers of the service that may take new work."""
-        now = self._clock()
+        found = self._not_leaving(service)
+        if not self._evacuated_zones:
+            return found
         return [
             server
-            for server in self._by_service.get(service, ())
-            if not (server.is_leaving or self._announced_leaving(server))
-            and self._missing_until.get(server.instance, math.inf) > now
+            for server in found
+            if server.zone not in self._evacuated_zones
         ]
 
+    def evacuated_zones_of(self, service: str) -> set[str]:
+        """Return the evacuated zones in which the service has servers."""
+        zones = {server.zone for server in self._not_leaving(service)}
+        return {zone for zone in zones if zone in self._evacuated_zones}
+
     def versions_of(self, service: str) -> Counter[str]:
         """Count the servers of each version that may take new work."""
         return Counter(server.version for server in self.of_service(service))
@@ -95,6 +105,15 @@
         )
         return restarted
 
+    def _not_leaving(self, service: str) -> list[BackendServer]:
+        now = self._clock()
+        return [
+            server
+            for server in self._by_service.get(service, ())
+            if not (server.is_leaving or self._announced_leaving(server))
+            and self._missing_until.get(server.instance, math.inf) > now
+        ]
+
     def _announced_leaving(self, server: BackendServer) -> bool:
         return (
             bool(self._leaving_instances)
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -29,6 +29,7 @@
 from oriolegauge.forwarding.crashdetector import CrashDetector
 from oriolegauge.forwarding.dispatcher import Dispatcher
 from oriolegauge.forwarding.drainplan import DrainPlan
+from oriolegauge.forwarding.evacuatedzones import EvacuatedZones
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.leavinginstances import LeavingInstances
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
@@ -312,7 +313,10 @@
         self.leaving_instances = LeavingInstances(
             clock, on_leaving_instance=lambda: None
         )
-        self.directory = ServerDirectory(clock, self.leaving_instances)
+        self.evacuated_zones = EvacuatedZones(lambda _: None)
+        self.directory = ServerDirectory(
+            clock, self.leaving_instances, self.evacuated_zones
+        )
         self.pauses = ServerPauses(random.Random(1))
         self.limits_named = ServerLimits(
             clock,
--- a/packages/gateway/src/oriolegauge/gateway/documentexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/documentexchange.py
@@ -5,7 +5,7 @@
 them; they count in the era of the held document.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 
 import structlog
@@ -45,6 +45,9 @@
         self._call = call
         self._providers: dict[str, Callable[[], Document | None]] = {}
         self._fetching: set[str] = set()
+        # Keys of documents that earlier builds do not know. They would fail on
+        # one, so they must not hear of it.
+        self._later_keys: set[str] = set()
         self._tasks = TaskSet()
 
     def provide(
@@ -53,13 +56,23 @@
         """Serve a document that only peers which ask for it get."""
         self._providers[key] = provider
 
+    def add_later_key(self, key: str) -> None:
+        """Exchange a document only with builds that know of it."""
+        self._later_keys.add(key)
+
     def versions(self) -> tuple[ConfigVersion, ...]:
-        """Return revision and digest of each document of this daemon."""
+        """Return revision and digest of each document of this daemon.
+
+        Those of later keys are left out.
+        """
         return tuple(
-            ConfigVersion(key, revision, self._documents.digest(key))
-            for key, revision in self._documents.revisions.items()
+            row for row in self._all() if row.key not in self._later_keys
         )
 
+    def later_versions(self) -> tuple[ConfigVersion, ...]:
+        """Return revision and digest of the documents of later keys."""
+        return tuple(row for row in self._all() if row.key in self._later_keys)
+
     def revisions(self) -> tuple[ConfigVersion, ...]:
         """Return the versions without eras."""
         return tuple(
@@ -73,7 +86,12 @@
             replace(row, version=self._with_era(row.key, row.version))
             for row in heartbeat.config_versions
         )
-        for row in versions:
+        later = (
+            row
+            for row in heartbeat.later_versions
+            if row.key in self._later_keys
+        )
+        for row in (*versions, *later):
             self._documents.advance_revision(row.key, row.version, row.digest)
             is_unrequested = row.key not in self._fetching
             if is_unrequested and self._documents.is_wanted(
@@ -100,6 +118,10 @@
             )
         return ConfigObjects(objects=objects, has_eras=request.knows_eras)
 
+    def _all(self) -> Iterator[ConfigVersion]:
+        for key, revision in self._documents.revisions.items():
+            yield ConfigVersion(key, revision, self._documents.digest(key))
+
     def _find(self, key: str) -> Document | None:
         provider = self._providers.get(key)
         return provider() if provider else self._documents.get(key)
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -186,6 +186,11 @@
         """Return the number of daemons, this one included."""
         return self._ranked_members.size
 
+    @property
+    def zones(self) -> set[str]:
+        """Return the availability zones of the daemons."""
+        return self._ranked_members.zones
+
     @property
     def linked(self) -> int:
         """Return the number of peers with an open link."""
@@ -243,6 +248,10 @@
         """Serve a document that only peers which ask for it get."""
         self._documents.provide(key, provider)
 
+    def add_later_document(self, key: str) -> None:
+        """Exchange a document only with builds that know of it."""
+        self._documents.add_later_key(key)
+
     def attach_limits(self, limits: LimitExchange) -> None:
         """Answer requests of peers for permits."""
         self._limits = limits
@@ -619,6 +628,7 @@
             watches_store=self._reaches_store(),
             config_versions=self._documents.revisions(),
             document_versions=self._documents.versions(),
+            later_versions=self._documents.later_versions(),
             in_flight=in_flight_rows(self._chooser.own_loads()),
             departures=tuple(
                 LeavingServer(
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -29,6 +29,7 @@
 from oriolegauge.forwarding.connectionpool import ConnectionPool
 from oriolegauge.forwarding.crashdetector import CrashDetector
 from oriolegauge.forwarding.dispatcher import Dispatcher
+from oriolegauge.forwarding.evacuatedzones import zones_of
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.leavinginstances import LeavingInstance
 from oriolegauge.forwarding.serversignals import ServerSignals
@@ -69,6 +70,10 @@
 # memory.
 REPLY_BUFFER_SHARE = 0.06
 REQUEST_BUFFER_SHARE = 0.12
+# A daemon whose store does not answer waits this long for a peer that knows
+# the evacuations: heartbeats of a large fleet come every 0.75 s, and a fetch
+# takes up to 2 s.
+EVACUATIONS_WAIT_S = 3.0
 RELOADABLE = ('grace_s', 'retry_share', 'retry_slack')
 
 log = structlog.get_logger()
@@ -121,6 +126,7 @@
         )
         self._leaving_instances = known.leaving_instances
         self._directory = known.directory
+        self._evacuated_zones = known.evacuated_zones
         self._pauses = known.pauses
         self._cold_servers = known.cold
         self._limits = known.limits
@@ -178,6 +184,7 @@
             host_clocks=host_clocks,
         )
         self._longest_stream_s = math.inf
+        self._knows_evacuations = settings.evacuations_kind is None
         self._versions = VersionExchange(
             links=self._links,
             in_service=self._versions_in_service,
@@ -214,8 +221,15 @@
                 on_store_regained=self._keeper.store_regained,
                 on_first_attempt=partial(self._apply_held_document, kind),
             )
-            for kind in (settings.config_kind, settings.server_kind)
+            for kind in (
+                settings.config_kind,
+                settings.server_kind,
+                settings.evacuations_kind,
+            )
+            if kind
         }
+        if settings.evacuations_kind:
+            self._links.add_later_document(settings.evacuations_kind)
         self._mesh = PeerMesh(
             settings=settings,
             incarnation=self._incarnation,
@@ -399,21 +413,32 @@
         document = self._documents.get(kind)
         if document:
             self._apply_document(kind, document)
+        elif kind == self._settings.evacuations_kind:
+            # Peers may know them if the store does not answer.
+            self._loop.call_later(
+                EVACUATIONS_WAIT_S, self._note_evacuations_known
+            )
 
     def _apply_document(self, key: str, document: Document) -> None:
-        if not self._followers[key].has_tried_store:
+        follower = self._followers.get(key)
+        # Later builds may exchange documents that this one does not know.
+        if follower is None or not follower.has_tried_store:
             return
         objects = orjson.loads(document.payload)
         self._links.announce_change()
         if key == self._settings.config_kind:
             self._apply_config(objects, document)
-        elif key == self._settings.server_kind:
+        elif key == self._settings.evacuations_kind:
+            self._apply_evacuations(key, objects, document)
+        elif key == self._settings.server_kind and self._knows_evacuations:
             self._apply_servers(objects, document)
         if self._forwarder.route_table is not None and self._directory.is_known:
             self.lifecycle.serve()
 
     def _document_rank(self, key: str, document: Document) -> int | None:
-        """Return the version of a configuration, None if it is invalid."""
+        """Return the version of a configuration, else 0; None if invalid."""
+        if key == self._settings.evacuations_kind:
+            return self._evacuations_rank(key, document)
         if key != self._settings.config_kind:
             return 0
         try:
@@ -422,6 +447,48 @@
             log.warning('configuration rejected', error=str(error))
             return None
 
+    def _evacuations_rank(self, key: str, document: Document) -> int | None:
+        try:
+            zones_of(key, orjson.loads(document.payload))
+        except ValueError as error:
+            log.warning(
+                'evacuations rejected',
+                source=document.source,
+                error=str(error),
+            )
+            return None
+        return 0
+
+    def _apply_evacuations(
+        self,
+        kind: str,
+        objects: list[Mapping[str, Any]],
+        document: Document,
+    ) -> None:
+        reached_at = self._followers[kind].reached_at
+        if self._evacuated_zones.apply(
+            zones_of(kind, objects),
+            revision=document.revision,
+            source=document.source,
+            age_s=(
+                math.inf if reached_at is None else self._clock() - reached_at
+            ),
+        ):
+            self._versions.servers_changed()
+        self._note_evacuations_known()
+
+    def _note_evacuations_known(self) -> None:
+        """Use the servers from now on: no request may go where none should."""
+        if not self._knows_evacuations:
+            self._knows_evacuations = True
+            self._apply_held_document(self._settings.server_kind)
+        self._report_unknown_zones()
+
+    def _report_unknown_zones(self) -> None:
+        if self._directory.is_known:
+            zones = {server.zone for server in self._directory.servers}
+            self._evacuated_zones.report_unknown(zones | self._links.zones)
+
     def _apply_config(
         self, objects: list[Mapping[str, Any]], document: Document
     ) -> None:
@@ -576,6 +643,7 @@
             'link_congested': float(self._link.is_congested),
             'servers_known': len(self._directory.instances),
             'servers_cold': self._cold_servers.count,
+            'zones_evacuated': len(self._evacuated_zones),
             'store_age_seconds': self._state_versions().store_age_s,
             'tokens_held_unspent': sum(self._keeper.free.values()),
         }
--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -24,6 +24,9 @@
     `cores` and `link_mbps` are the capacity of the host.
     `memory_bytes` is the memory that the process may use.
     `grace_s` is the time between SIGTERM and the exit of the process.
+    `evacuations_kind` is the kind of the objects that request evacuations of
+    availability zones; None if none are followed.
+    `adapts_to_load` turns on placement by learned speeds and load shedding.
     `is_first_start` states that the whole fleet starts for the first time.
     """
 
@@ -48,6 +51,8 @@
     cores: float
     link_mbps: float
     is_first_start: bool = True
+    evacuations_kind: str | None = None
+    adapts_to_load: bool = False
     memory_bytes: int = 256 * 1024 * 1024
     peers: tuple = ()
     peer_timeout_s: float = 0.6
--- a/packages/gateway/src/oriolegauge/gateway/knownservers.py
+++ b/packages/gateway/src/oriolegauge/gateway/knownservers.py
@@ -1,8 +1,9 @@
 """Knowledge of one daemon about the backend servers."""
 
 import random
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Collection, Hashable
 
+from oriolegauge.forwarding.evacuatedzones import EvacuatedZones
 from oriolegauge.forwarding.leavinginstances import (
     LeavingInstances,
     ServerInstance,
@@ -34,7 +35,10 @@
         """
         self._on_cold = on_cold
         self.leaving_instances = LeavingInstances(clock, on_leaving_instance)
-        self.directory = ServerDirectory(clock, self.leaving_instances)
+        self.evacuated_zones = EvacuatedZones(self._note_returned)
+        self.directory = ServerDirectory(
+            clock, self.leaving_instances, self.evacuated_zones
+        )
         self.pauses = ServerPauses(rng)
         cold_servers = ColdServers(self._note_cold)
         self.cold = ColdServerList(
@@ -46,6 +50,9 @@
             cold_servers=cold_servers,
         )
 
+    def _note_returned(self, zones: Collection[str]) -> None:
+        self.cold.zones_returned(zones)
+
     def _note_cold(self, server: Hashable) -> None:
         if isinstance(server, ServerInstance):
             self.pauses.release(server.instance)
--- a/packages/gateway/tests/test_documentexchange.py
+++ b/packages/gateway/tests/test_documentexchange.py
@@ -88,3 +88,28 @@
         await asyncio.sleep(0.01)
         assert not peer.calls
         assert daemon.documents.get(KEY).payload == b'held'
+
+
+class TestLaterKeys:
+    def test_earlier_builds_do_not_hear_of_them(self):
+        """Guards against a build that fails on a document it can't follow."""
+        daemon = Daemon(era=0, revision=12)
+        daemon.exchange.add_later_key('later')
+        daemon.documents.offer('later', Document(13, b'[]', 'store'))
+        assert [row.key for row in daemon.exchange.versions()] == [KEY]
+        assert [row.key for row in daemon.exchange.revisions()] == [KEY]
+        [row] = daemon.exchange.later_versions()
+        assert (row.key, row.version) == ('later', 13)
+
+    async def test_are_fetched_only_by_builds_that_know_them(self):
+        """Guards against fetches of documents that a later build adds."""
+        peer = Peer(version=20, knows_eras=True)
+        daemon = Daemon(era=0, revision=12, call=peer.call)
+        row = ConfigVersion('later', 20, NEWER.digest)
+        daemon.exchange.learn('p', heartbeat(later_versions=(row,)))
+        await asyncio.sleep(0)
+        assert peer.calls == 0
+        daemon.exchange.add_later_key('later')
+        daemon.exchange.learn('p', heartbeat(later_versions=(row,)))
+        await asyncio.sleep(0)
+        assert peer.calls == 1
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -74,6 +74,7 @@
   documentVersions @16 :ConfigVersions;
   versionPeriod @17 :Int64;
   versionShares @18 :VersionShares;
+  laterVersions @19 :ConfigVersions;
 }
 
 struct ConfigVersions {
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -125,6 +125,7 @@
     the time since the last answer of the store, or NEVER_MS. Members that
     watch the store read the host list for the others. `config_versions` are
     revisions; `document_versions` hold the era of the store too.
+    `later_versions` are those of documents that earlier builds do not know.
     `version_period` is the number of the present period, 0 if the member does
     not know of periods.
     """
@@ -148,6 +149,7 @@
     document_versions: tuple[ConfigVersion, ...] = ()
     version_period: int = 0
     version_shares: tuple[VersionShare, ...] = ()
+    later_versions: tuple[ConfigVersion, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wire/tests/test_olderbuilds.py
+++ b/packages/wire/tests/test_olderbuilds.py
@@ -14,6 +14,7 @@
 from oriolegauge.wire.messages import (
     NEVER_MS,
     Ack,
+    ConfigVersion,
     Heartbeat,
     ServerInFlight,
     StreamStart,
@@ -30,14 +31,18 @@
 LATER_LINES = (
     'versionPeriod @17',
     'versionShares @18',
+    'laterVersions @19',
     'streamStarts @42',
     'streamStartQuery @43',
 )
 SCHEMA_ID = '@0xd3a1c6f07b52e948'
 OLDER_SCHEMA_ID = '@0xd3a1c6f07b52e949'
-# Two words, of 8 bytes each, for the two new fields of a heartbeat.
-NEW_FIELDS_BYTES = 16
-# Both words are zero, and deflate stores them in next to nothing.
+# The build before the documents of later keys.
+PREVIOUS_LINES = ('laterVersions @19',)
+PREVIOUS_SCHEMA_ID = '@0xd3a1c6f07b52e94a'
+# One word, of 8 bytes, for each of the three new fields of a heartbeat.
+NEW_FIELDS_BYTES = 24
+# All words are zero, and deflate stores them in next to nothing.
 DEFLATED_FIELDS_BYTES = 4
 
 SHARES = (
@@ -54,15 +59,27 @@
 @pytest.fixture(scope='module')
 def older_schema(tmp_path_factory):
     """Return the schema without the lines that older builds do not have."""
+    folder = tmp_path_factory.mktemp('schema')
+    return schema_without(LATER_LINES, OLDER_SCHEMA_ID, folder)
+
+
+@pytest.fixture(scope='module')
+def previous_schema(tmp_path_factory):
+    """Return the schema of the previous build."""
+    folder = tmp_path_factory.mktemp('schema')
+    return schema_without(PREVIOUS_LINES, PREVIOUS_SCHEMA_ID, folder)
+
+
+def schema_without(later_lines, schema_id, folder):
     schema = Path(oriolegauge.wire.__file__).with_name('messages.capnp')
     lines = schema.read_text().splitlines(keepends=True)
     kept = [
-        line for line in lines if not any(text in line for text in LATER_LINES)
+        line for line in lines if not any(text in line for text in later_lines)
     ]
-    assert len(lines) - len(kept) == len(LATER_LINES)
-    older = tmp_path_factory.mktemp('schema') / 'older.capnp'
+    assert len(lines) - len(kept) == len(later_lines)
+    older = folder / 'older.capnp'
     # The library aborts the process if two files have the same id.
-    older.write_text(''.join(kept).replace(SCHEMA_ID, OLDER_SCHEMA_ID))
+    older.write_text(''.join(kept).replace(SCHEMA_ID, schema_id))
     return capnp.load(str(older))
 
 
@@ -154,6 +171,16 @@
             requests = list(reader.heartbeat.inFlight.requests)
             assert requests == [3] * 8
 
+    def test_previous_build_hears_of_no_later_document(self, previous_schema):
+        """Guards against a document for which such a build has no follower."""
+        message = heartbeat(later_versions=(ConfigVersion('later', 3, 4),))
+        payload = encode(envelope(message))
+        assert decode(payload).message == message
+        with previous_schema.Envelope.from_bytes(body_of(payload)) as reader:
+            assert reader.heartbeat.member == 'd1'
+            assert not reader.heartbeat.documentVersions.key
+            assert not reader.heartbeat.configVersions.key
+
     def test_heartbeat_of_an_older_build_has_no_versions(self, older_schema):
         """Guards against taking an older member for one with periods."""
         body = older_bytes(older_schema, heartbeat())
--- a/tests/adapter/soakfleet.py
+++ b/tests/adapter/soakfleet.py
@@ -23,6 +23,7 @@
 GRACE_S = 5
 SETTINGS = """
 bootstrap = {bootstrap}
+contracts = {contracts}
 ip = "127.0.0.1"
 zone = "z1"
 portRange = [{peer}, {peer}]
@@ -130,6 +131,9 @@
         self.proxies: list[LoopbackProxy] = []
         self.retry_ratio = 0.2
         self.version = 0
+        # Zones of the backend servers, and contracts of the settings.
+        self.zones = ['z1'] * len(self.backends)
+        self.contracts: list[str] = []
         self.started: set[int] = set()
         # Further routes of the configuration, without repeats.
         self.added: list[str] = []
@@ -146,7 +150,7 @@
                 {
                     'service': 'svc',
                     'address': f'{HOST}:{self.proxies[number + 1].port}',
-                    'zone': 'z1',
+                    'zone': self.zones[number],
                     'slots': 20,
                     'state': 'ready',
                 },
@@ -229,6 +233,7 @@
                 store=self._store_port(number),
                 retry_ratio=self.retry_ratio,
                 grace_s=self.grace_s,
+                contracts=self.contracts,
                 bootstrap=str(number not in self.started).lower(),
             )
         )
