--- a/packages/gateway/tests/test_coldlimits.py
+++ b/packages/gateway/tests/test_coldlimits.py
@@ -1,13 +1,28 @@
 """Permits for cold servers in a fleet whose daemons lose each other."""
 
 import asyncio
+import math
+import random
+from bisect import bisect_right
 
 import pytest
 
 from oriolegauge.gateway import limitexchange
 from oriolegauge.gateway.fleetlayout import FULL_MESH_LEASE_S
-
-from .limitfleet import ALLOWANCE, SERVER, TOLERATED, SimulatedFleet
+from oriolegauge.gateway.limitexchange import (
+    COLD_BURST_S,
+    SMALL_PART_SAVED_S,
+    SMALL_PART_USE,
+)
+from oriolegauge.routing.ratepermits import RatePermits
+
+from .limitfleet import (
+    ALLOWANCE,
+    SERVER,
+    TOLERATED,
+    SimulatedFleet,
+    inject_faults,
+)
 
 COLD_PER_S = 3.0
 COLD_S = 60
@@ -72,6 +87,19 @@
         assert 0 < fleet.most_in_a_window(restarted_at, 1) <= MOST
         assert fleet.rate(restarted_at, restarted_at + FULL_MESH_LEASE_S) == 0
 
+    @pytest.mark.parametrize('seed', range(1, 9))
+    async def test_bound_holds_under_random_faults(self, seed):
+        """Guards against shares that two daemons use at the same time."""
+        per_s = 11.0
+        fleet = SimulatedFleet(10, per_s, cold_s=100)
+        await asyncio.sleep(SETTLE_S)
+        fleet.start_server()
+        fleet.demand(fleet.daemons, 0.4 * per_s)
+        await inject_faults(fleet, random.Random(seed), 30)
+        await fleet.stop()
+        most = fleet.most_in_a_window(window_s=1)
+        assert 0 < most <= TOLERATED * per_s + ALLOWANCE
+
     async def test_separated_daemons_use_no_permits_saved_up(self):
         """Guards against one request of each daemon at the same time."""
         assert await surge_at_separated_daemons() <= MOST
@@ -116,3 +144,56 @@
             await asyncio.sleep(0.5)
         assert sum(one.messages for one in fleet.daemons.values()) == 0
         await fleet.stop()
+
+
+def most_of_separated_daemons(seed, *, use, saved_s, daemons=68, per_s=11):
+    """Model daemons without links that are busy, rest and are busy again."""
+    rng = random.Random(seed)
+    sent = []
+    for number in range(daemons):
+        permits = RatePermits(random.Random(f'{seed} {number}'))
+        for begin, end in ((0, 20), (40, 60)):
+            now = begin + rng.uniform(0, 0.05)
+            while now < end:
+                taken = permits.take(
+                    's',
+                    per_s=per_s / daemons * use,
+                    wanted=1,
+                    now=now,
+                    burst_s=COLD_BURST_S,
+                    saved_s=saved_s,
+                )
+                sent += [now] * taken.count
+                now += taken.wait_s + rng.expovariate(20)
+    sent.sort()
+    return max(
+        bisect_right(sent, at + 1) - number for number, at in enumerate(sent)
+    )
+
+
+class TestSeparatedDaemons:
+    """The figures that SMALL_PART_USE and SMALL_PART_SAVED_S come from."""
+
+    allowed = TOLERATED * 11 + ALLOWANCE
+
+    def test_small_parts_keep_to_the_bound(self):
+        """Guards against turns of many daemons that coincide."""
+        most = [
+            most_of_separated_daemons(
+                seed, use=SMALL_PART_USE, saved_s=SMALL_PART_SAVED_S
+            )
+            for seed in range(50)
+        ]
+        assert max(most) <= self.allowed
+
+    @pytest.mark.parametrize(
+        ('use', 'saved_s'),
+        [(1, math.inf), (SMALL_PART_USE, math.inf), (1, SMALL_PART_SAVED_S)],
+    )
+    def test_one_measure_alone_does_not(self, use, saved_s):
+        """Guards against a model that no fault can fail."""
+        most = [
+            most_of_separated_daemons(seed, use=use, saved_s=saved_s)
+            for seed in range(50)
+        ]
+        assert max(most) > self.allowed
