--- a/tests/adapter/soakfleet.py
+++ b/tests/adapter/soakfleet.py
@@ -134,6 +134,8 @@
         # Zones of the backend servers, and contracts of the settings.
         self.zones = ['z1'] * len(self.backends)
         self.contracts: list[str] = []
+        # Further fields of the service in the configuration.
+        self.service_fields: dict[str, float] = {}
         self.started: set[int] = set()
         # Further routes of the configuration, without repeats.
         self.added: list[str] = []
@@ -208,6 +210,7 @@
                         'name': 'svc',
                         'maxConns': 400,
                         'engine': {'stride': TOKENS_PER_EVENT, 'slots': 20},
+                        **self.service_fields,
                     }
                 ],
                 'limits': {
