--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -552,6 +552,7 @@
                 server.instance for server in servers if server.is_leaving
             ],
         )
+        self._report_unknown_zones()
 
     def _versions_in_service(self) -> Mapping[str, Mapping[str, int]]:
         """Count the servers of each version, of services with streams."""
--- a/tests/adapter/test_evacuations.py
+++ b/tests/adapter/test_evacuations.py
@@ -7,6 +7,7 @@
 import aiohttp
 import orjson
 import pytest
+import structlog
 from oriolegauge_adapter.decoder import PlatformDecoder
 from oriolegauge_adapter.headernames import PLATFORM_HEADERS
 from oriolegauge_adapter.platformstore import PlatformStore
@@ -255,6 +256,23 @@
         gateway._documents.offer(KIND, Document(7, b'{', 'p'))
         assert 'z1' in gateway._evacuated_zones
 
+    async def test_unknown_zone_is_reported_once(self, make_gateway):
+        """Guards against a misspelt zone that nobody notices."""
+        gateway = make_gateway('places')
+        note_attempts(gateway)
+        with structlog.testing.capture_logs() as logs:
+            gateway._documents.offer(KIND, document(5, [evacuation('zz')]))
+            for revision in (6, 7):
+                rows = [*SERVERS, {'key': f'servers/{revision}', 'value': {}}]
+                gateway._documents.offer('servers', document(revision, rows))
+        reported = [
+            row['zone']
+            for row in logs
+            if row['event'] == 'evacuation of an unknown zone'
+        ]
+        assert reported == ['zz']
+        assert gateway._directory.of_service('svc')
+
     async def test_older_news_change_nothing(self, make_gateway):
         """Guards against a peer that has not heard of a later change."""
         gateway = make_gateway('places')
