--- a/packages/forwarding/src/oriolegauge/forwarding/forwardingconfig.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwardingconfig.py
@@ -12,7 +12,8 @@
     `max_connections` applies to each server. `tokens_per_event` is the most
     output tokens of one stream event, and `slots` the number of requests that a
     server runs at once; both are None if unknown. `memory_tokens` is the number
-    of tokens that an engine can hold, 0 if unknown.
+    of tokens that an engine can hold. For `cold_s` after its start a server
+    takes only `cold_per_s` requests per second. These are 0 if unknown.
     """
 
     name: str
@@ -20,6 +21,8 @@
     tokens_per_event: int | None = None
     slots: int | None = None
     memory_tokens: int = 0
+    cold_s: float = 0
+    cold_per_s: float = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -29,6 +29,7 @@
 from oriolegauge.forwarding.crashdetector import CrashDetector
 from oriolegauge.forwarding.dispatcher import Dispatcher
 from oriolegauge.forwarding.drainplan import DrainPlan
+from oriolegauge.forwarding.evacuatedzones import EvacuatedZones
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.leavinginstances import LeavingInstances
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
@@ -291,6 +292,7 @@
         routes=ROUTES,
         credit=10,
         workspace='team',
+        cold_servers=None,
     ):
         self.servers = servers
         self.budget = FakeBudget()
@@ -298,6 +300,7 @@
         self.routes = routes
         self.credit = credit
         self.workspace = workspace
+        self.cold_servers = cold_servers
         self.versions = FakeVersions()
         # Of each server, if they differ.
         self.server_versions = {}
@@ -310,9 +313,16 @@
         self.leaving_instances = LeavingInstances(
             clock, on_leaving_instance=lambda: None
         )
-        self.directory = ServerDirectory(clock, self.leaving_instances)
+        self.evacuated_zones = EvacuatedZones(lambda _: None)
+        self.directory = ServerDirectory(
+            clock, self.leaving_instances, self.evacuated_zones
+        )
         self.pauses = ServerPauses(random.Random(1))
-        self.limits_named = ServerLimits(clock, on_change=self.pauses.release)
+        self.limits_named = ServerLimits(
+            clock,
+            on_change=self.pauses.release,
+            cold_servers=self.cold_servers,
+        )
         self.list_servers()
         self.chooser = ServerChooser(zone='z1', rng=random.Random(1))
         self.pool = ConnectionPool(
