Simulate a fleet of 64 hosts and show where its prepaid tokens are

Cause: no test had more than one workspace, hosts that elect their leaders by the links that they see, or a store that is silent instead of refusing.

--- a/packages/grants/tests/test_strandedtokens.py
+++ b/packages/grants/tests/test_strandedtokens.py
@@ -16,6 +16,7 @@
 )
 from oriolegauge.grants.renewalwatch import RENEWAL_EXPIRY_S, RenewalWatch
 from oriolegauge.testkit import StoreFault
+from oriolegauge.testkit.crowdedgrantday import SIZE, CrowdedDay
 from oriolegauge.testkit.grantfleet import TEAM, Fleet, LateStore
 
 REQUEST_TOKENS = 840
@@ -494,3 +495,86 @@
         targets = [(target.reserve, target.working) for target in held]
         assert targets == sorted(targets, reverse=True)
         assert held[-1].reserve == 0 < held[-1].working
+
+
+# Seconds of the day whose tokens are prepaid, and of the load before faults.
+CROWDED_DAY_S = 42
+BEFORE_S = 4
+# Most of all prepaid tokens that daemons may hold ahead of demand.
+HELD_AHEAD = 0.03
+# A refusal comes within this time, besides the wait for reserves to open.
+LONGEST_WAIT_S = 0.8
+
+
+@pytest.mark.looptime
+class TestCrowdedFleet:
+    """Where tokens are in a fleet of 64 hosts, after faults in sequence."""
+
+    async def test_requests_larger_than_the_working_tokens_are_served(self):
+        """Guards against a surplus that is taken from a granted request.
+
+        A write that followed at once returned the tokens granted to a request
+        that had not taken them yet, in all four attempts of its draw.
+        """
+        day = CrowdedDay(seconds=CROWDED_DAY_S, budget=1.3)
+
+        async def faults(day):
+            await asyncio.sleep(12)
+
+        await day.play(faults, after_s=0)
+        assert not day.results()['refused']
+
+    async def test_cut_off_hosts_hold_only_what_their_requests_need(self):
+        """Guards against hosts that each draw ahead for the whole fleet."""
+        day = CrowdedDay(seconds=CROWDED_DAY_S, budget=1.3)
+        held = []
+
+        async def faults(day):
+            await asyncio.sleep(BEFORE_S)
+            hosts = day.rng.sample(day.fleet.names, SIZE // 2)
+            day.fleet.cut(*hosts)
+            for _ in range(6):
+                await asyncio.sleep(1)
+                held.append(day.total()['held'])
+            day.fleet.mend(*hosts)
+
+        await day.play(faults, after_s=0)
+        assert max(held) <= HELD_AHEAD
+
+    async def test_hosts_that_know_no_others_yet_leave_the_pool(self):
+        """Guards against 64 daemons that lead alone after a loss of power."""
+        day = CrowdedDay(seconds=CROWDED_DAY_S, budget=1.3)
+        held = []
+
+        async def faults(day):
+            await asyncio.sleep(BEFORE_S)
+            await day.lose_power(silent_after_s=2.5)
+            for _ in range(5):
+                held.append(day.total()['held'])
+                await asyncio.sleep(0.4)
+
+        await day.play(faults, after_s=0)
+        assert max(held) <= HELD_AHEAD
+
+    async def test_reserves_of_hosts_that_lead_no_longer_are_resolved(self):
+        """Guards against reserves that no process of their hosts renews."""
+        day = CrowdedDay(seconds=CROWDED_DAY_S, budget=1.3)
+
+        async def faults(day):
+            await asyncio.sleep(BEFORE_S)
+            await day.cut_a_third(5)
+            await day.lose_power()
+
+        await day.play(faults, after_s=3)
+        assert not day.total()['dead reserve']
+
+    async def test_refusal_comes_soon_without_the_store(self):
+        """Guards against requests that wait for each allocator in turn."""
+        day = CrowdedDay(seconds=CROWDED_DAY_S, budget=1.3)
+
+        async def faults(day):
+            await asyncio.sleep(BEFORE_S)
+            await day.lose_power(silent_after_s=5)
+
+        await day.play(faults, after_s=3)
+        assert max(day.waits_s()) <= LONGEST_WAIT_S
