Leave granted tokens to the requests that wait for them

Cause: a write that began before a waiting request had taken its tokens counted them as surplus of the allocator, returned them to the pool and drew them again. The request found too little, in all four attempts of its draw, whenever writes followed each other at once: with 24 workspaces nearly always, for each request larger than 1.5 times the working tokens (2.25% of a budget; a quarter of that while reserves are stranded).

Change: the surplus is what exceeds the needs of waiting calls too.

Ruled out: an empty pool (the log lines name 13,243 of 46,236 tokens in it) and reserves (none of that workspace).

--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -426,7 +426,10 @@
         ahead = 0
         if self._leads():
             working = self.holding_targets(team).working
-            surplus = account.free - int(RETURN_ABOVE_RATIO * working)
+            # Tokens of an earlier write may be granted to calls that have not
+            # taken them yet.
+            kept = int(RETURN_ABOVE_RATIO * working) + sum(wanted.needs[team])
+            surplus = account.free - kept
             wanted.returned[team] += account.take_free(surplus)
             after = max(0, account.free - need)
             ahead = max(0, working - after)
