Draw ahead of demand only at a daemon that is linked to others

Cause: a host that is cut off from all others elects itself, as does one that cannot list the members yet. Each then drew 1.5% of every budget as working tokens, and took a reserve. The tokens went back at one hand-over a second after the cut, and were lost with the process before.

Change: a daemon without an open link draws only what its requests need, writes no refills and begins no reserve, unless it is listed as the only member.

Rejected: a pause of up to 0.16 s after write conflicts.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -191,6 +191,15 @@
         """Return the number of peers with an open link."""
         return len(self.linked_peers())
 
+    @property
+    def is_cut_off(self) -> bool:
+        """State whether no other daemon is linked.
+
+        Before the members were listed, others may exist.
+        """
+        has_others = self.members > 1 or not self._is_listed.is_set()
+        return has_others and not self.linked_peers()
+
     @property
     def share_holders(self) -> int:
         """Return the number of daemons that own a share of each limit.
--- a/packages/gateway/src/oriolegauge/gateway/grantlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/grantlinks.py
@@ -136,6 +136,10 @@
         self._links.open_link(found)
         return found
 
+    def is_cut_off(self) -> bool:
+        """State whether this daemon is linked to none of the others."""
+        return self._links.is_cut_off
+
     def fallback_allocators(self) -> list[str]:
         """Return other leaders and then peers that reach the store."""
         skipped = {self._name, self._links.allocator()}
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -326,3 +326,20 @@
         links.apply_heartbeats()
         assert links.members == len(names) - len(lost)
         assert not set(lost) & set(links._mesh.names)
+
+
+class TestCutOff:
+    async def test_daemon_without_a_link_is_cut_off_if_others_exist(self):
+        """Guards against hosts that lead alone and draw for the whole fleet."""
+        clock = asyncio.get_running_loop().time
+        alone, grants = links_of('d0', [], clock)
+        # Others may exist until the members were listed.
+        assert grants.is_cut_off()
+        alone.note_listed()
+        assert not grants.is_cut_off()
+        links, grants = links_of('d0', ['d1', 'd2'], clock)
+        links.note_listed()
+        assert not grants.is_cut_off()
+        for link in links._mesh.names.values():
+            link.connected = False
+        assert grants.is_cut_off()
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -113,6 +113,9 @@
     def allocator(self) -> str | None:
         """Return the peer that writes the ledger, None if it is this one."""
 
+    def is_cut_off(self) -> bool:
+        """State whether this daemon is linked to none of the others."""
+
     def fallback_allocators(self) -> Sequence[str]:
         """Return peers that draw if the allocator can't, best first."""
 
@@ -207,7 +210,7 @@
             key=f'{kind}/{LEDGER}',
             process=process,
             account=self._account,
-            leads=lambda: peers.allocator() is None,
+            leads=self._leads,
             prepaid=prepaid,
             reaches_store=reaches_store,
             remembered_by_peers=peers.remembered_ledgers,
@@ -330,7 +333,7 @@
             await asyncio.sleep(ADJUST_PERIOD_S)
             for team in list(self._accounts):
                 self._adjust(team)
-            if self._peers.allocator() is None:
+            if self._leads():
                 self._tasks.spawn(self._allocator.refill())
             else:
                 self._tasks.spawn(self._allocator.write_remembered())
@@ -340,7 +343,11 @@
         await self._peers.wait_for_members()
         while True:
             began_at = self._clock()
-            if self._peers.holds_reserve() or not self._reserve.is_empty:
+            # Hosts that are cut off each lead alone: they begin no reserve.
+            begins = (
+                self._peers.holds_reserve() and not self._peers.is_cut_off()
+            )
+            if begins or not self._reserve.is_empty:
                 await self._renew_reserve()
             # A fixed period keeps renewals that were written together in step.
             passed_s = self._clock() - began_at
@@ -352,6 +359,13 @@
         for team in list(self._accounts):
             self._adjust(team)
 
+    def _leads(self) -> bool:
+        """State whether this daemon draws ahead of demand for the fleet.
+
+        A daemon that reaches no other leads too, but for itself alone.
+        """
+        return self._peers.allocator() is None and not self._peers.is_cut_off()
+
     async def close(self) -> None:
         """Return all unspent tokens; call `reserve` no more afterwards."""
         await asyncio.gather(
--- a/packages/testkit/src/oriolegauge/testkit/grantfleet.py
+++ b/packages/testkit/src/oriolegauge/testkit/grantfleet.py
@@ -90,6 +90,12 @@
         found = self._fleet.allocator
         return None if found == self._name else found
 
+    def is_cut_off(self) -> bool:
+        others = [name for name in self._fleet.names if name != self._name]
+        return bool(others) and not any(
+            self._fleet.is_linked(self._name, name) for name in others
+        )
+
     def fallback_allocators(self) -> list[str]:
         skipped = {self._name, self._fleet.allocator}
         return [
--- a/packages/testkit/src/oriolegauge/testkit/linkedgrantfleet.py
+++ b/packages/testkit/src/oriolegauge/testkit/linkedgrantfleet.py
@@ -142,6 +142,11 @@
         found = next(reaching, leaders[0] if leaders else self._name)
         return None if found == self._name else found
 
+    def is_cut_off(self) -> bool:
+        return not self._fleet.listed[self._name].is_set() or not any(
+            map(self._is_open, self._fleet.names)
+        )
+
     def fallback_allocators(self) -> Sequence[str]:
         skipped = {self._name, self.allocator()}
         leaders = self.reserve_hosts()
