Resolve the reserves of hosts that hold none after their return

Cause: only hosts that lead renew, and only the next renewal of a host resolves the reserve of its earlier process. Leaders change while links are cut, so after a loss of power of all there were rows of hosts that lead no longer. They stayed bound, they counted for the quorum of the proof, and, as stranded tokens, took the reserves of all and three quarters of the working tokens.

Change: a process that holds no reserve sends a renewal with number 0 until the allocator confirms that the ledger holds no earlier reserve of its host. It asks for no tokens and costs no write if there is none.

--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -16,6 +16,7 @@
 
 from oriolegauge.core.taskset import TaskSet
 from oriolegauge.grants.grantledger import (
+    START_REPORT,
     GrantLedger,
     LedgerEntry,
     Renewal,
@@ -274,9 +275,10 @@
         Return None unless the write is confirmed.
         """
         self._note_start(renewal)
+        is_report = renewal.number == START_REPORT
         is_held = renewal.host in self.ledger.reserves or renewal.opened
-        targets = self._reserve_targets()
-        if self.is_known and not (is_held or targets):
+        is_due = is_held or (not is_report and bool(self._reserve_targets()))
+        if self.is_known and not is_due:
             return Renewed(renewal.number, {}, {})
         writes = self._writes
         self._pending.renewals[renewal.host] = renewal
@@ -288,6 +290,9 @@
             return None
         row = self.ledger.reserves.get(renewal.host)
         is_own = row is not None and row.holder == renewal.holder
+        if is_report and row and not is_own:
+            # The reserve of the earlier process is not resolved yet.
+            return None
         held = row.parts if is_own else {}
         is_current = not is_own or row.number == renewal.number
         if not is_current:
@@ -463,7 +468,7 @@
             changes.append(
                 ReserveChange(
                     renewal=renewal,
-                    targets=targets,
+                    targets={} if renewal.number == START_REPORT else targets,
                     limits=limits,
                     passed_s=passed_s,
                 )
@@ -508,7 +513,8 @@
 
     def _note_start(self, renewal: Renewal) -> None:
         now = self._clock()
-        self._watch.note(renewal.host, now)
+        if renewal.number != START_REPORT:
+            self._watch.note(renewal.host, now)
         known = self._starts.get(renewal.host)
         if known is None or known.holder != renewal.holder:
             self._starts[renewal.host] = _ProcessStart(
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -343,11 +343,7 @@
         await self._peers.wait_for_members()
         while True:
             began_at = self._clock()
-            # Hosts that are cut off each lead alone: they begin no reserve.
-            begins = (
-                self._peers.holds_reserve() and not self._peers.is_cut_off()
-            )
-            if begins or not self._reserve.is_empty:
+            if self._is_renewal_due():
                 await self._renew_reserve()
             # A fixed period keeps renewals that were written together in step.
             passed_s = self._clock() - began_at
@@ -403,8 +399,23 @@
         if not await self._peers.hand_over(peer, team, taken):
             account.credit(taken)
 
+    def _is_renewal_due(self) -> bool:
+        """State whether to renew the reserve, or to report the start.
+
+        Hosts that are cut off each lead alone, so they begin no reserve.
+        """
+        if not self._reserve.is_empty:
+            return True
+        if self._peers.is_cut_off():
+            return False
+        return self._peers.holds_reserve() or not self._reserve.is_start_known
+
     async def _renew_reserve(self) -> None:
-        renewal = self._reserve.renewal(self._host_clocks.now())
+        now = self._host_clocks.now()
+        if self._peers.holds_reserve() or not self._reserve.is_empty:
+            renewal = self._reserve.renewal(now)
+        else:
+            renewal = self._reserve.start_report(now)
         allocator = self._peers.allocator()
         if allocator is None:
             renewed = await self._allocator.renew(renewal)
--- a/packages/grants/src/oriolegauge/grants/grantledger.py
+++ b/packages/grants/src/oriolegauge/grants/grantledger.py
@@ -22,6 +22,9 @@
 # Seconds of demand that are open as soon as the reserve may be opened, for the
 # requests that have waited.
 INITIALLY_OPEN_S = 2.2
+# Number of a renewal that only reports the start of a process. It asks for no
+# reserve, but resolves that of an earlier process of the host.
+START_REPORT = 0
 # Last positions kept, by holder, to resolve writes with lost answers. Only a
 # holder with an unresolved write needs its position.
 MAX_POSITIONS = 64
@@ -94,7 +97,7 @@
     `started` are the host's clocks at the start of the process; the time counts
     from `stamp`. The process opens no more than the `believed` parts. It has
     taken `opened` tokens since renewal `number` - 1. A retry has the same
-    number and content.
+    number and content. START_REPORT may precede the first renewal.
     """
 
     host: str
--- a/packages/grants/src/oriolegauge/grants/hostreserve.py
+++ b/packages/grants/src/oriolegauge/grants/hostreserve.py
@@ -11,6 +11,7 @@
 
 from oriolegauge.grants.grantledger import (
     RESERVE_CLOSED_S,
+    START_REPORT,
     Renewal,
     ReservePart,
     open_share,
@@ -32,6 +33,7 @@
         self._number = 0
         self._stamp: HostTimes | None = None
         self._is_in_ledger = False
+        self._is_start_known = False
         # Parts at the time of the stamp, and the tokens opened of them since.
         self._parts_at_stamp: Mapping[str, ReservePart] = {}
         self._opened_since_stamp: Counter[str] = Counter()
@@ -41,6 +43,11 @@
         """State whether the ledger surely holds nothing of this process."""
         return not (self._opened or self._pending or self._is_in_ledger)
 
+    @property
+    def is_start_known(self) -> bool:
+        """State whether the ledger holds no reserve of an earlier process."""
+        return self._is_start_known
+
     def renewal(self, now: HostTimes) -> Renewal:
         """Return the renewal to send.
 
@@ -49,18 +56,13 @@
         """
         if self._pending is None:
             self._number += 1
-            self._stamp = now
-            self._parts_at_stamp = dict(self._believed)
-            self._opened_since_stamp = Counter()
-            self._pending = Renewal(
-                host=self._host,
-                holder=self._holder,
-                started=self._started,
-                stamp=now,
-                number=self._number,
-                believed=dict(self._believed),
-                opened=dict(self._opened),
-            )
+            self._pending = self._begin_renewal(now, self._number)
+        return self._pending
+
+    def start_report(self, now: HostTimes) -> Renewal:
+        """Return the renewal to send if no reserve is held or wanted."""
+        if self._pending is None:
+            self._pending = self._begin_renewal(now, START_REPORT)
         return self._pending
 
     def confirm(
@@ -78,6 +80,8 @@
         if pending is None or pending.number != number:
             return
         self._pending = None
+        # A renewal is confirmed without tokens while that reserve is there.
+        self._is_start_known |= bool(held) or number == START_REPORT
         self._is_in_ledger = bool(held)
         self._opened -= Counter(pending.opened)
         self._believed = {}
@@ -122,6 +126,20 @@
         part = self._believed.get(team)
         return part.tokens if part else 0
 
+    def _begin_renewal(self, now: HostTimes, number: int) -> Renewal:
+        self._stamp = now
+        self._parts_at_stamp = dict(self._believed)
+        self._opened_since_stamp = Counter()
+        return Renewal(
+            host=self._host,
+            holder=self._holder,
+            started=self._started,
+            stamp=now,
+            number=number,
+            believed=dict(self._believed),
+            opened=dict(self._opened),
+        )
+
     def release(self) -> None:
         """Hold nothing from now on; the next renewal tells the allocator."""
         self._believed = {}
