Refuse a request soon if the store is silent and no reserve can pay

Cause: a request waited 0.5 s for the allocator, as long for each of two others, 1 s for a write of its own host, behind writes that had begun before, and up to half of its time for reserves to open, also if these held nothing of its team.

Change: an allocator whose write takes longer than 0.4 s answers that it does not reach the store; all draws of a request take 0.6 s at most; a request waits for reserves only if the newest known ledger has enough in them.

--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -49,6 +49,9 @@
 EMPTY_POOL_PAUSE_S = 0.5
 # Writes for one call while concurrent calls use up the granted tokens.
 MAX_DRAW_ATTEMPTS = 4
+# A write that takes longer counts as a store that does not answer: callers then
+# use reserves and loans. Below the time that daemons wait for a draw.
+WRITE_WAIT_S = 0.4
 # The allocator returns tokens above this multiple of its target.
 RETURN_ABOVE_RATIO = 1.5
 # The allocator draws more tokens below this share of its target.
@@ -145,6 +148,7 @@
         self._tasks = TaskSet()
         self._writes = 0
         self._written_at = -math.inf
+        self._write_began_at = math.inf
         self._failed_at = -math.inf
         self._is_store_failing = False
         self._is_closing = False
@@ -184,7 +188,8 @@
     @property
     def is_store_unavailable(self) -> bool:
         """State whether store calls are paused or expected to fail."""
-        return self._is_pausing or not self._reaches_store()
+        is_silent = self._clock() - self._write_began_at >= WRITE_WAIT_S
+        return is_silent or self._is_pausing or not self._reaches_store()
 
     @property
     def _is_pausing(self) -> bool:
@@ -229,6 +234,11 @@
             prepaid=prepaid,
         )
 
+    def reserved(self, team: str) -> float:
+        """Return the tokens in all reserves, by the newest known ledger."""
+        known = self.remembered
+        return known.ledger.reserved(team) if known else math.inf
+
     def waiting(self, team: str) -> int:
         """Return the tokens needed by draws that wait for a write."""
         return sum(self._pending.needs[team])
@@ -253,7 +263,11 @@
                 return
             self._pending.needs[team].append(need)
             try:
-                await self._write_after(self._writes)
+                async with asyncio.timeout(WRITE_WAIT_S):
+                    await self._write_after(self._writes)
+            except TimeoutError:
+                # The write goes on; its tokens are for later requests.
+                return
             finally:
                 self._pending.needs[team].remove(need)
             missing = need - self._account(team).free
@@ -360,7 +374,11 @@
     async def _write_in_turn(self, writes: int) -> bool:
         async with self._lock:
             if self._writes == writes:
-                await self._write()
+                self._write_began_at = self._clock()
+                try:
+                    await self._write()
+                finally:
+                    self._write_began_at = math.inf
             return not self._is_store_failing
 
     async def _write(self) -> None:
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -38,6 +38,9 @@
 # may have to write to a slow store first.
 LOAN_WAIT_S = 0.25
 DRAW_WAIT_S = 0.5
+# Longest time of the draws of a request from all sources together. What none of
+# them gives by then must come from reserves and loans.
+ALL_DRAWS_WAIT_S = 0.6
 # A request waits for reserves to open for this share of its time at most. The
 # waiting requests of a daemon continue at random within the spread.
 OPENING_WAIT_SHARE = 0.5
@@ -204,7 +207,7 @@
         self._unspent: dict[str, int] = {}
         self._returned_at: dict[str, float] = {}
         # When reserves of other daemons may be opened, by the last reply.
-        self._opens_at = -math.inf
+        self._opens_at: dict[str, float] = {}
         self._allocator = GrantAllocator(
             store=store,
             key=f'{kind}/{LEDGER}',
@@ -256,7 +259,7 @@
             if await self._acquire(team, tokens):
                 self._account(team).note_demand(tokens, self._clock())
                 return Reservation(team, tokens)
-            wait_s = self._opening_wait_s()
+            wait_s = self._opening_wait_s(team, tokens)
             if wait_s is None or self._clock() + wait_s > latest:
                 break
             await asyncio.sleep(wait_s)
@@ -307,15 +310,11 @@
         self._allocator.note_demand(team, granted)
         if granted < draw.need:
             log.info('draw not met', given=granted, **self._state(team))
-        is_unavailable = self._allocator.is_store_unavailable
-        now_s = self._host_clocks.now().boot_s
         return DrawResult(
             granted,
-            reached_store=not is_unavailable,
+            reached_store=not self._allocator.is_store_unavailable,
             unspent=self._allocator.unspent(team),
-            opens_in_s=self._reserve.opens_in_s(now_s)
-            if is_unavailable
-            else None,
+            opens_in_s=self._opens_in_s(team, draw.need - granted),
         )
 
     def remember_ledger(self, copy: LedgerCopy) -> None:
@@ -399,6 +398,18 @@
         if not await self._peers.hand_over(peer, team, taken):
             account.credit(taken)
 
+    def _opens_in_s(self, team: str, tokens: int) -> float | None:
+        """Return the seconds until reserves may be opened in an outage.
+
+        Return None if the reserves of all hosts don't hold the tokens, so that
+        nobody waits for them in vain.
+        """
+        if not self._allocator.is_store_unavailable:
+            return None
+        if self._allocator.reserved(team) < tokens:
+            return None
+        return self._reserve.opens_in_s(self._host_clocks.now().boot_s)
+
     def _is_renewal_due(self) -> bool:
         """State whether to renew the reserve, or to report the start.
 
@@ -459,18 +470,20 @@
             return
         pool = self._allocator.pool(team)
         lacking = need - account.free - pool
-        if lacking > 0:
-            more = int(account.rate(self._clock()) * OUTAGE_AHEAD_S)
-            await self._open_and_borrow(team, lacking, more)
+        if lacking <= 0:
+            # The store did not answer in time, and hardly would a second time.
+            return
+        more = int(account.rate(self._clock()) * OUTAGE_AHEAD_S)
+        await self._open_and_borrow(team, lacking, more)
         if pool and account.free + pool >= need:
             await self._allocator.draw(team, need)
 
-    def _opening_wait_s(self) -> float | None:
+    def _opening_wait_s(self, team: str, tokens: int) -> float | None:
         """Return the seconds to wait for reserves; None if none will open."""
         now = self._clock()
-        opens_at = self._opens_at
-        own_s = self._reserve.opens_in_s(self._host_clocks.now().boot_s)
-        if own_s is not None and self._allocator.is_store_unavailable:
+        opens_at = self._opens_at.get(team, -math.inf)
+        own_s = self._opens_in_s(team, tokens)
+        if own_s is not None:
             opens_at = max(opens_at, now + own_s)
         if opens_at < now - OPENING_INFO_EXPIRY_S:
             return None
@@ -578,6 +591,7 @@
         """
         account = self._account(team)
         ahead = max(0, self._target(team) - account.free - need)
+        until = self._clock() + ALL_DRAWS_WAIT_S
         allocator = self._peers.allocator()
         if allocator is None:
             await self._collect(team, account.free + need)
@@ -585,14 +599,20 @@
         else:
             missing = await self._draw_from(allocator, team, need, ahead)
         for peer in self._peers.fallback_allocators():
-            if not missing:
+            wait_s = until - self._clock()
+            if not missing or wait_s <= 0:
                 return
-            missing = await self._draw_from(peer, team, missing, 0)
-        if missing and allocator is not None:
+            missing = await self._draw_from(peer, team, missing, 0, wait_s)
+        if missing and allocator is not None and self._clock() < until:
             await self._allocator.draw(team, account.free + missing)
 
     async def _draw_from(
-        self, peer: str, team: str, need: int, ahead: int
+        self,
+        peer: str,
+        team: str,
+        need: int,
+        ahead: int,
+        wait_s: float = DRAW_WAIT_S,
     ) -> int:
         """Draw from a peer; return the need that other peers may cover.
 
@@ -604,9 +624,11 @@
             team=team, need=need, ahead=ahead, spent=account.take_unreported()
         )
         answer = self._tasks.spawn(self._draw(peer, draw))
-        done, _ = await asyncio.wait({answer}, timeout=DRAW_WAIT_S)
+        wait_s = min(wait_s, DRAW_WAIT_S)
+        done, _ = await asyncio.wait({answer}, timeout=wait_s)
         if not done:
-            self._peers.note_unresponsive(peer)
+            if wait_s == DRAW_WAIT_S:
+                self._peers.note_unresponsive(peer)
             return need
         result = answer.result()
         if result is None:
@@ -623,7 +645,7 @@
         if result.unspent is not None:
             self._unspent[draw.team] = result.unspent
         if result.opens_in_s is not None:
-            self._opens_at = self._clock() + result.opens_in_s
+            self._opens_at[draw.team] = self._clock() + result.opens_in_s
         return result
 
     def _target(self, team: str) -> int:
