Lead the fleet only once its members were listed

Cause: a daemon that has not listed the members knows those ring neighbours that have, from their heartbeats. It is linked, so it did not count as cut off, and led if no neighbour was above it in rank.

Change: before the listing a daemon counts as not linked to the fleet.

Tests: the allocator lost right after the return, and a third of the hosts refused by the store, among them the first in rank.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -193,12 +193,14 @@
 
     @property
     def is_cut_off(self) -> bool:
-        """State whether no other daemon is linked.
+        """State whether this daemon is not linked to the fleet.
 
-        Before the members were listed, others may exist.
+        Before it has listed the members, it may be linked to some, but not to
+        the leaders.
         """
-        has_others = self.members > 1 or not self._is_listed.is_set()
-        return has_others and not self.linked_peers()
+        if not self._is_listed.is_set():
+            return True
+        return self.members > 1 and not self.linked_peers()
 
     @property
     def share_holders(self) -> int:
--- a/packages/gateway/src/oriolegauge/gateway/grantlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/grantlinks.py
@@ -137,7 +137,7 @@
         return found
 
     def is_cut_off(self) -> bool:
-        """State whether this daemon is linked to none of the others."""
+        """State whether this daemon is not linked to the fleet."""
         return self._links.is_cut_off
 
     def fallback_allocators(self) -> list[str]:
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -333,11 +333,12 @@
         """Guards against hosts that lead alone and draw for the whole fleet."""
         clock = asyncio.get_running_loop().time
         alone, grants = links_of('d0', [], clock)
-        # Others may exist until the members were listed.
+        # Others, and the leaders, are known once the members were listed.
         assert grants.is_cut_off()
         alone.note_listed()
         assert not grants.is_cut_off()
         links, grants = links_of('d0', ['d1', 'd2'], clock)
+        assert grants.is_cut_off()
         links.note_listed()
         assert not grants.is_cut_off()
         for link in links._mesh.names.values():
--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -117,7 +117,7 @@
         """Return the peer that writes the ledger, None if it is this one."""
 
     def is_cut_off(self) -> bool:
-        """State whether this daemon is linked to none of the others."""
+        """State whether this daemon is not linked to the fleet."""
 
     def fallback_allocators(self) -> Sequence[str]:
         """Return peers that draw if the allocator can't, best first."""
--- a/packages/grants/tests/test_strandedtokens.py
+++ b/packages/grants/tests/test_strandedtokens.py
@@ -575,6 +575,28 @@
         await day.play(faults, after_s=3)
         assert not day.total()['dead reserve']
 
+    @pytest.mark.parametrize('fault', ['allocator lost', 'third refused'])
+    async def test_requests_are_served_soon_after_the_return(self, fault):
+        """Guards against a second fault that stops all grants."""
+        day = CrowdedDay(seconds=CROWDED_DAY_S, budget=1.3)
+        returned_at = []
+
+        async def faults(day):
+            fleet = day.fleet
+            await asyncio.sleep(BEFORE_S)
+            await day.cut_a_third(3)
+            if fault == 'third refused':
+                refused = day.rng.sample(fleet.names[8:], SIZE // 3)
+                day.store.refused = {*refused, fleet.names[0]}
+            await day.lose_power()
+            if fault == 'allocator lost':
+                fleet.kill(fleet.names[0])
+            returned_at.append(asyncio.get_running_loop().time())
+
+        await day.play(faults, after_s=8)
+        found = day.results(returned_at[0] + 3)
+        assert found['served'] >= SERVED_SHARE * found.total()
+
 
 @pytest.mark.looptime
 class TestReportOfAStart:
--- a/packages/testkit/src/oriolegauge/testkit/linkedgrantfleet.py
+++ b/packages/testkit/src/oriolegauge/testkit/linkedgrantfleet.py
@@ -131,9 +131,7 @@
                 return
 
     def reserve_hosts(self) -> Sequence[str]:
-        if not self._fleet.listed[self._name].is_set():
-            return [self._name]
-        leaders = filter(self._is_serving, self._fleet.names)
+        leaders = filter(self._is_serving, self._fleet.known(self._name))
         return list(islice(leaders, MAX_RESERVE_HOSTS))
 
     def allocator(self) -> str | None:
@@ -316,6 +314,27 @@
             self._is_cut[name] = is_cut
             self._changed_at[name] = self._loop.time()
 
+    def known(self, name: str) -> Sequence[str]:
+        """Return the hosts that a host knows, by rank.
+
+        Before it has read the members, it knows only ring neighbours that have,
+        from their heartbeats.
+        """
+        if self.listed[name].is_set():
+            return self.names
+        position = self.names.index(name)
+        neighbours = {
+            self.names[(position + step) % len(self.names)]
+            for distance in (1, 2, 4, 8, 16, 32)
+            for step in (distance, -distance)
+        }
+        return [
+            other
+            for other in self.names
+            if other == name
+            or (other in neighbours and self.listed[other].is_set())
+        ]
+
     def is_linked(self, name: str, peer: str) -> bool:
         """Return whether messages of a host reach the other."""
         is_cut = self._is_cut.get(name) or self._is_cut.get(peer)
@@ -352,7 +371,7 @@
             ),
             peers=LinkedPeers(self, name, holder),
             prepaid=self.budgets.get,
-            reaches_store=lambda: True,
+            reaches_store=lambda: name not in self.store.refused,
             clock=self._loop.time,
             host_clocks=clocks,
             rng=random.Random(self._starts),
