--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -197,6 +197,17 @@
         """Return the number of peers with an open link."""
         return len(self.linked_peers())
 
+    @property
+    def is_cut_off(self) -> bool:
+        """State whether this daemon is not linked to the fleet.
+
+        Before it has listed the members, it may be linked to some, but not to
+        the leaders.
+        """
+        if not self._is_listed.is_set():
+            return True
+        return self.members > 1 and not self.linked_peers()
+
     @property
     def share_holders(self) -> int:
         """Return the number of daemons that own a share of each limit.
--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -16,6 +16,7 @@
 
 from oriolegauge.core.taskset import TaskSet
 from oriolegauge.grants.grantledger import (
+    START_REPORT,
     GrantLedger,
     LedgerEntry,
     Renewal,
@@ -48,6 +49,9 @@
 EMPTY_POOL_PAUSE_S = 0.5
 # Writes for one call while concurrent calls use up the granted tokens.
 MAX_DRAW_ATTEMPTS = 4
+# A write that takes longer counts as a store that does not answer: callers then
+# use reserves and loans. Below the time that daemons wait for a draw.
+WRITE_WAIT_S = 0.4
 # The allocator returns tokens above this multiple of its target.
 RETURN_ABOVE_RATIO = 1.5
 # The allocator draws more tokens below this share of its target.
@@ -144,6 +148,7 @@
         self._tasks = TaskSet()
         self._writes = 0
         self._written_at = -math.inf
+        self._write_began_at = math.inf
         self._failed_at = -math.inf
         self._is_store_failing = False
         self._is_closing = False
@@ -183,7 +188,8 @@
     @property
     def is_store_unavailable(self) -> bool:
         """State whether store calls are paused or expected to fail."""
-        return self._is_pausing or not self._reaches_store()
+        is_silent = self._clock() - self._write_began_at >= WRITE_WAIT_S
+        return is_silent or self._is_pausing or not self._reaches_store()
 
     @property
     def _is_pausing(self) -> bool:
@@ -228,6 +234,11 @@
             prepaid=prepaid,
         )
 
+    def reserved(self, team: str) -> float:
+        """Return the tokens in all reserves, by the newest known ledger."""
+        known = self.remembered
+        return known.ledger.reserved(team) if known else math.inf
+
     def waiting(self, team: str) -> int:
         """Return the tokens needed by draws that wait for a write."""
         return sum(self._pending.needs[team])
@@ -252,7 +263,11 @@
                 return
             self._pending.needs[team].append(need)
             try:
-                await self._write_after(self._writes)
+                async with asyncio.timeout(WRITE_WAIT_S):
+                    await self._write_after(self._writes)
+            except TimeoutError:
+                # The write goes on; its tokens are for later requests.
+                return
             finally:
                 self._pending.needs[team].remove(need)
             missing = need - self._account(team).free
@@ -274,9 +289,10 @@
         Return None unless the write is confirmed.
         """
         self._note_start(renewal)
+        is_report = renewal.number == START_REPORT
         is_held = renewal.host in self.ledger.reserves or renewal.opened
-        targets = self._reserve_targets()
-        if self.is_known and not (is_held or targets):
+        is_due = is_held or (not is_report and bool(self._reserve_targets()))
+        if self.is_known and not is_due:
             return Renewed(renewal.number, {}, {})
         writes = self._writes
         self._pending.renewals[renewal.host] = renewal
@@ -288,6 +304,9 @@
             return None
         row = self.ledger.reserves.get(renewal.host)
         is_own = row is not None and row.holder == renewal.holder
+        if is_report and row and not is_own:
+            # The reserve of the earlier process is not resolved yet.
+            return None
         held = row.parts if is_own else {}
         is_current = not is_own or row.number == renewal.number
         if not is_current:
@@ -355,7 +374,11 @@
     async def _write_in_turn(self, writes: int) -> bool:
         async with self._lock:
             if self._writes == writes:
-                await self._write()
+                self._write_began_at = self._clock()
+                try:
+                    await self._write()
+                finally:
+                    self._write_began_at = math.inf
             return not self._is_store_failing
 
     async def _write(self) -> None:
@@ -426,7 +449,10 @@
         ahead = 0
         if self._leads():
             working = self.holding_targets(team).working
-            surplus = account.free - int(RETURN_ABOVE_RATIO * working)
+            # Tokens of an earlier write may be granted to calls that have not
+            # taken them yet.
+            kept = int(RETURN_ABOVE_RATIO * working) + sum(wanted.needs[team])
+            surplus = account.free - kept
             wanted.returned[team] += account.take_free(surplus)
             after = max(0, account.free - need)
             ahead = max(0, working - after)
@@ -460,7 +486,7 @@
             changes.append(
                 ReserveChange(
                     renewal=renewal,
-                    targets=targets,
+                    targets={} if renewal.number == START_REPORT else targets,
                     limits=limits,
                     passed_s=passed_s,
                 )
@@ -505,7 +531,8 @@
 
     def _note_start(self, renewal: Renewal) -> None:
         now = self._clock()
-        self._watch.note(renewal.host, now)
+        if renewal.number != START_REPORT:
+            self._watch.note(renewal.host, now)
         known = self._starts.get(renewal.host)
         if known is None or known.holder != renewal.holder:
             self._starts[renewal.host] = _ProcessStart(
--- a/packages/grants/tests/test_strandedtokens.py
+++ b/packages/grants/tests/test_strandedtokens.py
@@ -1,6 +1,7 @@
 """Tokens that deaths strand stay a bounded share, and none are spent twice."""
 
 import asyncio
+import contextlib
 import random
 from collections import Counter
 from dataclasses import replace
@@ -16,7 +17,9 @@
 )
 from oriolegauge.grants.renewalwatch import RENEWAL_EXPIRY_S, RenewalWatch
 from oriolegauge.testkit import StoreFault
+from oriolegauge.testkit.crowdedgrantday import SIZE, CrowdedDay
 from oriolegauge.testkit.grantfleet import TEAM, Fleet, LateStore
+from oriolegauge.testkit.linkedgrantfleet import LinkedFleet, SilentStore
 
 REQUEST_TOKENS = 840
 REQUESTS_PER_S = 15
@@ -494,3 +497,166 @@
         targets = [(target.reserve, target.working) for target in held]
         assert targets == sorted(targets, reverse=True)
         assert held[-1].reserve == 0 < held[-1].working
+
+
+# Seconds of the day whose tokens are prepaid, and of the load before faults.
+CROWDED_DAY_S = 42
+BEFORE_S = 4
+# Most of all prepaid tokens that accounts may hold: those of two allocators,
+# one on each side of a cut, with 0.015 each, and rests of settled requests.
+HELD_AHEAD = 0.05
+# A refusal comes within this time if no reserve can pay for the request.
+LONGEST_WAIT_S = 0.9
+
+
+@pytest.mark.looptime
+class TestCrowdedFleet:
+    """Where tokens are in a fleet of 64 hosts, after faults in sequence."""
+
+    async def test_requests_larger_than_the_working_tokens_are_served(self):
+        """Guards against a surplus that is taken from a granted request.
+
+        A write that followed at once returned the tokens granted to a request
+        that had not taken them yet, in all four attempts of its draw.
+        """
+        day = CrowdedDay(seconds=CROWDED_DAY_S, budget=1.3)
+
+        async def faults(day):
+            await asyncio.sleep(12)
+
+        await day.play(faults, after_s=0)
+        assert not day.results()['refused']
+
+    async def test_cut_off_hosts_hold_only_what_their_requests_need(self):
+        """Guards against hosts that each draw ahead for the whole fleet."""
+        day = CrowdedDay(seconds=CROWDED_DAY_S, budget=1.3)
+        held = []
+
+        async def faults(day):
+            await asyncio.sleep(BEFORE_S)
+            hosts = day.rng.sample(day.fleet.names, SIZE // 2)
+            day.fleet.cut(*hosts)
+            for _ in range(6):
+                await asyncio.sleep(1)
+                held.append(day.total()['held'])
+            day.fleet.mend(*hosts)
+
+        await day.play(faults, after_s=0)
+        assert max(held) <= HELD_AHEAD
+
+    async def test_hosts_that_know_no_others_yet_leave_the_pool(self):
+        """Guards against 64 daemons that lead alone after a loss of power."""
+        day = CrowdedDay(seconds=CROWDED_DAY_S, budget=1.3)
+        held = []
+
+        async def faults(day):
+            await asyncio.sleep(BEFORE_S)
+            await day.lose_power(silent_after_s=2.5)
+            for _ in range(5):
+                held.append(day.total()['held'])
+                await asyncio.sleep(0.4)
+
+        await day.play(faults, after_s=0)
+        assert max(held) <= HELD_AHEAD
+
+    async def test_reserves_of_hosts_that_lead_no_longer_are_resolved(self):
+        """Guards against reserves that no process of their hosts renews."""
+        day = CrowdedDay(seconds=CROWDED_DAY_S, budget=1.3)
+
+        async def faults(day):
+            await asyncio.sleep(BEFORE_S)
+            # Other hosts lead while the first ones are cut off.
+            leaders = day.fleet.names[:4]
+            day.fleet.cut(*leaders)
+            await asyncio.sleep(5)
+            day.fleet.mend(*leaders)
+            await day.lose_power()
+
+        await day.play(faults, after_s=3)
+        assert not day.total()['dead reserve']
+
+    @pytest.mark.parametrize('fault', ['allocator lost', 'third refused'])
+    async def test_requests_are_served_soon_after_the_return(self, fault):
+        """Guards against a second fault that stops all grants."""
+        day = CrowdedDay(seconds=CROWDED_DAY_S, budget=1.3)
+        returned_at = []
+
+        async def faults(day):
+            fleet = day.fleet
+            await asyncio.sleep(BEFORE_S)
+            await day.cut_a_third(3)
+            if fault == 'third refused':
+                refused = day.rng.sample(fleet.names[8:], SIZE // 3)
+                day.store.refused = {*refused, fleet.names[0]}
+            await day.lose_power()
+            if fault == 'allocator lost':
+                fleet.kill(fleet.names[0])
+            returned_at.append(asyncio.get_running_loop().time())
+
+        await day.play(faults, after_s=8)
+        found = day.results(returned_at[0] + 3)
+        assert found['served'] >= SERVED_SHARE * found.total()
+
+
+@pytest.mark.looptime
+class TestReportOfAStart:
+    async def test_report_of_a_start_takes_no_reserve(self):
+        """Guards against 64 reserves while all hosts report that they started.
+
+        An allocator of the version before gives tokens to such a report, which
+        the next renewal returns.
+        """
+        fleet = Fleet(
+            store=LateStore(random.Random(1)), prepaid=1_000_000, size=9
+        )
+        fleet.run()
+        for _ in range(30):
+            await fleet.request(fleet.names[0], 4_000, 4_000)
+        await asyncio.sleep(1)
+        last = fleet.names[8]
+        assert last not in fleet.reserve_hosts
+        writes = fleet.store.writes
+        fleet.start(last)
+        await asyncio.sleep(1)
+        assert reserves(fleet).keys() == set(fleet.reserve_hosts)
+        assert fleet.store.writes - writes <= 4
+        fleet.stop(*fleet.names)
+
+
+@pytest.mark.looptime
+class TestRefusalsWithoutTheStore:
+    async def test_refusal_comes_soon_if_no_reserve_can_pay(self):
+        """Guards against waits for each allocator, and for other reserves.
+
+        A request waited for three allocators and a write of its own host in
+        turn, and then for reserves to open that hold nothing of its team.
+        """
+        store = SilentStore(random.Random(1))
+        budgets = {'large': 10_000_000, 'small': 60_000}
+        fleet = LinkedFleet(store=store, budgets=budgets, size=16)
+        fleet.run()
+        for _ in range(40):
+            await served_s(fleet, 'large', 5_000)
+        await served_s(fleet, 'small', 5_000)
+        await asyncio.sleep(2)
+        assert 'small' not in reserved_teams(fleet)
+        store.is_silent = True
+        waits = [await served_s(fleet, 'small', 9_000) for _ in range(12)]
+        fleet.stop(*fleet.names)
+        assert max(waits) <= LONGEST_WAIT_S
+
+
+async def served_s(fleet, team, tokens):
+    """Return how long a request of the last host waited for its tokens."""
+    began_at = asyncio.get_running_loop().time()
+    with contextlib.suppress(OriolegaugeError):
+        await fleet.request(
+            fleet.names[-1], team, tokens, tokens, seconds=0, timeout_s=10
+        )
+    return asyncio.get_running_loop().time() - began_at
+
+
+def reserved_teams(fleet):
+    """Return the teams of which a host has a reserve."""
+    rows = fleet.ledger().reserves.values()
+    return set().union(*(row.parts for row in rows))
