Add the wait for a slot to the expected time of a full server

Room told a prompt answer while all slots were taken, as only reading counted. The time for which a prompt and its answer take a slot is learned per service.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -241,13 +241,15 @@
         if attempt.connection.is_lost and may_be_crash:
             self._note_lost(attempt)
         self._pool.give_back(attempt.server, attempt.connection)
+        now = self._clock()
         self._chooser.ended(
             attempt.server.instance,
             attempt.unread_tokens,
             was_answered=attempt.was_answered,
             ok=attempt.ok,
-            now=self._clock(),
+            now=now,
             work=attempt.context.work,
+            seconds=now - attempt.sent_at,
         )
         self._loads.changed()
 
--- a/packages/routing/src/oriolegauge/routing/learnedcosts.py
+++ b/packages/routing/src/oriolegauge/routing/learnedcosts.py
@@ -56,9 +56,12 @@
             turns = 1 + state.running // max(1, candidate.slots)
             return speeds.call_s(service) * slowness * turns
         tokens = state.unread_tokens + state.pending_tokens
-        return slowness * (
-            speeds.start_s(service) + tokens * speeds.token_s(service)
-        )
+        expected_s = speeds.start_s(service) + tokens * speeds.token_s(service)
+        waiting = state.running + 1 - candidate.slots
+        if waiting > 0:
+            # The slots end their requests in turn.
+            expected_s += speeds.slot_s(service) * waiting / candidate.slots
+        return slowness * expected_s
 
     def started(self, service: str, work: Work) -> None:
         """Count a request of this daemon."""
--- a/packages/routing/src/oriolegauge/routing/serverchooser.py
+++ b/packages/routing/src/oriolegauge/routing/serverchooser.py
@@ -372,10 +372,12 @@
         ok: bool,
         now: float,
         work: Work | None = None,
+        seconds: float = 0,
     ) -> None:
         """Record the end of a request; `ok` is false if the server failed.
 
-        Without its `work` the request counts as one of mean size.
+        Without its `work` the request counts as one of mean size. `seconds` is
+        the time since it was sent, 0 if unknown.
         """
         record = self._record(name)
         record.held_tokens -= (
@@ -386,6 +388,8 @@
         record.running -= 1
         if self._adapts_to_load and work is not None:
             self._learned_costs.ended(record.service, work)
+            if work.is_prompt and was_answered and ok:
+                self._speeds.note_slot(record.service, seconds)
         if not was_answered:
             record.pending_tokens -= unread
         known = self._failure_share(record, now)
--- a/packages/routing/src/oriolegauge/routing/serverspeeds.py
+++ b/packages/routing/src/oriolegauge/routing/serverspeeds.py
@@ -14,10 +14,12 @@
 INITIAL_TOKEN_S = 1 / 50_000
 INITIAL_START_S = 0.03
 INITIAL_CALL_S = 0.03
+INITIAL_SLOT_S = 1.0
 # Bounds of learned values.
 MIN_TOKEN_S, MAX_TOKEN_S = 1e-7, 2e-3
 MIN_START_S, MAX_START_S = 1e-4, 1.0
 MIN_CALL_S, MAX_CALL_S = 1e-4, 5.0
+MIN_SLOT_S, MAX_SLOT_S = 1e-3, 60.0
 # The start values count as this many samples, at 0 and at these tokens; later,
 # as the least number, so that requests of one size leave a slope. With a start
 # weight of 1 slopes of the first seconds were 0 to 1.8 times the true one.
@@ -85,6 +87,7 @@
 class _Service:
     line: _Line = field(default_factory=_Line)
     call_s: float = INITIAL_CALL_S
+    slot_s: float = INITIAL_SLOT_S
 
 
 @dataclass(slots=True)
@@ -114,6 +117,19 @@
         """Return the seconds of a call without a prompt."""
         return self._services[service].call_s
 
+    def slot_s(self, service: str) -> float:
+        """Return the seconds for which a prompt and its answer take a slot."""
+        return self._services[service].slot_s
+
+    def note_slot(self, service: str, seconds: float) -> None:
+        """Note for how long a prompt and its answer took a slot."""
+        if not seconds > 0:
+            return
+        known = self._services[service]
+        taken = min(seconds, MAX_SLOT_S)
+        slot_s = KEPT_WEIGHT * known.slot_s + (1 - KEPT_WEIGHT) * taken
+        known.slot_s = max(MIN_SLOT_S, slot_s)
+
     def note_prompt(
         self,
         service: str,
--- a/packages/routing/tests/enginefleet.py
+++ b/packages/routing/tests/enginefleet.py
@@ -317,6 +317,7 @@
             ok=True,
             now=now,
             work=one.work,
+            seconds=now - one.sent_at,
         )
         self.done.append(one)
         self._changed(now, one.daemon)
--- a/packages/routing/tests/test_serverchooser.py
+++ b/packages/routing/tests/test_serverchooser.py
@@ -231,6 +231,20 @@
         assert room.reading_s == pytest.approx((8_560 + 800) * token_s / 6)
         assert room.wait_s == pytest.approx(INITIAL_START_S + 800 * token_s)
 
+    def test_wait_grows_with_the_requests_that_wait_for_slots(self):
+        """Guards against full servers that promise a prompt answer."""
+        daemon = ServerChooser(
+            zone='z0', rng=random.Random(1), adapts_to_load=True
+        )
+        waits = []
+        for running in (10, 63, 64, 128):
+            daemon.note_peers(
+                {server.name: PeerLoad(running, 0) for server in SERVERS}
+            )
+            waits.append(daemon.room(SERVERS, CHAT, 0).wait_s)
+        assert waits[0] == waits[1] < waits[2] < waits[3]
+        assert waits[3] - waits[0] == pytest.approx(65 / 64)
+
     def test_there_is_no_room_without_servers(self):
         """Guards against a request that waits for servers of no service."""
         room = chooser().room([], CHAT, 0)
--- a/packages/routing/tests/test_serverspeeds.py
+++ b/packages/routing/tests/test_serverspeeds.py
@@ -77,6 +77,16 @@
         assert speeds.token_s('m') == known
         assert speeds.slowness('e1', 1e6) == pytest.approx(1)
 
+    def test_slot_time_is_learned_within_bounds(self):
+        """Guards against an expected wait of hours, or none, for a slot."""
+        speeds = ServerSpeeds()
+        for _ in range(500):
+            speeds.note_slot('m', 1.8)
+        assert speeds.slot_s('m') == pytest.approx(1.8, rel=0.05)
+        for seconds in (math.inf, math.nan, -5.0, 0.0):
+            speeds.note_slot('m', seconds)
+        assert 1.5 < speeds.slot_s('m') < 3
+
     def test_plain_calls_are_learned_by_service(self):
         """Guards against one time for calls of 22 and of 90 ms."""
         speeds = ServerSpeeds()
