--- a/packages/routing/src/oriolegauge/routing/learnedcosts.py
+++ b/packages/routing/src/oriolegauge/routing/learnedcosts.py
@@ -23,7 +23,7 @@
 # Cost of the mean number of requests, as a share of the objective. It grows
 # with the square of a server's requests, so that requests spread before slots
 # are taken, but stay with their shared parts at small differences.
-BALANCE_SHARE = 0.04
+BALANCE_SHARE = 0.05
 # A server with all slots taken preempts a request or lets it wait, and one
 # whose memory overflows preempts one too: as harmful as a missed objective.
 FULL_SHARE = 1.0
@@ -56,9 +56,12 @@
             turns = 1 + state.running // max(1, candidate.slots)
             return speeds.call_s(service) * slowness * turns
         tokens = state.unread_tokens + state.pending_tokens
-        return slowness * (
-            speeds.start_s(service) + tokens * speeds.token_s(service)
-        )
+        expected_s = speeds.start_s(service) + tokens * speeds.token_s(service)
+        waiting = state.running + 1 - candidate.slots
+        if waiting > 0:
+            # The slots end their requests in turn.
+            expected_s += speeds.slot_s(service) * waiting / candidate.slots
+        return slowness * expected_s
 
     def started(self, service: str, work: Work) -> None:
         """Count a request of this daemon."""
