Keep load tables to a small share of a host's link

With 80 prompts a second a daemon on a link of 5 Mbit/s still fetched a table for nearly each long prompt, since it has to ask which servers have cached the parts. A question can now leave the loads out of its answer, which has a few hundred bytes then, and on a small link a table of 2.5 KB is used for as long as keeps tables to 3% of the link (133 ms at 5 Mbit/s, 30 ms from 22 Mbit/s on).

The question still reports the asker's loads, so an aggregator of an earlier build, which does not know the field, keeps right sums and sends the table. Ruled out: own tables of parts without questions, since with a thousand subjects most are unknown to one daemon.

--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -174,6 +174,7 @@
             reaches_store=self._reaches_store,
             clock=self._clock,
         )
+        self._links.loads.adapt_to_link(settings.link_mbps)
         self._permits = LimitExchange(
             links=self._links,
             limits=self._limits,
--- a/packages/gateway/src/oriolegauge/gateway/loadexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/loadexchange.py
@@ -43,10 +43,15 @@
 # Changes within this time are reported together.
 REPORT_GAP_S = 0.03
 # A table this recent is used for the next prompts too: the aggregator hears of
-# changes no sooner, and this daemon counts its own placements at once. A busy
-# daemon placed 80 prompts a second, and the tables, 2 KB each, took a quarter
-# of its link of 5 Mbit/s.
+# changes no sooner, and this daemon counts its own placements at once.
 TABLE_REUSE_S = REPORT_GAP_S
+# On a small link a table is used for longer, so that tables take this share of
+# it: a busy daemon placed 80 prompts a second, and the tables took a quarter of
+# its link of 5 Mbit/s.
+TABLES_LINK_SHARE = 0.03
+# Size of a table of a hundred servers.
+TABLE_BITS = 2_500 * 8
+BITS_PER_MBIT = 1_000_000
 # Time after which the aggregator is asked again which servers have cached a
 # prompt part.
 PART_REUSE_S = 1.0
@@ -98,6 +103,7 @@
         clock: Callable[[], float],
     ) -> None:
         """Act for the daemon `name`."""
+        self._table_reuse_s = TABLE_REUSE_S
         self._name = name
         self._links = links
         self._chooser = chooser
@@ -118,6 +124,11 @@
         """State whether the aggregator answered within FRESH_S."""
         return self._clock() - self._learned_at < FRESH_S
 
+    def adapt_to_link(self, link_mbps: float) -> None:
+        """Limit the share of the host's link that load tables take."""
+        usable_bits_per_s = link_mbps * BITS_PER_MBIT * TABLES_LINK_SHARE
+        self._table_reuse_s = max(TABLE_REUSE_S, TABLE_BITS / usable_bits_per_s)
+
     def answer(self, daemon: str, report: LoadReport) -> LoadTable | None:
         """Note a peer's report; return the others' loads on request."""
         now = self._clock()
@@ -131,7 +142,9 @@
             return None
         self._aggregator.note(self._name, self._chooser.own_loads(now), now)
         self._aggregator.parts.note_all(self._chooser.take_unreported_parts())
-        loads = self._loads_of_others(daemon, now)
+        loads: Mapping[str, PeerLoad] = {}
+        if not report.wants_parts_only:
+            loads = self._loads_of_others(daemon, now)
         return LoadTable(
             in_flight=in_flight_rows(loads),
             read=self._aggregator.parts.holders_of(report.wanted),
@@ -146,7 +159,8 @@
         if self._clock() - self._failed_at < AGGREGATOR_PAUSE_S:
             return False
         host = self._links.aggregator_host()
-        if host is not None and self._is_table_recent(host, parts):
+        has_recent_table = host is not None and self._is_table_recent(host)
+        if has_recent_table and self._unknown_tokens(parts) <= FEW_TOKENS:
             return True
         read = self._parts_to_report(host)
         if host is None:
@@ -158,21 +172,24 @@
                 self._aggregator.parts.holders_of(_names(parts))
             )
             return True
-        return await self._query_aggregator(host, read, _names(parts))
+        return await self._query_aggregator(
+            host, read, _names(parts), wants_parts_only=has_recent_table
+        )
+
+    def _is_table_recent(self, host: str) -> bool:
+        return (
+            host == self._last_aggregator
+            and self._clock() - self._learned_at < self._table_reuse_s
+        )
 
-    def _is_table_recent(self, host: str, parts: Sequence[PromptPart]) -> bool:
+    def _unknown_tokens(self, parts: Sequence[PromptPart]) -> int:
+        """Return the tokens of the parts that were not asked for recently."""
         now = self._clock()
-        if (
-            host != self._last_aggregator
-            or now - self._learned_at >= TABLE_REUSE_S
-        ):
-            return False
-        unknown_tokens = sum(
+        return sum(
             part.tokens
             for part in parts
             if now - self._asked_at.get(part.name, -math.inf) >= PART_REUSE_S
         )
-        return unknown_tokens <= FEW_TOKENS
 
     def _note_asked(self, parts: Sequence[str]) -> None:
         now = self._clock()
@@ -194,7 +211,12 @@
         )
 
     async def _query_aggregator(
-        self, host: str, read: Sequence[PartHeld], parts: Sequence[str]
+        self,
+        host: str,
+        read: Sequence[PartHeld],
+        parts: Sequence[str],
+        *,
+        wants_parts_only: bool,
     ) -> bool:
         # Repeated with the next report if this call fails or is cancelled.
         self._unsent = tuple(read[-MAX_UNREPORTED_PARTS:])
@@ -205,6 +227,7 @@
             wanted=tuple(parts),
             is_question=True,
             load_details=detail_rows(loads),
+            wants_parts_only=wants_parts_only,
         )
         try:
             table = await self._links.call(host, report, AGGREGATOR_TIMEOUT_S)
@@ -216,7 +239,10 @@
             return False
         self._last_aggregator = host
         self._unsent = ()
-        self._apply_loads(in_flight_loads(table.in_flight, table.load_details))
+        if not wants_parts_only:
+            self._apply_loads(
+                in_flight_loads(table.in_flight, table.load_details)
+            )
         self._chooser.parts.note_all(table.read)
         self._note_asked(parts)
         return True
--- a/packages/gateway/tests/test_loadexchange.py
+++ b/packages/gateway/tests/test_loadexchange.py
@@ -60,6 +60,7 @@
         self.host = 'd0'
         self.is_cut = False
         self.calls = 0
+        self.tables = 0
         self.one_way_sent = 0
 
     def of(self, name):
@@ -90,6 +91,7 @@
             raise PeerUnreachableError('cut')
         await asyncio.sleep(MESSAGE_S)
         answer = self._links.exchanges[peer].answer(self._name, message)
+        self._links.tables += bool(answer.in_flight)
         await asyncio.sleep(MESSAGE_S)
         return answer
 
@@ -357,3 +359,21 @@
         task.cancel()
         assert links.calls == 2
         assert (server, unread) == ('e7', OWN_TOKENS)
+
+    async def test_table_of_a_small_link_serves_prompts_with_long_parts(self):
+        """Guards against load tables that come only for the prompt parts."""
+        links, choosers, exchanges = make_fleet(3)
+        exchanges['d1'].adapt_to_link(5)
+        choosers['d2'].started('e3', LONG)
+        exchanges['d2'].changed()
+        task = asyncio.create_task(exchanges['d2'].run())
+        await asyncio.sleep(0.1)
+        for number in range(40):
+            await self.place(
+                choosers, exchanges, [], 'd1', review(f's{number}')
+            )
+            await asyncio.sleep(0.02)
+        task.cancel()
+        assert links.calls == 40
+        assert links.tables <= 9
+        assert choosers['d1'].load('e3') >= 1
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -279,6 +279,7 @@
   isQuestion @3 :Bool;
   isZoneSum @4 :Bool;
   loadDetails @5 :ServerLoadDetails;
+  wantsPartsOnly @6 :Bool;
 }
 struct LoadTable {
   inFlight @0 :ServersInFlight;
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -373,7 +373,8 @@
     `is_question` the answer is a LoadTable, which covers the `wanted` parts.
     With `is_zone_sum` the report covers all daemons of the sender's
     availability zone. `load_details` has a row for each of `in_flight`, or none
-    if the sender doesn't place by them.
+    if the sender doesn't place by them. With `wants_parts_only` the table may
+    leave the loads out.
     """
 
     in_flight: tuple[ServerInFlight, ...] = ()
@@ -382,6 +383,7 @@
     is_question: bool = False
     is_zone_sum: bool = False
     load_details: tuple[ServerLoadDetail, ...] = ()
+    wants_parts_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wire/tests/test_olderbuilds.py
+++ b/packages/wire/tests/test_olderbuilds.py
@@ -39,6 +39,7 @@
     'streamStarts @42',
     'streamStartQuery @43',
     'loadDetails @5',
+    'wantsPartsOnly @6',
     'loadDetails @2',
 )
 SCHEMA_ID = '@0xd3a1c6f07b52e948'
