--- a/packages/gateway/src/oriolegauge/gateway/loadexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/loadexchange.py
@@ -48,7 +48,9 @@
 SUMS_PERIOD_S = 0.25
 # Heartbeats of a full mesh are more accurate than tables older than this.
 FRESH_S = 0.5
-MILLI = 1000
+# Units of the details of loads.
+PAGE_TOKENS = 256
+TENTHS = 10
 # The largest number of a message's 32-bit field.
 MAX_DETAIL = 2**32 - 1
 
@@ -278,9 +280,9 @@
         return ()
     return tuple(
         ServerLoadDetail(
-            _bounded(load.held_tokens),
-            _bounded(load.slowness_sum * MILLI),
-            _bounded(load.samples * MILLI),
+            _bounded(load.held_tokens / PAGE_TOKENS),
+            _bounded(load.slowness_sum * TENTHS),
+            _bounded(load.samples * TENTHS),
         )
         for load in loads.values()
     )
@@ -299,9 +301,9 @@
         row.server: PeerLoad(
             row.requests,
             row.tokens,
-            detail.held_tokens,
-            detail.slowness_milli / MILLI,
-            detail.samples_milli / MILLI,
+            detail.held_pages * PAGE_TOKENS,
+            detail.slowness_tenths / TENTHS,
+            detail.sample_tenths / TENTHS,
         )
         for row, detail in zip(rows, details, strict=True)
     }
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -285,9 +285,9 @@
   loadDetails @2 :ServerLoadDetails;
 }
 struct ServerLoadDetails {
-  heldTokens @0 :List(UInt32);
-  slownessMilli @1 :List(UInt32);
-  samplesMilli @2 :List(UInt32);
+  heldPages @0 :List(UInt32);
+  slownessTenths @1 :List(UInt32);
+  sampleTenths @2 :List(UInt32);
 }
 
 struct PermitRequest {
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -53,14 +53,15 @@
 class ServerLoadDetail:
     """Describe the requests in flight on a server, for placing prompts.
 
-    `held_tokens` are their prompt and output tokens. `slowness_milli` is a sum
-    over recent answers of 1000 times the measured over the expected time, and
-    `samples_milli` 1000 times their number; older ones count less.
+    `held_pages` are their prompt and output tokens in units of 256.
+    `slowness_tenths` is a sum over recent answers of 10 times the measured over
+    the expected time, and `sample_tenths` 10 times their number; older ones
+    count less. Coarse numbers make the message shorter.
     """
 
-    held_tokens: int
-    slowness_milli: int
-    samples_milli: int
+    held_pages: int
+    slowness_tenths: int
+    sample_tenths: int
 
 
 @dataclass(frozen=True, slots=True)
