--- a/packages/routing/src/oriolegauge/routing/loadaggregator.py
+++ b/packages/routing/src/oriolegauge/routing/loadaggregator.py
@@ -29,8 +29,10 @@
     held_tokens: int = 0
     slowness_sum: float = 0
     samples: float = 0
+    whole: PeerLoad | None = None
 
     def add(self, load: PeerLoad) -> None:
+        self.whole = None
         self.reports += 1
         self.requests += load.requests
         self.prompt_tokens += load.prompt_tokens
@@ -39,6 +41,7 @@
         self.samples += load.samples
 
     def take_away(self, load: PeerLoad) -> None:
+        self.whole = None
         self.reports -= 1
         self.requests -= load.requests
         self.prompt_tokens -= load.prompt_tokens
@@ -88,11 +91,17 @@
         self._forget(now)
         found = self._reports.get(daemon)
         own = found.loads if found else {}
-        return {
-            server: total.without(own.get(server, _NO_LOAD))
-            for server, total in self._sums.items()
-            if total.requests > own.get(server, _NO_LOAD).requests
-        }
+        loads = {}
+        for server, total in self._sums.items():
+            if server in own:
+                left = total.without(own[server])
+            elif total.whole:
+                left = total.whole
+            else:
+                left = total.whole = total.without(_NO_LOAD)
+            if left.requests > 0:
+                loads[server] = left
+        return loads
 
     def _drop(self, daemon: str) -> None:
         found = self._reports.pop(daemon, None)
