Let a host write its own grants if peers do not answer at all

Cause: with the limit of 0.6 s for all draws, hosts whose links had just been cut spent it on peers that did not answer and never came to a write of their own.

Change: the last write is left out only if a peer has reported during this request that it does not reach the store.

--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -208,6 +208,8 @@
         self._returned_at: dict[str, float] = {}
         # When reserves of other daemons may be opened, by the last reply.
         self._opens_at: dict[str, float] = {}
+        # When a peer last replied that it does not reach the store.
+        self._store_lost_at = -math.inf
         self._allocator = GrantAllocator(
             store=store,
             key=f'{kind}/{LEDGER}',
@@ -591,7 +593,8 @@
         """
         account = self._account(team)
         ahead = max(0, self._target(team) - account.free - need)
-        until = self._clock() + ALL_DRAWS_WAIT_S
+        began_at = self._clock()
+        until = began_at + ALL_DRAWS_WAIT_S
         allocator = self._peers.allocator()
         if allocator is None:
             await self._collect(team, account.free + need)
@@ -601,9 +604,13 @@
         for peer in self._peers.fallback_allocators():
             wait_s = until - self._clock()
             if not missing or wait_s <= 0:
-                return
+                break
             missing = await self._draw_from(peer, team, missing, 0, wait_s)
-        if missing and allocator is not None and self._clock() < until:
+        if not missing or allocator is None:
+            return
+        # Peers that did not answer at all say nothing about the store.
+        is_store_lost = self._store_lost_at >= began_at
+        if self._clock() < until or not is_store_lost:
             await self._allocator.draw(team, account.free + missing)
 
     async def _draw_from(
@@ -642,6 +649,8 @@
             account.add_unreported(draw.spent)
             return None
         account.credit(result.tokens)
+        if not result.reached_store:
+            self._store_lost_at = self._clock()
         if result.unspent is not None:
             self._unspent[draw.team] = result.unspent
         if result.opens_in_s is not None:
