Tell in Retry-After when reserves open, and describe the recovery

Cause: a daemon whose own store follower had not noticed an outage told callers to return after 0.4 s, up to 1.6 s before any token could be had, and one that had noticed it told a random time.

--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -73,6 +73,8 @@
 EXHAUSTED_BELOW_SHARE = 0.03
 # Tokens reserved by other requests are free again soon.
 RETRY_AFTER_S = 0.4
+# A peer's reply that it does not reach the store counts for this time.
+STORE_LOST_EXPIRY_S = 1.0
 # Without the store no tokens can be granted until the outage ends, after 2 to
 # 9 s. The range spreads the retries of callers while accounts fill up again.
 OUTAGE_RETRY_AFTER_S = (1.5, 4.0)
@@ -685,11 +687,17 @@
             )
         return GrantUnavailableError(
             f'{tokens} tokens can not be granted at the moment',
-            retry_after_s=self._retry_after_s(),
+            retry_after_s=self._retry_after_s(team),
         )
 
-    def _retry_after_s(self) -> float:
-        if self._reaches_store():
+    def _retry_after_s(self, team: str) -> float:
+        """Return the seconds until the next grant is expected."""
+        now = self._clock()
+        opens_in_s = self._opens_at.get(team, -math.inf) - now
+        if opens_in_s > 0:
+            return opens_in_s + self._rng.uniform(0, OPENING_SPREAD_S)
+        is_store_lost = now - self._store_lost_at < STORE_LOST_EXPIRY_S
+        if self._reaches_store() and not is_store_lost:
             return RETRY_AFTER_S
         return self._rng.uniform(*OUTAGE_RETRY_AFTER_S)
 
--- a/packages/grants/tests/test_strandedtokens.py
+++ b/packages/grants/tests/test_strandedtokens.py
@@ -9,7 +9,8 @@
 import pytest
 
 from oriolegauge.core.errors import OriolegaugeError
-from oriolegauge.grants.grantledger import GrantLedger
+from oriolegauge.grants import GrantUnavailableError
+from oriolegauge.grants.grantledger import RESERVE_CLOSED_S, GrantLedger
 from oriolegauge.grants.holdingtargets import (
     RESERVE_SHARE,
     WORKING_SHARE,
@@ -645,6 +646,27 @@
         fleet.stop(*fleet.names)
         assert max(waits) <= LONGEST_WAIT_S
 
+    async def test_retry_after_states_when_reserves_open(self):
+        """Guards against callers that return before any token can be had."""
+        store = SilentStore(random.Random(1))
+        fleet = LinkedFleet(store=store, budgets={TEAM: 1_000_000}, size=16)
+        fleet.run()
+        for _ in range(40):
+            await served_s(fleet, TEAM, 5_000)
+        await asyncio.sleep(1)
+        store.is_silent = True
+        opens_at = asyncio.get_running_loop().time() + RESERVE_CLOSED_S
+        keeper = fleet.keepers[fleet.names[-1]]
+        told_at = []
+        for _ in range(2):
+            now = asyncio.get_running_loop().time()
+            with pytest.raises(GrantUnavailableError) as refused:
+                await keeper.reserve(TEAM, 40_000, now + 1)
+            now = asyncio.get_running_loop().time()
+            told_at.append(now + refused.value.retry_after_s)
+        fleet.stop(*fleet.names)
+        assert all(opens_at - 1 < told < opens_at + 1 for told in told_at)
+
 
 async def served_s(fleet, team, tokens):
     """Return how long a request of the last host waited for its tokens."""
