--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -73,6 +73,8 @@
 EXHAUSTED_BELOW_SHARE = 0.03
 # Tokens reserved by other requests are free again soon.
 RETRY_AFTER_S = 0.4
+# A peer's reply that it does not reach the store counts for this time.
+STORE_LOST_EXPIRY_S = 1.0
 # Without the store no tokens can be granted until the outage ends, after 2 to
 # 9 s. The range spreads the retries of callers while accounts fill up again.
 OUTAGE_RETRY_AFTER_S = (1.5, 4.0)
@@ -208,6 +210,8 @@
         self._returned_at: dict[str, float] = {}
         # When reserves of other daemons may be opened, by the last reply.
         self._opens_at: dict[str, float] = {}
+        # When a peer last replied that it does not reach the store.
+        self._store_lost_at = -math.inf
         self._allocator = GrantAllocator(
             store=store,
             key=f'{kind}/{LEDGER}',
@@ -591,7 +595,8 @@
         """
         account = self._account(team)
         ahead = max(0, self._target(team) - account.free - need)
-        until = self._clock() + ALL_DRAWS_WAIT_S
+        began_at = self._clock()
+        until = began_at + ALL_DRAWS_WAIT_S
         allocator = self._peers.allocator()
         if allocator is None:
             await self._collect(team, account.free + need)
@@ -601,9 +606,13 @@
         for peer in self._peers.fallback_allocators():
             wait_s = until - self._clock()
             if not missing or wait_s <= 0:
-                return
+                break
             missing = await self._draw_from(peer, team, missing, 0, wait_s)
-        if missing and allocator is not None and self._clock() < until:
+        if not missing or allocator is None:
+            return
+        # Peers that did not answer at all say nothing about the store.
+        is_store_lost = self._store_lost_at >= began_at
+        if self._clock() < until or not is_store_lost:
             await self._allocator.draw(team, account.free + missing)
 
     async def _draw_from(
@@ -642,6 +651,8 @@
             account.add_unreported(draw.spent)
             return None
         account.credit(result.tokens)
+        if not result.reached_store:
+            self._store_lost_at = self._clock()
         if result.unspent is not None:
             self._unspent[draw.team] = result.unspent
         if result.opens_in_s is not None:
@@ -676,11 +687,17 @@
             )
         return GrantUnavailableError(
             f'{tokens} tokens can not be granted at the moment',
-            retry_after_s=self._retry_after_s(),
+            retry_after_s=self._retry_after_s(team),
         )
 
-    def _retry_after_s(self) -> float:
-        if self._reaches_store():
+    def _retry_after_s(self, team: str) -> float:
+        """Return the seconds until the next grant is expected."""
+        now = self._clock()
+        opens_in_s = self._opens_at.get(team, -math.inf) - now
+        if opens_in_s > 0:
+            return opens_in_s + self._rng.uniform(0, OPENING_SPREAD_S)
+        is_store_lost = now - self._store_lost_at < STORE_LOST_EXPIRY_S
+        if self._reaches_store() and not is_store_lost:
             return RETRY_AFTER_S
         return self._rng.uniform(*OUTAGE_RETRY_AFTER_S)
 
