Count all bytes of requests on the host's link

- Callers' and servers' connections count what they read and write, with the headers and acknowledgements of packets.
A body counts when it is sent.
- Answers are learned by route and booked while they run.

Ruled out: refusing at a full inward queue only, as this also holds beside a server that sends without end (test_endlessreplies).

--- a/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
@@ -17,6 +17,7 @@
 from oriolegauge.forwarding.forwardingconfig import CallerLimits
 from oriolegauge.forwarding.requestparser import RequestParser
 from oriolegauge.forwarding.sockets import detect_unreachable_peer
+from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
 
 # Pipelined requests held in memory; further ones stay in the kernel's buffer.
 MAX_PIPELINED = 8
@@ -51,8 +52,13 @@
         is_draining: Callable[[], bool],
         may_keep_open: Callable[[], bool] = keep_always_open,
         on_closed: Callable[['CallerConnection'], None],
+        traffic: Traffic = UNCOUNTED,
     ) -> None:
-        """Answer with `handler`; `limits` returns the limits in force."""
+        """Answer with `handler`; `limits` returns the limits in force.
+
+        `traffic` counts the bytes of this connection.
+        """
+        self._traffic = traffic
         self._handler = handler
         self._limits = limits
         self._is_draining = is_draining
@@ -93,6 +99,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse what the caller sent."""
         self._last_byte_at = self._loop.time()
+        self._traffic.received(len(data))
         if self._is_refusing or self._error:
             return
         try:
@@ -126,6 +133,7 @@
         if transport is None or transport.is_closing():
             raise CallerDisconnectedError('the caller has disconnected')
         transport.write(data)
+        self._traffic.sent(len(data))
         if self._writable.is_set():
             return
         try:
--- a/packages/forwarding/src/oriolegauge/forwarding/callerlistener.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerlistener.py
@@ -17,6 +17,7 @@
     keep_always_open,
 )
 from oriolegauge.forwarding.forwardingconfig import CallerLimits
+from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
 
 # Connections that wait to be accepted. The kernel drops further ones, and their
 # callers retry only after seconds.
@@ -35,6 +36,7 @@
         limits: Callable[[], CallerLimits],
         max_connections: int,
         may_keep_open: Callable[[], bool] = keep_always_open,
+        traffic: Traffic = UNCOUNTED,
     ) -> None:
         """Close connections beyond the maximum at once.
 
@@ -45,6 +47,7 @@
         self._limits = limits
         self._max_connections = max_connections
         self._may_keep_open = may_keep_open
+        self._traffic = traffic
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._is_draining = False
@@ -123,6 +126,7 @@
             limits=self._limits,
             is_draining=lambda: self._is_draining,
             may_keep_open=self._may_keep_open,
+            traffic=self._traffic,
             on_closed=self._connections.discard,
         )
         self._connections.add(connection)
--- a/packages/forwarding/src/oriolegauge/forwarding/connectionpool.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/connectionpool.py
@@ -10,6 +10,7 @@
 from oriolegauge.forwarding.leavinginstances import ServerInstance
 from oriolegauge.forwarding.serverconnection import ServerConnection
 from oriolegauge.forwarding.serversignals import ServerSignals
+from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
 
 # Idle connections kept per server. Further ones, as after a burst, are closed.
 MAX_IDLE_PER_SERVER = 16
@@ -28,11 +29,14 @@
         connect_timeout_s: float,
         on_connected: Callable[[str, bool], None],
         signals: ServerSignals,
+        traffic: Traffic = UNCOUNTED,
     ) -> None:
         """Call `on_connected(instance, success)` for each attempt to connect.
 
-        `signals` observes the header of each reply.
+        `signals` observes the header of each reply, and `traffic` counts the
+        bytes of all connections.
         """
+        self._traffic = traffic
         self._id_header = request_id_header
         self._signals = signals
         self._connect_timeout_s = connect_timeout_s
@@ -110,6 +114,7 @@
                 self._id_header,
                 self._connect_timeout_s,
                 partial(self._signals.observe, server.server_instance),
+                self._traffic,
             )
         except ServerUnreachableError:
             self._lent[server.address] -= 1
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -156,7 +156,6 @@
         context: RequestContext | None = None
         self.running += 1
         try:
-            self._link.received(len(request.body))
             context = self._admit(request, request_id)
             self._check_drain(context)
             await self._serve_until_stop(context, trace, answer)
@@ -282,9 +281,25 @@
         self, context: RequestContext, trace: RequestTrace, answer: Answer
     ) -> None:
         self._retries.request(context.service)
-        body_bytes = len(context.request.body)
-        self._link.check(body_bytes, context.route.objective_s)
-        self._link.sent(body_bytes)
+        route = context.route
+        self._link.check(
+            len(context.request.body), route.objective_s, route.name
+        )
+        booked = self._link.begin_answer(route.name)
+        try:
+            await self._serve_admitted(context, trace, answer)
+        finally:
+            self._link.end_answer(
+                route.name,
+                booked,
+                writes=answer.writes if trace.sends else 0,
+                answer_bytes=answer.sent_bytes,
+                seconds=self._clock() - context.request.received_at,
+            )
+
+    async def _serve_admitted(
+        self, context: RequestContext, trace: RequestTrace, answer: Answer
+    ) -> None:
         reservation = None
         tokens = context.work.prompt_tokens + context.work.output_tokens
         if tokens and context.workspace is not None:
--- a/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
@@ -21,6 +21,7 @@
 from oriolegauge.forwarding.replybounds import ReplyBounds
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.forwarding.sockets import detect_unreachable_peer
+from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
 
 # Reading is paused while more bytes of a reply wait for a slow caller.
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -76,12 +77,14 @@
         request_id_header: str,
         on_reply: ReplyObserver = ignore_reply,
         bounds: ReplyBounds | None = None,
+        traffic: Traffic = UNCOUNTED,
     ) -> None:
         """Match replies by the request id, which servers return in a header.
 
         `on_reply` is called with the header of every reply, also of those that
-        match no request.
+        match no request. `traffic` counts the bytes of this connection.
         """
+        self._traffic = traffic
         self._id_header = request_id_header
         self._on_reply = on_reply
         self._bounds = bounds or ReplyBounds()
@@ -116,13 +119,15 @@
         request_id_header: str,
         timeout_s: float,
         on_reply: ReplyObserver = ignore_reply,
+        traffic: Traffic = UNCOUNTED,
     ) -> 'ServerConnection':
         """Connect; raise ServerUnreachableError."""
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: cls(request_id_header, on_reply), *address
+                    lambda: cls(request_id_header, on_reply, traffic=traffic),
+                    *address,
                 )
         except TimeoutError as error:
             raise ServerUnreachableError('no connection in time') from error
@@ -167,6 +172,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the received bytes."""
+        self._traffic.received_answer(nbytes)
         # Bytes that match no request are parsed too: the headers of a reply may
         # state that the server is leaving or full.
         is_unrequested = self._request_id is None or self._is_complete
@@ -285,6 +291,7 @@
         self._is_complete = False
         self._counts = _Counts()
         transport.write(data)
+        self._traffic.sent(len(data))
 
     async def head(self) -> ServerReply:
         """Return the header of the reply; raise ReplyBrokenError."""
--- /dev/null
+++ b/packages/forwarding/src/oriolegauge/forwarding/traffic.py
@@ -0,0 +1,30 @@
+"""Count of the bytes that pass the network link of this host."""
+
+from typing import Protocol
+
+
+class Traffic(Protocol):
+    """Count the bytes of callers' and servers' connections."""
+
+    def received(self, size: int) -> None:
+        """Add bytes that were read from a caller."""
+
+    def received_answer(self, size: int) -> None:
+        """Add bytes that were read from a backend server."""
+
+    def sent(self, size: int) -> None:
+        """Add bytes that are written to a server or caller."""
+
+
+class _Uncounted:
+    def received(self, size: int) -> None:
+        """Ignore the bytes."""
+
+    def received_answer(self, size: int) -> None:
+        """Ignore the bytes."""
+
+    def sent(self, size: int) -> None:
+        """Ignore the bytes."""
+
+
+UNCOUNTED: Traffic = _Uncounted()
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -315,6 +315,7 @@
         self.limits_named = ServerLimits(clock, on_change=self.pauses.release)
         self.list_servers()
         self.chooser = ServerChooser(zone='z1', rng=random.Random(1))
+        self.link = HostLink(mbps=1_000, clock=clock)
         self.pool = ConnectionPool(
             request_id_header=NAMES.request_id,
             connect_timeout_s=0.3,
@@ -328,6 +329,7 @@
                 limits=self.limits_named,
                 clock=clock,
             ),
+            traffic=self.link,
         )
         self.suspects = CrashSuspects(
             clock=clock, has_turn=lambda _: True, on_change=lambda: None
@@ -335,7 +337,6 @@
         self.loads = NoOtherDaemons()
         self.permits = LoneDaemonPermits(self.limits_named, clock)
         self.buffers = ByteBudget(12 * 1024 * 1024)
-        self.link = HostLink(mbps=1_000, clock=clock)
         self.retries = RetryBudgets(
             rng=random.Random(1),
             share=0.2,
@@ -391,6 +392,7 @@
             handler=self.forwarder.handle,
             limits=lambda: self.limits,
             max_connections=100,
+            traffic=self.link,
         )
         self.port = await self.listener.listen(HOST, 0)
         return self
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -130,6 +130,7 @@
             on_change=lambda: self._links.announce_change(),
         )
         self._chooser = ServerChooser(zone=settings.zone, rng=self._rng)
+        self._link = HostLink(mbps=settings.link_mbps, clock=self._clock)
         self._pool = ConnectionPool(
             request_id_header=names.request_id,
             connect_timeout_s=settings.connect_timeout_s,
@@ -141,6 +142,7 @@
                 limits=self._limits,
                 clock=self._clock,
             ),
+            traffic=self._link,
         )
         self._documents = SharedDocuments(
             self._apply_document, rank=self._document_rank
@@ -227,7 +229,6 @@
         )
         self._links.attach(self._mesh, self._grant_links.answer)
         self._grant_links.attach(self._keeper)
-        self._link = HostLink(mbps=settings.link_mbps, clock=self._clock)
         self._metrics = ForwardMetrics(self._gauges)
         self._checks = HttpChecks(
             is_ready=self._is_ready, metrics=self._metrics
@@ -274,6 +275,7 @@
             limits=self._caller_limits,
             max_connections=settings.max_caller_connections,
             may_keep_open=lambda: not self._link.is_congested,
+            traffic=self._link,
         )
 
     def start_drain(self) -> None:
