Tell loaded and silent servers from dead ones, and try others meanwhile

A request gave up after three servers whatever time it had; each attempt that hung cost 0.3 s, one after the other; a silent server has no load and so drew requests again after each back-off; concurrent failures doubled the back-off each; a reset or time-out dropped the server's prompt parts; a connection closed before the send left its server in the choice.

- `Connector` tries the next server beside one that hangs for an eighth of the objective, as long as there are servers not known to be unreachable.
- A silent server is tested in the background after its back-off.
- A reset leaves a server out for 0.1 s; parts and failure share stay.
For 2 s a new connection to it is used only if it is still open after 5 ms, since bytes that were sent before a reset may have run.
- Time-outs beside a loaded own link say nothing about servers.
- Idle connections stay within the equal share of `maxConns`, and ones too old for calls that must not run twice are kept for others.

Ruled out: notes to peers on dark servers, as each daemon now pays an eighth of the objective once for each of them.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -8,11 +8,13 @@
 from collections.abc import Callable, Collection, Sequence
 from contextlib import ExitStack
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 from oriolegauge.core.errors import NoServerError
 from oriolegauge.forwarding.backendserver import BackendServer
 from oriolegauge.forwarding.connectionpool import ConnectionPool
+from oriolegauge.forwarding.connector import Connector, ConnectSearch
 from oriolegauge.forwarding.crashdetector import CrashDetector
 from oriolegauge.forwarding.errors import ServerUnreachableError
 from oriolegauge.forwarding.headernames import HeaderNames
@@ -28,12 +30,6 @@
 from oriolegauge.routing.serverchooser import Candidate, ServerChooser
 from oriolegauge.routing.serverpauses import ServerPauses
 
-# Servers tried in turn while none accepts a connection.
-MAX_CONNECTS = 3
-# The server may have closed a connection that was idle for longer. A request
-# that must not be repeated is not sent on such a connection.
-MAX_IDLE_NOT_REPEATABLE_S = 1.0
-MAX_IDLE_REPEATABLE_S = 30.0
 RETRY_AFTER_NO_SERVER_S = 0.5
 # A full server that sent no Retry-After accepts work again as soon as one of
 # its requests has ended.
@@ -119,6 +115,9 @@
         self._limits = limits
         self._permits = permits
         self._crashes = crashes
+        self._connector = Connector(
+            pool=pool, chooser=chooser, give_back=permits.give_back
+        )
         self._retry_schedule = RetrySchedule()
         self._connection_limit = connection_limit
         self._clock = asyncio.get_running_loop().time
@@ -163,20 +162,20 @@
             is_index_current = await self._loads.refresh(
                 [part.name for part in context.work.shared_parts]
             )
-        for _ in range(MAX_CONNECTS):
-            server = await self._choose_permitted(
-                context, excluded, version, is_index_current=is_index_current
-            )
-            try:
-                connection = await self._connect(context, server)
-            except ServerUnreachableError as error:
-                trace.note(server.instance, f'unreachable ({error.message})')
-                self._permits.give_back(server.server_instance)
-                excluded.add(server.instance)
-                continue
-            except asyncio.CancelledError:
-                self._permits.give_back(server.server_instance)
-                raise
+        search = ConnectSearch(
+            context,
+            trace,
+            excluded,
+            choose=partial(
+                self._choose_permitted,
+                context,
+                version=version,
+                is_index_current=is_index_current,
+            ),
+            began_at=self._clock(),
+        )
+        while True:
+            server, connection = await self._connect(search)
             try:
                 return await self._start(
                     context, trace, server, connection, extra_headers
@@ -184,11 +183,20 @@
             except ServerUnreachableError as error:
                 trace.note(server.instance, f'not sent ({error.message})')
                 self._permits.give_back(server.server_instance)
-        raise self._no_server(
-            context,
-            'no server accepts a connection',
-            RETRY_AFTER_NO_SERVER_S,
-        )
+                self._pool.note_reset(server)
+                search.note_failed(server)
+
+    async def _connect(
+        self, search: ConnectSearch
+    ) -> tuple[BackendServer, ServerConnection]:
+        found = await self._connector.connect(search)
+        if found is None:
+            raise self._no_server(
+                search.context,
+                'no server accepts a connection',
+                RETRY_AFTER_NO_SERVER_S,
+            )
+        return found
 
     async def wait_for_header(self, attempt: Attempt) -> ServerReply:
         """Wait for the reply's header; raise ReplyBrokenError if it fails."""
@@ -241,7 +249,8 @@
             attempt.server.instance,
             attempt.unread_tokens,
             was_answered=attempt.was_answered,
-            ok=attempt.ok,
+            # A loaded server is left out for a moment instead.
+            ok=attempt.ok or attempt.connection.is_reset_at_once,
             now=self._clock(),
         )
         self._loads.changed()
@@ -254,8 +263,8 @@
         self,
         context: RequestContext,
         excluded: Collection[str],
-        version: str | None,
         *,
+        version: str | None,
         is_index_current: bool,
     ) -> BackendServer:
         """Return the best server to which a request may be sent now."""
@@ -344,16 +353,6 @@
             and self._pool.in_use(server.address) < limit
         }
 
-    async def _connect(
-        self, context: RequestContext, server: BackendServer
-    ) -> ServerConnection:
-        idle_s = (
-            MAX_IDLE_REPEATABLE_S
-            if context.route.is_repeatable
-            else MAX_IDLE_NOT_REPEATABLE_S
-        )
-        return await self._pool.take(server, max_idle_s=idle_s)
-
     async def _start(
         self,
         context: RequestContext,
--- a/packages/forwarding/src/oriolegauge/forwarding/errors.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/errors.py
@@ -3,6 +3,7 @@
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.core.resultcode import ResultCode
 from oriolegauge.core.runstate import RunState
+from oriolegauge.routing.connectfailure import ConnectFailure
 
 
 class CallerError(OriolegaugeError):
@@ -35,15 +36,22 @@
 class ServerUnreachableError(OriolegaugeError):
     """Report that no byte of the request was sent to the server.
 
-    `is_refused` is true if its host answered that nothing listens there.
+    `failure` tells how the connection failed.
     """
 
     code = ResultCode.NO_SERVER
 
-    def __init__(self, message: str, *, is_refused: bool = False) -> None:
+    def __init__(
+        self, message: str, failure: ConnectFailure = ConnectFailure.SILENT
+    ) -> None:
         """Describe why the server can't be reached."""
         super().__init__(message)
-        self.is_refused = is_refused
+        self.failure = failure
+
+    @property
+    def is_refused(self) -> bool:
+        """State whether its host answered that nothing listens there."""
+        return self.failure is ConnectFailure.REFUSED
 
 
 class ReplyBrokenError(OriolegaugeError):
--- a/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import math
 import re
 from collections import deque
@@ -22,6 +23,7 @@
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.forwarding.sockets import detect_unreachable_peer
 from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
+from oriolegauge.routing.connectfailure import ConnectFailure
 
 # Reading is paused while more bytes of a reply wait for a slow caller.
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -32,6 +34,8 @@
 DEFAULT_KEEP_ALIVE_S = 0.5
 # The server's idle timer starts before this side has received the reply.
 KEEP_ALIVE_MARGIN_S = 0.3
+# A loaded server closes a new connection as soon as it has accepted it.
+RESET_WITHIN_S = 0.1
 _FIRST_INTERIM_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 _KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
@@ -111,6 +115,10 @@
         self._reusable_until = -math.inf
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self._released_at = self._loop.time()
+        self._opened_at = self._loop.time()
+        self._closed_at = math.inf
+        self._is_closed = False
+        self._has_received = False
 
     @classmethod
     async def open(
@@ -133,7 +141,7 @@
             raise ServerUnreachableError('no connection in time') from error
         except OSError as error:
             raise ServerUnreachableError(
-                str(error), is_refused=isinstance(error, ConnectionRefusedError)
+                str(error), _connect_failure(error)
             ) from error
         return connection
 
@@ -154,6 +162,15 @@
         """State whether the server closed it before the reply was complete."""
         return self._is_lost
 
+    @property
+    def is_reset_at_once(self) -> bool:
+        """State whether the server closed it soon, without any reply."""
+        return (
+            self._is_closed
+            and not self._has_received
+            and self._closed_at - self._opened_at < RESET_WITHIN_S
+        )
+
     @property
     def idle_s(self) -> float:
         """Return the seconds since the last reply ended."""
@@ -164,7 +181,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         detect_unreachable_peer(transport)
-        self._reusable_until = self._loop.time() + DEFAULT_KEEP_ALIVE_S
+        self._opened_at = self._loop.time()
+        self._reusable_until = self._opened_at + DEFAULT_KEEP_ALIVE_S
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the read buffer."""
@@ -173,6 +191,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the received bytes."""
         self._traffic.received_answer(nbytes)
+        self._has_received = True
         # Bytes that match no request are parsed too: the headers of a reply may
         # state that the server is leaving or full.
         is_unrequested = self._request_id is None or self._is_complete
@@ -192,6 +211,7 @@
     def eof_received(self) -> bool:
         """Record that the server closed its side of the connection."""
         self._is_eof = True
+        self._note_closed()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -206,6 +226,8 @@
         elif not self._is_complete:
             self._is_lost = self._failure is None
             self._fail('the server closed the connection')
+        if exc is not None:
+            self._note_closed()
         self._writable.set()
         self._changed.set()
 
@@ -284,7 +306,9 @@
         """Send a request; raise ServerUnreachableError if nothing was sent."""
         transport = self._transport
         if transport is None or transport.is_closing() or self._is_eof:
-            raise ServerUnreachableError('the connection has closed')
+            raise ServerUnreachableError(
+                'the connection has closed', ConnectFailure.RESET
+            )
         self._request_id = request_id
         self._is_head_request = data.startswith(b'HEAD ')
         self._reply = None
@@ -293,6 +317,19 @@
         transport.write(data)
         self._traffic.sent(len(data))
 
+    async def stay_open(self, seconds: float) -> None:
+        """Wait; raise ServerUnreachableError if the server closes it."""
+        self._changed.clear()
+        if not self._is_closed:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await self._changed.wait()
+        if self._is_closed or self._has_received:
+            self.abort()
+            raise ServerUnreachableError(
+                'the server closed the new connection', ConnectFailure.RESET
+            )
+
     async def head(self) -> ServerReply:
         """Return the header of the reply; raise ReplyBrokenError."""
         while self._reply is None:
@@ -342,6 +379,11 @@
         if self._transport:
             self._transport.abort()
 
+    def _note_closed(self) -> None:
+        if not self._is_closed:
+            self._is_closed = True
+            self._closed_at = self._loop.time()
+
     def _may_end_here(self) -> bool:
         """State whether the end of the connection may complete the reply.
 
@@ -408,3 +450,11 @@
     def _raise_failure(self) -> None:
         if self._failure:
             raise ReplyBrokenError(self._failure)
+
+
+def _connect_failure(error: OSError) -> ConnectFailure:
+    if isinstance(error, ConnectionRefusedError):
+        return ConnectFailure.REFUSED
+    if isinstance(error, ConnectionError):
+        return ConnectFailure.RESET
+    return ConnectFailure.SILENT
--- a/packages/forwarding/src/oriolegauge/forwarding/traffic.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/traffic.py
@@ -6,6 +6,10 @@
 class Traffic(Protocol):
     """Count the bytes of callers' and servers' connections."""
 
+    @property
+    def is_loaded(self) -> bool:
+        """State whether a new connection may wait for this host's link."""
+
     def received(self, size: int) -> None:
         """Add bytes that were read from a caller."""
 
@@ -17,6 +21,8 @@
 
 
 class _Uncounted:
+    is_loaded = False
+
     def received(self, size: int) -> None:
         """Ignore the bytes."""
 
--- a/packages/forwarding/tests/test_crashdetector.py
+++ b/packages/forwarding/tests/test_crashdetector.py
@@ -7,6 +7,7 @@
 
 from oriolegauge.forwarding import crashdetector
 from oriolegauge.forwarding.errors import ServerUnreachableError
+from oriolegauge.routing.connectfailure import ConnectFailure
 from oriolegauge.routing.crashquarantine import QuarantinedError
 from oriolegauge.routing.crashsuspects import SAME_CAUSE_S, CrashSuspects
 
@@ -149,7 +150,7 @@
     """Refuse all connections."""
 
     async def probe(self, server):
-        raise ServerUnreachableError('refused', is_refused=True)
+        raise ServerUnreachableError('refused', ConnectFailure.REFUSED)
 
 
 class TestRetries:
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -319,8 +319,8 @@
         self.pool = ConnectionPool(
             request_id_header=NAMES.request_id,
             connect_timeout_s=0.3,
-            on_connected=lambda name, ok: self.chooser.connected(
-                name, ok=ok, now=clock()
+            on_connected=lambda name, **result: self.chooser.connected(
+                name, now=clock(), **result
             ),
             signals=ServerSignals(
                 names=NAMES,
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -134,7 +134,9 @@
         self._pool = ConnectionPool(
             request_id_header=names.request_id,
             connect_timeout_s=settings.connect_timeout_s,
-            on_connected=self._note_connected,
+            on_connected=lambda name, **result: self._chooser.connected(
+                name, now=self._clock(), **result
+            ),
             signals=ServerSignals(
                 names=names,
                 leaving_instances=self._leaving_instances,
@@ -143,6 +145,7 @@
                 clock=self._clock,
             ),
             traffic=self._link,
+            idle_limit=self._idle_limit,
         )
         self._documents = SharedDocuments(
             self._apply_document, rank=self._document_rank
@@ -519,9 +522,6 @@
             and not self._keeper.is_store_unavailable
         )
 
-    def _note_connected(self, instance: str, ok: bool) -> None:
-        self._chooser.connected(instance, ok=ok, now=self._clock())
-
     def _note_leaving_instance(self) -> None:
         self._versions.servers_changed()
         self._links.announce_change()
@@ -548,6 +548,14 @@
         even_share = service_config.max_connections / self._links.members
         return max(MIN_CONNECTIONS, int(even_share * CONNECTION_SHARE))
 
+    def _idle_limit(self, service: str) -> int:
+        """Return this daemon's equal share of the connections to a server."""
+        route_table = self._forwarder.route_table
+        service_config = route_table.service(service) if route_table else None
+        if service_config is None:
+            return 1
+        return max(1, service_config.max_connections // self._links.members)
+
     def _retry_credit(self) -> float:
         slack = self._settings.retry_slack * RETRY_SLACK_SHARE
         return slack / self._links.members
--- a/packages/routing/src/oriolegauge/routing/serverchooser.py
+++ b/packages/routing/src/oriolegauge/routing/serverchooser.py
@@ -15,6 +15,7 @@
 from operator import attrgetter, itemgetter
 
 from oriolegauge.core.rendezvous import first
+from oriolegauge.routing.connectfailure import ConnectFailure
 from oriolegauge.routing.partindex import PartHeld, PartIndex
 
 # Prompt tokens that an engine reads per second: the slower of the two engines
@@ -42,6 +43,9 @@
 # failure in a row up to the maximum.
 INITIAL_BACKOFF_S = 0.3
 MAX_BACKOFF_S = 2.0
+# A loaded server accepts connections again as soon as one of its requests has
+# ended.
+RESET_BACKOFF_S = 0.1
 # Weight of a new sample in the average of a server's slowness, the ratio of
 # measured to expected time.
 SLOWNESS_WEIGHT = 0.3
@@ -127,6 +131,7 @@
     slow_at: float = 0
     unreachable_until: float = -math.inf
     backoff_s: float = INITIAL_BACKOFF_S
+    unreached_at: float = -math.inf
 
 
 class ServerChooser:
@@ -244,16 +249,45 @@
         record.failure_share = known + FAILURE_WEIGHT * ((not ok) - known)
         record.failed_at = now
 
-    def connected(self, name: str, *, ok: bool, now: float) -> None:
-        """Record whether the server accepted a connection."""
+    def connected(
+        self,
+        name: str,
+        *,
+        ok: bool,
+        now: float,
+        failure: ConnectFailure = ConnectFailure.REFUSED,
+        began_at: float = math.inf,
+    ) -> None:
+        """Record whether the server accepted a connection.
+
+        An attempt that began before the last failure doubles no back-off. Only
+        a server that refuses connections has lost its prompt parts: one that
+        resets them is loaded, and the link to a silent one may be cut.
+        """
         record = self._record(name)
         if ok:
             record.backoff_s = INITIAL_BACKOFF_S
             record.unreachable_until = -math.inf
             return
+        if failure is ConnectFailure.REFUSED:
+            self.parts.forget_server(name)
+        if failure is ConnectFailure.RESET:
+            self.leave_out(name, until=now + RESET_BACKOFF_S)
+            return
+        if began_at <= record.unreached_at:
+            return
+        record.unreached_at = now
         record.unreachable_until = now + record.backoff_s
         record.backoff_s = min(MAX_BACKOFF_S, 2 * record.backoff_s)
-        self.parts.forget_server(name)
+
+    def leave_out(self, name: str, *, until: float) -> None:
+        """Prefer other servers until then or until a connection opens."""
+        record = self._record(name)
+        record.unreachable_until = max(record.unreachable_until, until)
+
+    def is_left_out(self, name: str, now: float) -> bool:
+        """State whether the server counts as unreachable."""
+        return self._record(name).unreachable_until > now
 
     def restarted(self, name: str) -> None:
         """Drop the prompt parts of a server that was restarted."""
