Book the answer of a request only when its tokens are reserved

While tokens are short, many requests wait for them; their answers were booked on the host's link, and others would be refused for them.

--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -285,29 +285,18 @@
         self._link.check(
             len(context.request.body), route.objective_s, route.name
         )
-        booked = self._link.begin_answer(route.name)
-        try:
-            await self._serve_admitted(context, trace, answer)
-        finally:
-            self._link.end_answer(
-                route.name,
-                booked,
-                writes=answer.writes if trace.sends else 0,
-                answer_bytes=answer.sent_bytes,
-                seconds=self._clock() - context.request.received_at,
-            )
-
-    async def _serve_admitted(
-        self, context: RequestContext, trace: RequestTrace, answer: Answer
-    ) -> None:
         reservation = None
         tokens = context.work.prompt_tokens + context.work.output_tokens
         if tokens and context.workspace is not None:
             reservation = await self._budget.reserve(
                 context.workspace, tokens, context.deadline
             )
-        is_stream = context.route.kind is RequestKind.STREAM
+        is_stream = route.kind is RequestKind.STREAM
         exchange = self._streams if is_stream else self._whole
+        # Not before the reservation: a request that waits for tokens has no
+        # answer on the link.
+        booked = self._link.begin_answer(route.name)
+        booked_at = self._clock()
         try:
             async with asyncio.timeout_at(context.deadline):
                 await exchange.serve(context, trace, answer)
@@ -319,6 +308,13 @@
                 ),
             ) from None
         finally:
+            self._link.end_answer(
+                route.name,
+                booked,
+                writes=answer.writes if trace.sends else 0,
+                answer_bytes=answer.sent_bytes,
+                seconds=self._clock() - booked_at,
+            )
             if reservation:
                 self._budget.settle(reservation, _used(context, trace))
 
--- a/packages/forwarding/tests/test_linktraffic.py
+++ b/packages/forwarding/tests/test_linktraffic.py
@@ -73,3 +73,22 @@
             await world.call(path, body=b'p')
             rate = world.link.begin_answer(path.split('/')[1])
         assert rate > 0
+
+    async def test_request_that_waits_for_tokens_books_nothing(self):
+        """Guards against refusals for answers that are not under way.
+
+        While tokens are short, many requests wait for them.
+        """
+        async with World(ScriptedServer(long_stream)) as world:
+            await world.call('/review/x', body=b'p')
+            booked = []
+            reserve = world.budget.reserve
+
+            async def wait_for_tokens(*args):
+                booked.append(world.link._booked)
+                return await reserve(*args)
+
+            world.budget.reserve = wait_for_tokens
+            await world.call('/review/x', request_id='r2', body=b'p')
+            assert booked == [0]
+            assert world.link._booked == 0
