Blame no server while this host connects to none

A link can be full with messages between daemons, which its estimate does not count, or cut. Each server that did not answer got a back-off then. After four of them without a connection opened in between, further ones get none.

--- a/packages/forwarding/src/oriolegauge/forwarding/connectionpool.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/connectionpool.py
@@ -23,6 +23,9 @@
 # only if it is still open after SETTLE_S, some round trips between zones.
 RESET_MEMORY_S = 2.0
 SETTLE_S = 0.005
+# If this many servers have not answered since a connection was opened, the link
+# of this host may be cut or full without bytes that are counted.
+MAX_SILENT_IN_A_ROW = 4
 # Weight of a new sample in the mean time to open a connection.
 OPENING_WEIGHT = 0.1
 
@@ -79,6 +82,8 @@
         self._silent: set[ServerInstance] = set()
         self._tested: set[ServerInstance] = set()
         self._reset_at: dict[ServerInstance, float] = {}
+        # Servers that have not answered since a connection was opened.
+        self._silent_in_a_row: set[ServerInstance] = set()
         self.opened_at = -math.inf
         self.usual_opening_s: float = 0
         self._id_header = request_id_header
@@ -93,7 +98,10 @@
     @property
     def is_own_link_loaded(self) -> bool:
         """State whether attempts may wait for this host's own link."""
-        return self._traffic.is_loaded
+        return (
+            self._traffic.is_loaded
+            or len(self._silent_in_a_row) >= MAX_SILENT_IN_A_ROW
+        )
 
     def in_use(self, address: Address) -> int:
         """Return the number of connections lent out."""
@@ -170,6 +178,7 @@
         live_addresses = {_instance_address(server) for server in live}
         instances = {instance for instance, _ in live_addresses}
         self._silent &= instances
+        self._silent_in_a_row &= instances
         for instance in self._reset_at.keys() - instances:
             del self._reset_at[instance]
         for instance_address in list(self._idle):
@@ -233,6 +242,7 @@
             now - began_at - self.usual_opening_s
         )
         self._silent.discard(server.server_instance)
+        self._silent_in_a_row.clear()
         self._on_connected(
             server.instance,
             ok=True,
@@ -247,7 +257,9 @@
             self.note_reset(server)
             return
         if failure is ConnectFailure.SILENT:
-            if self.is_own_link_loaded:
+            is_own_fault = self.is_own_link_loaded
+            self._silent_in_a_row.add(server.server_instance)
+            if is_own_fault:
                 return
             self._silent.add(server.server_instance)
         self._report_failed(server, failure, began_at)
--- a/packages/forwarding/tests/test_connections.py
+++ b/packages/forwarding/tests/test_connections.py
@@ -11,6 +11,7 @@
 import pytest
 
 from oriolegauge.forwarding import connector
+from oriolegauge.forwarding.connectionpool import MAX_SILENT_IN_A_ROW
 from oriolegauge.forwarding.connector import MAX_TIMEOUTS
 from oriolegauge.forwarding.errors import ServerUnreachableError
 from oriolegauge.forwarding.serverconnection import ServerConnection
@@ -188,6 +189,22 @@
                 await world.pool.probe(server)
             assert not world.chooser.is_left_out('s0', world.now())
 
+    async def test_cut_own_link_is_no_fault_of_all_servers(self):
+        """Guards against back-offs for all servers of a host that is cut off.
+
+        Messages between daemons can fill its link too; they are not counted.
+        """
+        async with World(*[SilentServer() for _ in range(9)]) as world:
+            for server in list(world.directory.servers):
+                with contextlib.suppress(ServerUnreachableError):
+                    await world.pool.probe(server)
+            silent = [
+                server
+                for server in world.directory.servers
+                if world.pool.needs_test(server)
+            ]
+            assert len(silent) == MAX_SILENT_IN_A_ROW
+
 
 class TestLoadedServers:
     @pytest.mark.parametrize('path', ['/once/x', '/safe/x'])
