--- a/packages/forwarding/src/oriolegauge/forwarding/answer.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/answer.py
@@ -40,8 +40,6 @@
         self.status: int | None = None
         self.is_finished = False
         self.closes = False
-        self.writes = 0
-        self.sent_bytes = 0
 
     @property
     def is_started(self) -> bool:
@@ -57,7 +55,7 @@
         # The connection holds the whole answer while this waits for the caller
         # to read it.
         self.is_finished = True
-        await self._write(b''.join((head, body)))
+        await self._writer.write(b''.join((head, body)))
 
     async def begin(
         self, status: int, headers: Iterable[Header], first: bytes
@@ -69,28 +67,23 @@
         else:
             self.closes = True
         head = self._head(status, [*headers, *extra])
-        await self._write(b''.join((head, self._chunk(first))))
+        await self._writer.write(b''.join((head, self._chunk(first))))
 
     async def send(self, data: bytes) -> None:
         """Send more bytes of a streamed answer."""
-        await self._write(self._chunk(data))
+        await self._writer.write(self._chunk(data))
 
     async def end(self) -> None:
         """Mark a streamed answer as complete."""
         self.is_finished = True
         if self._can_chunk:
-            await self._write(_LAST_CHUNK)
+            await self._writer.write(_LAST_CHUNK)
 
     def abort(self) -> None:
         """Close the connection, so that the answer can't look complete."""
         self.closes = True
         self._writer.abort()
 
-    async def _write(self, data: bytes) -> None:
-        self.writes += 1
-        self.sent_bytes += len(data)
-        await self._writer.write(data)
-
     def _chunk(self, data: bytes) -> bytes:
         if not data or not self._can_chunk:
             return data
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -282,9 +282,7 @@
     ) -> None:
         self._retries.request(context.service)
         route = context.route
-        self._link.check(
-            len(context.request.body), route.objective_s, route.name
-        )
+        self._link.check(len(context.request.body), route.objective_s)
         reservation = None
         tokens = context.work.prompt_tokens + context.work.output_tokens
         if tokens and context.workspace is not None:
@@ -293,10 +291,6 @@
             )
         is_stream = route.kind is RequestKind.STREAM
         exchange = self._streams if is_stream else self._whole
-        # Not before the reservation: a request that waits for tokens has no
-        # answer on the link.
-        booked = self._link.begin_answer(route.name)
-        booked_at = self._clock()
         try:
             async with asyncio.timeout_at(context.deadline):
                 await exchange.serve(context, trace, answer)
@@ -308,13 +302,6 @@
                 ),
             ) from None
         finally:
-            self._link.end_answer(
-                route.name,
-                booked,
-                writes=answer.writes if trace.sends else 0,
-                answer_bytes=answer.sent_bytes,
-                seconds=self._clock() - booked_at,
-            )
             if reservation:
                 self._budget.settle(reservation, _used(context, trace))
 
