--- a/packages/admission/tests/test_hostlink.py
+++ b/packages/admission/tests/test_hostlink.py
@@ -12,6 +12,8 @@
 from oriolegauge.admission import HostBusyError, HostLink
 from oriolegauge.admission.hostlink import CONGESTION_HOLD_S
 
+from .linkmodel import LinkModel
+
 MBPS = 5.0
 LINK_BYTES_PER_S = MBPS * 1_000_000 / 8
 OBJECTIVE_S = 0.6
@@ -102,3 +104,106 @@
         assert link.is_congested
         now[0] += CONGESTION_HOLD_S + 0.5
         assert not link.is_congested
+
+    def test_short_call_passes_after_a_few_long_bodies(self):
+        """Guards against refusing a call that would wait 80 ms only."""
+        now = [0.0]
+        link = HostLink(mbps=MBPS, clock=lambda: now[0])
+        for _ in range(4):
+            link.sent(LONG_PROMPT_BYTES)
+        link.check(600, 0.16)
+
+    def test_body_that_waits_for_no_other_is_sent(self):
+        """Guards against a size that small hosts never serve."""
+        link = HostLink(mbps=MBPS, clock=lambda: 0.0)
+        link.received(400_000)
+        link.check(400_000, OBJECTIVE_S)
+
+    def test_burst_of_bodies_is_no_congestion(self):
+        """Guards against callers that are moved to the next small host.
+
+        A host with 5 Mbit/s left the rotation at an inward queue of 0.101 s.
+        """
+        now = [0.0]
+        link = HostLink(mbps=MBPS, clock=lambda: now[0])
+        for _ in range(100):
+            for _ in range(6):
+                link.received(LONG_PROMPT_BYTES)
+                now[0] += 0.001
+                assert not link.is_congested
+            now[0] += 0.15
+
+
+class TestCongestion:
+    def congest(self, link, now, seconds=0.8):
+        """Fill the link with bytes from callers."""
+        until = now[0] + seconds
+        while now[0] < until:
+            link.received(LONG_PROMPT_BYTES)
+            now[0] += 0.01
+        assert link.is_congested
+
+    def test_caller_that_returns_is_kept_away_for_longer(self):
+        """Guards against a host that its caller fills again after each hold."""
+        now = [0.0]
+        link = HostLink(mbps=MBPS, clock=lambda: now[0])
+        for hold_s in (2.5, 5, 10, 20, 20):
+            self.congest(link, now)
+            now[0] += hold_s - 0.5
+            assert link.is_congested
+            now[0] += 1
+            assert not link.is_congested
+        now[0] += 30
+        self.congest(link, now)
+        now[0] += CONGESTION_HOLD_S + 0.5
+        assert not link.is_congested
+
+    @pytest.mark.parametrize('direction', ['received_answer', 'sent'])
+    def test_answers_and_sent_bytes_congest_the_link(self, direction):
+        """Guards against a link that events fill while only bodies count."""
+        now = [0.0]
+        link = HostLink(mbps=MBPS, clock=lambda: now[0])
+        for _ in range(1_000):
+            getattr(link, direction)(600)
+            now[0] += 0.001
+        assert link.is_congested
+
+    def test_refused_request_returns_when_callers_have_moved(self):
+        """Guards against bodies that come to the same full host again."""
+        now = [0.0]
+        link = HostLink(mbps=MBPS, clock=lambda: now[0])
+        self.congest(link, now)
+        link.sent(1_000_000)
+        with pytest.raises(HostBusyError) as refusal:
+            link.check(LONG_PROMPT_BYTES, OBJECTIVE_S)
+        assert 2 < refusal.value.retry_after_s <= CONGESTION_HOLD_S
+
+
+class TestOneLargeCaller:
+    def play(self, per_s, seconds=8):
+        """Raise the load of one caller after 4 s of usual traffic."""
+        model = LinkModel(HostLink, mbps=MBPS)
+        model.play(20, 4)
+        assert not model.refused
+        model.play(per_s, seconds)
+        return model
+
+    @pytest.mark.parametrize('per_s', [100, 115])
+    def test_caller_is_moved_before_the_link_is_lost(self, per_s):
+        """Guards against a caller that stays on a host it has filled.
+
+        At 100 requests a second the former estimate never left the rotation.
+        """
+        model = self.play(per_s)
+        assert model.moved.total() > 3 * per_s
+
+    def test_small_requests_are_not_refused(self):
+        """Guards against refusals that free next to nothing."""
+        model = self.play(80)
+        assert model.refused['call'] + model.refused['chat'] == 0
+
+    def test_load_that_the_link_carries_is_not_refused(self):
+        """Guards against refusals while the link has room."""
+        model = self.play(55)
+        assert not model.refused
+        assert not model.moved
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -156,7 +156,6 @@
         context: RequestContext | None = None
         self.running += 1
         try:
-            self._link.received(len(request.body))
             context = self._admit(request, request_id)
             self._check_drain(context)
             await self._serve_until_stop(context, trace, answer)
@@ -287,16 +286,15 @@
         self, context: RequestContext, trace: RequestTrace, answer: Answer
     ) -> None:
         self._retries.request(context.service)
-        body_bytes = len(context.request.body)
-        self._link.check(body_bytes, context.route.objective_s)
-        self._link.sent(body_bytes)
+        route = context.route
+        self._link.check(len(context.request.body), route.objective_s)
         reservation = None
         tokens = context.work.prompt_tokens + context.work.output_tokens
         if tokens and context.workspace is not None:
             reservation = await self._budget.reserve(
                 context.workspace, tokens, context.deadline
             )
-        is_stream = context.route.kind is RequestKind.STREAM
+        is_stream = route.kind is RequestKind.STREAM
         exchange = self._streams if is_stream else self._whole
         try:
             async with asyncio.timeout_at(context.deadline):
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -325,11 +325,12 @@
         )
         self.list_servers()
         self.chooser = ServerChooser(zone='z1', rng=random.Random(1))
+        self.link = HostLink(mbps=1_000, clock=clock)
         self.pool = ConnectionPool(
             request_id_header=NAMES.request_id,
             connect_timeout_s=0.3,
-            on_connected=lambda name, ok: self.chooser.connected(
-                name, ok=ok, now=clock()
+            on_connected=lambda name, **result: self.chooser.connected(
+                name, now=clock(), **result
             ),
             signals=ServerSignals(
                 names=NAMES,
@@ -338,6 +339,7 @@
                 limits=self.limits_named,
                 clock=clock,
             ),
+            traffic=self.link,
         )
         self.suspects = CrashSuspects(
             clock=clock, has_turn=lambda _: True, on_change=lambda: None
@@ -345,7 +347,6 @@
         self.loads = NoOtherDaemons()
         self.permits = LoneDaemonPermits(self.limits_named, clock)
         self.buffers = ByteBudget(12 * 1024 * 1024)
-        self.link = HostLink(mbps=1_000, clock=clock)
         self.retries = RetryBudgets(
             rng=random.Random(1),
             share=0.2,
@@ -401,6 +402,7 @@
             handler=self.forwarder.handle,
             limits=lambda: self.limits,
             max_connections=100,
+            traffic=self.link,
         )
         self.port = await self.listener.listen(HOST, 0)
         return self
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -140,10 +140,13 @@
             rng=self._rng,
             adapts_to_load=settings.adapts_to_load,
         )
+        self._link = HostLink(mbps=settings.link_mbps, clock=self._clock)
         self._pool = ConnectionPool(
             request_id_header=names.request_id,
             connect_timeout_s=settings.connect_timeout_s,
-            on_connected=self._note_connected,
+            on_connected=lambda name, **result: self._chooser.connected(
+                name, now=self._clock(), **result
+            ),
             signals=ServerSignals(
                 names=names,
                 leaving_instances=self._leaving_instances,
@@ -151,6 +154,8 @@
                 limits=self._limits,
                 clock=self._clock,
             ),
+            traffic=self._link,
+            idle_limit=self._idle_limit,
         )
         self._documents = SharedDocuments(
             self._apply_document, rank=self._document_rank
@@ -246,7 +251,6 @@
         )
         self._links.attach(self._mesh, self._grant_links.answer)
         self._grant_links.attach(self._keeper)
-        self._link = HostLink(mbps=settings.link_mbps, clock=self._clock)
         self._metrics = ForwardMetrics(self._gauges)
         self._checks = HttpChecks(
             is_ready=self._is_ready, metrics=self._metrics
@@ -293,6 +297,7 @@
             limits=self._caller_limits,
             max_connections=settings.max_caller_connections,
             may_keep_open=lambda: not self._link.is_congested,
+            traffic=self._link,
         )
 
     def start_drain(self) -> None:
@@ -596,9 +601,6 @@
             and not self._keeper.is_store_unavailable
         )
 
-    def _note_connected(self, instance: str, ok: bool) -> None:
-        self._chooser.connected(instance, ok=ok, now=self._clock())
-
     def _note_leaving_instance(self) -> None:
         self._versions.servers_changed()
         self._links.announce_change()
@@ -625,6 +627,14 @@
         even_share = service_config.max_connections / self._links.members
         return max(MIN_CONNECTIONS, int(even_share * CONNECTION_SHARE))
 
+    def _idle_limit(self, service: str) -> int:
+        """Return this daemon's equal share of the connections to a server."""
+        route_table = self._forwarder.route_table
+        service_config = route_table.service(service) if route_table else None
+        if service_config is None:
+            return 1
+        return max(1, service_config.max_connections // self._links.members)
+
     def _retry_credit(self) -> float:
         slack = self._settings.retry_slack * RETRY_SLACK_SHARE
         return slack / self._links.members
