--- a/tests/adapter/test_decoder.py
+++ b/tests/adapter/test_decoder.py
@@ -74,6 +74,20 @@
         assert found.workspaces[0].prepaid_tokens == 1000
         assert found.limits.header_timeout_s == 3
 
+    @pytest.mark.parametrize(
+        ('capacity', 'tokens'),
+        [(303_722, 303_722), (None, 0), ('much', 0), (-1, 0), (1.5, 0)],
+    )
+    def test_memory_of_an_engine_is_unknown_unless_valid(
+        self, capacity, tokens
+    ):
+        """Guards against a configuration rejected for its engine's memory."""
+        engine = {'slots': 64, 'stride': 3, 'kvCapacity': capacity}
+        service = {**CONFIG['services'][0], 'engine': engine}
+        found = decode({**CONFIG, 'services': [service]})
+        assert found.services[0].memory_tokens == tokens
+        assert found.services[0].tokens_per_event == 3
+
     def test_split_route_keeps_its_weights(self):
         """Guards against sending a split route to one service only."""
         route = {**ROUTE, 'backends': [{'service': 'a', 'weight': 9}]}
