--- a/packages/forwarding/tests/test_forwarder.py
+++ b/packages/forwarding/tests/test_forwarder.py
@@ -5,6 +5,7 @@
 import math
 
 import pytest
+from structlog.testing import capture_logs
 
 from oriolegauge.forwarding.dispatcher import Dispatcher
 
@@ -47,6 +48,36 @@
             assert request_count(world) == 0
 
 
+class TestExpectedTime:
+    @pytest.mark.parametrize('adapts_to_load', [False, True])
+    async def test_request_line_has_the_expected_time(self, adapts_to_load):
+        """Guards against placements whose reason can't be seen later."""
+        world = World(ScriptedServer(), adapts_to_load=adapts_to_load)
+        async with world:
+            with capture_logs() as lines:
+                answer = await world.call('/once/x', body=b'order')
+            assert ' 200 ' in answer.first_line
+            expected = [
+                line['expected_s']
+                for line in lines
+                if line['event'] == 'request'
+            ]
+        assert len(expected) == 1
+        assert (expected[0] is not None) is adapts_to_load
+        assert expected[0] is None or 0 < expected[0] < 1
+
+    async def test_ended_request_leaves_no_load(self):
+        """Guards against requests that are counted after their end."""
+        world = World(ScriptedServer(), adapts_to_load=True)
+        async with world:
+            for number in range(3):
+                await world.call(
+                    '/once/x', request_id=f'r{number}', body=b'order'
+                )
+            await asyncio.sleep(0)
+            assert world.chooser.own_loads(world.now()) == {}
+
+
 class TestNonIdempotent:
     @pytest.mark.parametrize(
         'script',
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -291,8 +291,10 @@
         routes=ROUTES,
         credit=10,
         workspace='team',
+        adapts_to_load=False,
     ):
         self.servers = servers
+        self.adapts_to_load = adapts_to_load
         self.budget = FakeBudget()
         self.limits = limits or CallerLimits()
         self.routes = routes
@@ -314,7 +316,11 @@
         self.pauses = ServerPauses(random.Random(1))
         self.limits_named = ServerLimits(clock, on_change=self.pauses.release)
         self.list_servers()
-        self.chooser = ServerChooser(zone='z1', rng=random.Random(1))
+        self.chooser = ServerChooser(
+            zone='z1',
+            rng=random.Random(1),
+            adapts_to_load=self.adapts_to_load,
+        )
         self.pool = ConnectionPool(
             request_id_header=NAMES.request_id,
             connect_timeout_s=0.3,
