--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -293,8 +293,10 @@
         credit=10,
         workspace='team',
         cold_servers=None,
+        adapts_to_load=False,
     ):
         self.servers = servers
+        self.adapts_to_load = adapts_to_load
         self.budget = FakeBudget()
         self.limits = limits or CallerLimits()
         self.routes = routes
@@ -324,7 +326,11 @@
             cold_servers=self.cold_servers,
         )
         self.list_servers()
-        self.chooser = ServerChooser(zone='z1', rng=random.Random(1))
+        self.chooser = ServerChooser(
+            zone='z1',
+            rng=random.Random(1),
+            adapts_to_load=self.adapts_to_load,
+        )
         self.link = HostLink(mbps=1_000, clock=clock)
         self.pool = ConnectionPool(
             request_id_header=NAMES.request_id,
