--- a/packages/grants/src/oriolegauge/grants/grantkeeper.py
+++ b/packages/grants/src/oriolegauge/grants/grantkeeper.py
@@ -30,6 +30,11 @@
 from oriolegauge.grants.hostreserve import HostReserve
 from oriolegauge.grants.hosttimes import HostTimes
 from oriolegauge.grants.ledgerrecovery import LedgerCopy
+from oriolegauge.grants.outagetimes import (
+    MAX_OPENING_WAITS,
+    OPENING_WAIT_SHARE,
+    OutageTimes,
+)
 from oriolegauge.grants.teamaccount import TeamAccount
 from oriolegauge.objectstore import RestorableStore
 
@@ -41,13 +46,6 @@
 # Longest time of the draws of a request from all sources together. What none of
 # them gives by then must come from reserves and loans.
 ALL_DRAWS_WAIT_S = 0.6
-# A request waits for reserves to open for this share of its time at most. The
-# waiting requests of a daemon continue at random within the spread.
-OPENING_WAIT_SHARE = 0.5
-OPENING_SPREAD_S = 0.6
-MAX_OPENING_WAITS = 4
-# An announced opening time that is past for this long no longer counts.
-OPENING_INFO_EXPIRY_S = 1.0
 ADJUST_PERIOD_S = 0.25
 # More tokens are drawn for an account below this share of its target.
 REFILL_BELOW_RATIO = 0.5
@@ -71,13 +69,6 @@
 # Up to 3% of a budget may be unspent but held by other daemons at the end, so a
 # budget is reported as exhausted once less than this share is left.
 EXHAUSTED_BELOW_SHARE = 0.03
-# Tokens reserved by other requests are free again soon.
-RETRY_AFTER_S = 0.4
-# A peer's reply that it does not reach the store counts for this time.
-STORE_LOST_EXPIRY_S = 1.0
-# Without the store no tokens can be granted until the outage ends, after 2 to
-# 9 s. The range spreads the retries of callers while accounts fill up again.
-OUTAGE_RETRY_AFTER_S = (1.5, 4.0)
 
 log = structlog.get_logger()
 
@@ -204,14 +195,10 @@
         self._reaches_store = reaches_store
         self._clock = clock
         self._host_clocks = host_clocks
-        self._rng = rng
         self._accounts: dict[str, TeamAccount] = {}
         self._unspent: dict[str, int] = {}
         self._returned_at: dict[str, float] = {}
-        # When reserves of other daemons may be opened, by the last reply.
-        self._opens_at: dict[str, float] = {}
-        # When a peer last replied that it does not reach the store.
-        self._store_lost_at = -math.inf
+        self._outage = OutageTimes(rng)
         self._allocator = GrantAllocator(
             store=store,
             key=f'{kind}/{LEDGER}',
@@ -263,7 +250,9 @@
             if await self._acquire(team, tokens):
                 self._account(team).note_demand(tokens, self._clock())
                 return Reservation(team, tokens)
-            wait_s = self._opening_wait_s(team, tokens)
+            wait_s = self._outage.opening_wait_s(
+                team, self._opens_in_s(team, tokens), self._clock()
+            )
             if wait_s is None or self._clock() + wait_s > latest:
                 break
             await asyncio.sleep(wait_s)
@@ -482,20 +471,6 @@
         if pool and account.free + pool >= need:
             await self._allocator.draw(team, need)
 
-    def _opening_wait_s(self, team: str, tokens: int) -> float | None:
-        """Return the seconds to wait for reserves; None if none will open."""
-        now = self._clock()
-        opens_at = self._opens_at.get(team, -math.inf)
-        own_s = self._opens_in_s(team, tokens)
-        if own_s is not None:
-            opens_at = max(opens_at, now + own_s)
-        if opens_at < now - OPENING_INFO_EXPIRY_S:
-            return None
-        # Requests that wait for the same opening continue at random times, as
-        # more tokens become open over time.
-        spread_s = self._rng.uniform(OPENING_SPREAD_S / 2, OPENING_SPREAD_S)
-        return max(0, opens_at - now) + spread_s
-
     def _adjust(self, team: str) -> None:
         prepaid = self._prepaid(team)
         allocator = self._peers.allocator()
@@ -611,7 +586,7 @@
         if not missing or allocator is None:
             return
         # Peers that did not answer at all say nothing about the store.
-        is_store_lost = self._store_lost_at >= began_at
+        is_store_lost = self._outage.is_store_lost_since(began_at)
         if self._clock() < until or not is_store_lost:
             await self._allocator.draw(team, account.free + missing)
 
@@ -652,11 +627,13 @@
             return None
         account.credit(result.tokens)
         if not result.reached_store:
-            self._store_lost_at = self._clock()
+            self._outage.note_store_lost(self._clock())
         if result.unspent is not None:
             self._unspent[draw.team] = result.unspent
         if result.opens_in_s is not None:
-            self._opens_at[draw.team] = self._clock() + result.opens_in_s
+            self._outage.note_opening(
+                draw.team, self._clock() + result.opens_in_s
+            )
         return result
 
     def _target(self, team: str) -> int:
@@ -687,20 +664,11 @@
             )
         return GrantUnavailableError(
             f'{tokens} tokens can not be granted at the moment',
-            retry_after_s=self._retry_after_s(team),
+            retry_after_s=self._outage.retry_after_s(
+                team, self._clock(), reaches_store=self._reaches_store()
+            ),
         )
 
-    def _retry_after_s(self, team: str) -> float:
-        """Return the seconds until the next grant is expected."""
-        now = self._clock()
-        opens_in_s = self._opens_at.get(team, -math.inf) - now
-        if opens_in_s > 0:
-            return opens_in_s + self._rng.uniform(0, OPENING_SPREAD_S)
-        is_store_lost = now - self._store_lost_at < STORE_LOST_EXPIRY_S
-        if self._reaches_store() and not is_store_lost:
-            return RETRY_AFTER_S
-        return self._rng.uniform(*OUTAGE_RETRY_AFTER_S)
-
     def _state(self, team: str) -> Mapping[str, Any]:
         """Return the figures behind a refusal, as log fields."""
         prepaid = self._prepaid(team) or 0
--- a/packages/grants/tests/test_grantkeeper.py
+++ b/packages/grants/tests/test_grantkeeper.py
@@ -12,7 +12,7 @@
     PrepaidExhaustedError,
     Reservation,
     grantallocator,
-    grantkeeper,
+    outagetimes,
 )
 from oriolegauge.grants.grantledger import GrantLedger
 from oriolegauge.grants.ledgerwriter import LedgerWriter, Written
@@ -390,7 +390,7 @@
             with pytest.raises(GrantUnavailableError) as refusal:
                 await fleet.keepers['d0'].reserve(TEAM, 6_000)
             waits.append(refusal.value.retry_after_s)
-        low, high = grantkeeper.OUTAGE_RETRY_AFTER_S
+        low, high = outagetimes.OUTAGE_RETRY_AFTER_S
         assert low <= min(waits) < max(waits) <= high
 
     async def test_returns_unspent_tokens_at_shutdown(self):
