Send no report of a start while a daemon stops

Cause: an unconfirmed report counts as a reserve that may be in the ledger, so a stop repeated it up to three times, each for up to 1.5 s.

Change: a release drops the report, which a process that ends does not need.

Also: a test that what an allocator of the version before grants for a report is returned.

--- a/packages/grants/src/oriolegauge/grants/hostreserve.py
+++ b/packages/grants/src/oriolegauge/grants/hostreserve.py
@@ -144,3 +144,6 @@
         """Hold nothing from now on; the next renewal tells the allocator."""
         self._believed = {}
         self._parts_at_stamp = {}
+        if self._pending and self._pending.number == START_REPORT:
+            # Nothing depends on the report of a process that stops.
+            self._pending = None
--- a/packages/grants/tests/test_strandedtokens.py
+++ b/packages/grants/tests/test_strandedtokens.py
@@ -9,7 +9,7 @@
 import pytest
 
 from oriolegauge.core.errors import OriolegaugeError
-from oriolegauge.grants import GrantUnavailableError
+from oriolegauge.grants import GrantUnavailableError, grantallocator
 from oriolegauge.grants.grantledger import RESERVE_CLOSED_S, GrantLedger
 from oriolegauge.grants.holdingtargets import (
     RESERVE_SHARE,
@@ -19,7 +19,7 @@
 from oriolegauge.grants.renewalwatch import RENEWAL_EXPIRY_S, RenewalWatch
 from oriolegauge.testkit import StoreFault
 from oriolegauge.testkit.crowdedgrantday import SIZE, CrowdedDay
-from oriolegauge.testkit.grantfleet import TEAM, Fleet, LateStore
+from oriolegauge.testkit.grantfleet import TEAM, Fleet, LateStore, Peers
 from oriolegauge.testkit.linkedgrantfleet import LinkedFleet, SilentStore
 
 REQUEST_TOKENS = 840
@@ -602,11 +602,7 @@
 @pytest.mark.looptime
 class TestReportOfAStart:
     async def test_report_of_a_start_takes_no_reserve(self):
-        """Guards against 64 reserves while all hosts report that they started.
-
-        An allocator of the version before gives tokens to such a report, which
-        the next renewal returns.
-        """
+        """Guards against 64 reserves while all hosts report their start."""
         fleet = Fleet(
             store=LateStore(random.Random(1)), prepaid=1_000_000, size=9
         )
@@ -623,6 +619,46 @@
         assert fleet.store.writes - writes <= 4
         fleet.stop(*fleet.names)
 
+    async def test_stop_does_not_wait_for_the_report(self):
+        """Guards against a stop that repeats the report to a lost store."""
+        fleet = Fleet(store=LateStore(random.Random(1)), prepaid=1_000, size=9)
+        last = fleet.names[8]
+        fleet.down.add(fleet.allocator)
+        fleet.run(last)
+        await asyncio.sleep(1)
+        fleet.stop(last)
+        sent = []
+        renew = Peers.renew
+
+        async def counted(peers, peer, renewal):
+            sent.append(renewal)
+            return await renew(peers, peer, renewal)
+
+        with pytest.MonkeyPatch.context() as patched:
+            patched.setattr(Peers, 'renew', counted)
+            await fleet.keepers[last].close()
+        assert not sent
+
+    async def test_older_allocator_gets_back_what_it_grants(self, monkeypatch):
+        """Guards against a reserve that an older version gives for a report."""
+        # An older allocator takes the report for a first renewal.
+        monkeypatch.setattr(grantallocator, 'START_REPORT', -1)
+        fleet = Fleet(
+            store=LateStore(random.Random(1)), prepaid=1_000_000, size=9
+        )
+        fleet.run()
+        for _ in range(30):
+            await fleet.request(fleet.names[0], 4_000, 4_000)
+        last = fleet.names[8]
+        fleet.start(last)
+        granted = 0
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            granted = max(granted, reserves(fleet)[last])
+        fleet.stop(*fleet.names)
+        assert granted
+        assert reserves(fleet).keys() == set(fleet.reserve_hosts)
+
 
 @pytest.mark.looptime
 class TestRefusalsWithoutTheStore:
