Decide by shared loads which requests wait or are refused

Without a gate daemons send low work into full servers, which then reject urgent requests.

Ruled out by trials: rates that count promised requests (they renew themselves, slots stayed overfull by a quarter for a second), slots freed by own requests that count while others overfill them, and prompt answers for a moment as a sign of wrong loads.

--- a/packages/admission/src/oriolegauge/admission/errors.py
+++ b/packages/admission/src/oriolegauge/admission/errors.py
@@ -19,3 +19,9 @@
     """Reject a job that can't end before its deadline."""
 
     code = ResultCode.DEADLINE_UNREACHABLE
+
+
+class CapacityShortError(OriolegaugeError):
+    """Refuse a request in favor of others while servers are full."""
+
+    code = ResultCode.QUEUE_FULL
--- a/packages/routing/src/oriolegauge/routing/serverchooser.py
+++ b/packages/routing/src/oriolegauge/routing/serverchooser.py
@@ -201,6 +201,10 @@
         """Return the requests of all daemons known to run on the server."""
         return self._record(name).running + self._peer(name).requests
 
+    def is_reachable(self, name: str, now: float) -> bool:
+        """State whether the server is not left out after a failed attempt."""
+        return self._record(name).unreachable_until <= now
+
     def own_loads(self) -> dict[str, PeerLoad]:
         """Return the load of this daemon by server, for its peers."""
         return {
