Pass requests through the admission gate if settings ask for it

The gate comes after the checks that refuse at once and before tokens are reserved, so that a waiting request binds none. Loads are fetched for it only while a service was short of slots lately; a quiet fleet sends no more messages. Streams that are taken up pass it, since their caller holds a part of the answer.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from oriolegauge.admission.scarcity import Supply
 from oriolegauge.core.errors import NoServerError
 from oriolegauge.forwarding.backendserver import BackendServer
 from oriolegauge.forwarding.connectionpool import ConnectionPool
@@ -55,6 +56,10 @@
         Return whether they are known.
         """
 
+    @property
+    def is_fresh(self) -> bool:
+        """State whether the loads were fetched a fraction of a second ago."""
+
     def changed(self) -> None:
         """Schedule a report of this daemon's load to the others."""
 
@@ -110,6 +115,7 @@
         connection_limit: Callable[[str], int],
     ) -> None:
         """Keep at most `connection_limit(service)` connections per server."""
+        self._on_rejected: Callable[[str], None] | None = None
         self._directory = directory
         self._chooser = chooser
         self._pool = pool
@@ -123,6 +129,10 @@
         self._connection_limit = connection_limit
         self._clock = asyncio.get_running_loop().time
 
+    def report_rejections(self, on_rejected: Callable[[str], None]) -> None:
+        """Call `on_rejected` with a service whenever a server of it is full."""
+        self._on_rejected = on_rejected
+
     def has_server(
         self,
         service: str,
@@ -135,6 +145,27 @@
         """
         return bool(self._candidates(service, excluded, version))
 
+    def supply(self, context: RequestContext) -> Supply:
+        """Return how loaded the servers are that may serve the request.
+
+        Full servers that asked for a pause count, unreachable ones don't.
+        """
+        now = self._clock()
+        candidates = [
+            Candidate(
+                name=server.instance, zone=server.zone, slots=server.slots
+            )
+            for server in self._directory.of_service(context.service)
+            if self._chooser.is_reachable(server.instance, now)
+        ]
+        room = self._chooser.room(candidates, context.work, now)
+        return Supply(
+            busy_share=room.busy_share,
+            wait_s=room.wait_s,
+            reading_s=room.reading_s,
+            slots=sum(candidate.slots for candidate in candidates),
+        )
+
     def rejection(self, context: RequestContext) -> NoServerError:
         """Return the error for a request that full servers have rejected."""
         return self._no_server(
@@ -203,6 +234,10 @@
         attempt.ok = reply.status < FIRST_SERVER_ERROR or is_full
         if not (is_full or reply.header(self._names.not_run)):
             self.record_first_part(attempt)
+        elif self._on_rejected and not (
+            reply.status == MISDIRECTED or reply.header(self._names.leaving)
+        ):
+            self._on_rejected(attempt.context.service)
 
     def record_first_part(self, attempt: Attempt) -> None:
         """Record the time to the first part of the answer."""
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from oriolegauge.admission import HostLink
+from oriolegauge.admission import HostLink, LoadGate
 from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.core.errors import (
     DrainingError,
@@ -21,10 +21,15 @@
     UnauthenticatedError,
 )
 from oriolegauge.core.runstate import RunState
+from oriolegauge.forwarding.admissiongate import AdmissionGate
 from oriolegauge.forwarding.answer import Answer
 from oriolegauge.forwarding.callerconnection import STOPPING_RETRY_AFTER_S
 from oriolegauge.forwarding.callerrequest import CallerRequest
-from oriolegauge.forwarding.dispatcher import MS_PER_S, Dispatcher
+from oriolegauge.forwarding.dispatcher import (
+    MS_PER_S,
+    Dispatcher,
+    FleetLoads,
+)
 from oriolegauge.forwarding.drainplan import DrainPlan
 from oriolegauge.forwarding.errors import CallerDisconnectedError
 from oriolegauge.forwarding.exchange import ExchangeDependencies
@@ -100,6 +105,7 @@
 
         `buffers` bounds the bytes of servers' replies that are held in memory.
         """
+        self._gate: AdmissionGate | None = None
         self._names = names
         self._budget = budget
         self._link = link
@@ -112,6 +118,7 @@
         self._route_table: RouteTable | None = None
         self._drain_plan: DrainPlan | None = None
         self._drain_timeouts: set[asyncio.Timeout] = set()
+        self._dispatcher = dispatcher
         dependencies = ExchangeDependencies(
             dispatcher=dispatcher,
             names=names,
@@ -133,6 +140,31 @@
         """Return the routes of the configuration in force, if it is known."""
         return self._route_table
 
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait for a slot of a server."""
+        return len(self._gate) if self._gate else 0
+
+    def adapt_to_load(
+        self,
+        *,
+        loads: FleetLoads,
+        members: Callable[[], int],
+        max_bytes: int,
+    ) -> None:
+        """Delay or refuse requests while slots of servers are short.
+
+        `members` returns the number of daemons; bodies of waiting requests have
+        `max_bytes` together.
+        """
+        self._gate = AdmissionGate(
+            gate=LoadGate(rng=self._rng, members=members, max_bytes=max_bytes),
+            dispatcher=self._dispatcher,
+            loads=loads,
+            metrics=self._metrics,
+            rng=self._rng,
+        )
+
     def set_route_table(self, route_table: RouteTable) -> None:
         """Apply a version of the configuration to new requests."""
         self._route_table = route_table
@@ -284,6 +316,9 @@
         self._retries.request(context.service)
         body_bytes = len(context.request.body)
         self._link.check(body_bytes, context.route.objective_s)
+        # The caller of a stream that is taken up already holds a part of it.
+        if self._gate and not context.request.header(self._names.resumes):
+            await self._gate.admit(context)
         self._link.sent(body_bytes)
         reservation = None
         tokens = context.work.prompt_tokens + context.work.output_tokens
@@ -304,6 +339,8 @@
                 ),
             ) from None
         finally:
+            if self._gate:
+                self._gate.ended(context, trace)
             if reservation:
                 self._budget.settle(reservation, _used(context, trace))
 
--- a/packages/forwarding/src/oriolegauge/forwarding/forwardmetrics.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwardmetrics.py
@@ -41,6 +41,16 @@
             'Sends to backend servers by service.',
             registry=self._registry,
         )
+        self._held_back = Counter(
+            'oriolegauge_held_back_total',
+            'Requests that waited for a slot, by priority.',
+            registry=self._registry,
+        )
+        self._shed = Counter(
+            'oriolegauge_shed_total',
+            'Requests refused for lack of capacity, by priority.',
+            registry=self._registry,
+        )
         self._first = Histogram(
             'oriolegauge_first_answer_seconds',
             'Time to the first byte of the answer.',
@@ -75,6 +85,14 @@
         """Count sends to servers of the service."""
         self._attempts.add({'service': service}, count)
 
+    def held_back(self, priority: int) -> None:
+        """Count a request that waits for a slot."""
+        self._held_back.inc({'priority': str(priority)})
+
+    def shed(self, priority: int) -> None:
+        """Count a request that was refused for lack of capacity."""
+        self._shed.inc({'priority': str(priority)})
+
     def render(self, accept: str) -> tuple[bytes, Mapping[str, str]]:
         """Return the metrics in an accepted format, and the HTTP headers."""
         return self._registry.render(accept)
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -219,6 +219,8 @@
 class NoOtherDaemons:
     """Fake the load exchange of a fleet with one daemon."""
 
+    is_fresh = True
+
     async def refresh(self, parts=()):
         await asyncio.sleep(0)
         return False
@@ -291,6 +293,7 @@
         routes=ROUTES,
         credit=10,
         workspace='team',
+        is_gated=False,
     ):
         self.servers = servers
         self.budget = FakeBudget()
@@ -298,6 +301,7 @@
         self.routes = routes
         self.credit = credit
         self.workspace = workspace
+        self.is_gated = is_gated
         self.versions = FakeVersions()
         # Of each server, if they differ.
         self.server_versions = {}
@@ -368,6 +372,10 @@
             versions=self.versions,
             rng=random.Random(1),
         )
+        if self.is_gated:
+            self.forwarder.adapt_to_load(
+                loads=self.loads, members=lambda: 1, max_bytes=100_000
+            )
         self.forwarder.set_route_table(
             RouteTable(
                 ForwardingConfig(
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -74,6 +74,8 @@
 # memory.
 REPLY_BUFFER_SHARE = 0.06
 REQUEST_BUFFER_SHARE = 0.12
+# Share for the bodies of requests that wait for a slot of a server.
+WAITING_BUFFER_SHARE = 0.04
 RELOADABLE = ('grace_s', 'retry_share', 'retry_slack')
 
 log = structlog.get_logger()
@@ -269,6 +271,12 @@
             versions=self._versions,
             rng=self._rng,
         )
+        if settings.adapts_to_load:
+            self._forwarder.adapt_to_load(
+                loads=self._links.loads,
+                members=lambda: self._links.members,
+                max_bytes=int(settings.memory_bytes * WAITING_BUFFER_SHARE),
+            )
         self._listener = CallerListener(
             handler=self._forwarder.handle,
             limits=self._caller_limits,
@@ -568,6 +576,7 @@
     def _gauges(self) -> Mapping[str, float]:
         return {
             'requests_running': self._forwarder.running,
+            'requests_waiting': self._forwarder.waiting,
             'caller_connections': self._listener.connections,
             'peers_linked': self._links.linked,
             'link_congested': float(self._link.is_congested),
--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -24,6 +24,7 @@
     `cores` and `link_mbps` are the capacity of the host.
     `memory_bytes` is the memory that the process may use.
     `grace_s` is the time between SIGTERM and the exit of the process.
+    `adapts_to_load` turns on the admission gate and learned server speeds.
     `is_first_start` states that the whole fleet starts for the first time.
     """
 
@@ -53,6 +54,7 @@
     peer_timeout_s: float = 0.6
     max_peer_message_bytes: int = 8 * 1024 * 1024
     connect_timeout_s: float = 0.3
+    adapts_to_load: bool = False
 
     def drain_plan(self, began_at: float) -> DrainPlan:
         """Return the plan of a stop that began at the loop time (s)."""
