--- a/packages/admission/src/oriolegauge/admission/classmarks.py
+++ b/packages/admission/src/oriolegauge/admission/classmarks.py
@@ -11,7 +11,7 @@
 SEEN_S = 10.0
 # Bounds of the step, and by how much it changes at once.
 MIN_STEP = 1 / 16
-MAX_STEP = 1 / 4
+MAX_STEP = 1 / 8
 STEP_CHANGE = 1 / 16
 # The least urgent class may fill the slots up to this share in any case, which
 # is above the one below which refusals are mistakes.
--- a/packages/admission/src/oriolegauge/admission/loadgate.py
+++ b/packages/admission/src/oriolegauge/admission/loadgate.py
@@ -36,8 +36,10 @@
         )
         self._services: dict[str, ServiceGate] = {}
 
-    def __len__(self) -> int:
-        return sum(len(gate) for gate in self._services.values())
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return sum(gate.waiting for gate in self._services.values())
 
     def service(self, name: str) -> ServiceGate:
         """Return the gate of a service."""
--- a/packages/admission/src/oriolegauge/admission/servicegate.py
+++ b/packages/admission/src/oriolegauge/admission/servicegate.py
@@ -92,7 +92,9 @@
         self._scarce_at = -math.inf
         self._claimed_since = math.inf
 
-    def __len__(self) -> int:
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
         return len(self._line)
 
     def is_tight(self, now: float) -> bool:
--- a/packages/forwarding/src/oriolegauge/forwarding/admissiongate.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/admissiongate.py
@@ -61,8 +61,10 @@
         self._tasks = TaskSet()
         self._refreshed_at = -RECENT_S
 
-    def __len__(self) -> int:
-        return len(self._gate)
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return self._gate.waiting
 
     async def admit(self, context: RequestContext) -> None:
         """Return when the request may be sent.
@@ -126,7 +128,8 @@
             async with asyncio.timeout_at(place.due_at):
                 await turn.future
         except TimeoutError:
-            if not turn.future.done():
+            # A turn that was given at the same moment counts.
+            if turn.future.cancelled():
                 return gate.due(place.number, self._look, self._clock())
         finally:
             self._turns.pop(place.number)
@@ -162,7 +165,7 @@
 
     def _release(self, service: str) -> None:
         gate = self._gate.service(service)
-        if not gate:
+        if not gate.waiting:
             return
         for number in gate.release(self._look, self._clock()):
             future = self._turns[number].future
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -143,7 +143,7 @@
     @property
     def waiting(self) -> int:
         """Return the number of requests that wait for a slot of a server."""
-        return len(self._gate) if self._gate else 0
+        return self._gate.waiting if self._gate else 0
 
     def adapt_to_load(
         self,
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -172,8 +172,10 @@
 
     error: OriolegaugeError | None = None
     settled: list[tuple[int, int]] = field(default_factory=list)
+    reserved: list[int] = field(default_factory=list)
 
     async def reserve(self, team, tokens, until):
+        self.reserved.append(tokens)
         if self.error:
             raise self.error
         return Reservation(team, tokens)
