Give workspaces equal turns at the gate and test it in a simulated fleet

Among requests that are refused on arrival a workspace got slots in proportion to what it sent.

A kind that was refused whole stayed so, as its floor was a share of nothing; a tenth of each kind now goes on, and its answers refute wrong loads. The step between marks follows averages of the loads: with times since a bound was crossed the daemons' marks stayed apart for more than a second.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     'bench.grantpolicies',
     'bench.wire',
     'bench.costs',
+    'bench.sheddingcosts',
     'bench.fleetcosts',
 )
 
--- a/packages/admission/src/oriolegauge/admission/admittedshares.py
+++ b/packages/admission/src/oriolegauge/admission/admittedshares.py
@@ -12,6 +12,9 @@
 # still fail, so the floors lie above.
 GROUP_FLOOR = 0.3
 SIZE_FLOOR = 0.65
+# Share of a kind that is admitted even if hardly anything else is. Its answers
+# tell whether the loads by which the rest is refused are right.
+LEAST_FLOOR = 0.1
 # Weight of one request in the share of all that were admitted.
 SMOOTHING = 0.05
 # Floors make up for no more than this many refusals at once.
@@ -35,7 +38,8 @@
 
         `size` is 0 for the sizes of a kind that have no floor of their own.
         """
-        self._earn(('kind', kind), GROUP_FLOOR * self._share('all'))
+        floor = max(LEAST_FLOOR, GROUP_FLOOR * self._share('all'))
+        self._earn(('kind', kind), floor)
         if workspace is not None:
             self._earn(('team', workspace), GROUP_FLOOR * self._share('all'))
         if size:
@@ -43,8 +47,13 @@
             # At most twice the refusals of the kind, and half its admissions.
             floor = max(2 * share - 1, SIZE_FLOOR * share)
             self._earn(('size', kind, size), floor)
+        return self.owes(kind=kind, workspace=workspace, size=size)
+
+    def owes(self, *, kind: str, workspace: str | None, size: int) -> bool:
+        """State whether a floor owes an admission to such a request."""
         return any(
-            self._credits[key] >= 1 for key in _keys(kind, workspace, size)
+            self._credits.get(key, 0) >= 1
+            for key in _keys(kind, workspace, size)
         )
 
     def note(
--- a/packages/admission/src/oriolegauge/admission/classmarks.py
+++ b/packages/admission/src/oriolegauge/admission/classmarks.py
@@ -16,12 +16,16 @@
 # The least urgent class may fill the slots up to this share in any case, which
 # is above the one below which refusals are mistakes.
 LOWEST_MARK = 0.6
-# The step grows if less than half of it stays free for the first time, and
-# falls if clearly more does for the second one, which is that of several
-# requests. Loads are averaged over SMOOTHING_S, as single bursts are no trend.
-RISE_AFTER_S = 0.3
-FALL_AFTER_S = 2.0
-SMOOTHING_S = 0.3
+# The step grows if less than half of it stays free, averaged over the first
+# time, and falls if clearly more does, averaged over the second one, which is
+# that of several requests. Averages of shared loads, unlike times since a bound
+# was crossed, are nearly the same on all daemons.
+RISE_AVERAGE_S = 0.3
+FALL_AVERAGE_S = 2.0
+# A lower class that fills the slots up to its mark must not let the step fall.
+FALL_GAP = 2 * STEP_CHANGE
+# After a change the loads need this time to follow.
+SETTLE_S = 1.0
 
 
 class ClassMarks:
@@ -31,10 +35,12 @@
         """Start with the smallest step and no class."""
         self._seen: dict[int, float] = {}
         self._step = MIN_STEP
-        self._pressed_since = math.inf
-        self._calm_since = math.inf
-        self._busy: float = 0
+        self._averages: dict[float, float] = {
+            RISE_AVERAGE_S: 0,
+            FALL_AVERAGE_S: 0,
+        }
         self._noted_at = -math.inf
+        self._changed_at = -math.inf
 
     @property
     def step(self) -> float:
@@ -67,22 +73,21 @@
 
     def note_busy(self, busy_share: float, now: float) -> None:
         """Adapt the step to the share of slots that are taken."""
-        fade = math.exp(-max(0, now - self._noted_at) / SMOOTHING_S)
+        passed = max(0, now - self._noted_at)
         self._noted_at = max(now, self._noted_at)
-        self._busy = busy_share + (self._busy - busy_share) * fade
-        pressed_from = 1 - self._step / 2
-        if self._busy >= pressed_from:
-            self._calm_since = math.inf
-            self._pressed_since = min(self._pressed_since, now)
-            if now - self._pressed_since >= RISE_AFTER_S:
-                self._step = min(MAX_STEP, self._step + STEP_CHANGE)
-                self._pressed_since = now
+        for span_s, known in self._averages.items():
+            fade = math.exp(-passed / span_s)
+            self._averages[span_s] = busy_share + (known - busy_share) * fade
+        if now - self._changed_at < SETTLE_S:
             return
-        self._pressed_since = math.inf
-        if self._busy >= pressed_from - STEP_CHANGE:
-            self._calm_since = math.inf
-            return
-        self._calm_since = min(self._calm_since, now)
-        if now - self._calm_since >= FALL_AFTER_S:
-            self._step = max(MIN_STEP, self._step - STEP_CHANGE)
-            self._calm_since = now
+        bound = 1 - self._step / 2
+        if self._averages[RISE_AVERAGE_S] >= bound:
+            self._change(STEP_CHANGE, now)
+        elif self._averages[FALL_AVERAGE_S] < bound - FALL_GAP:
+            self._change(-STEP_CHANGE, now)
+
+    def _change(self, change: float, now: float) -> None:
+        step = min(MAX_STEP, max(MIN_STEP, self._step + change))
+        if step != self._step:
+            self._step = step
+            self._changed_at = now
--- a/packages/admission/src/oriolegauge/admission/servicegate.py
+++ b/packages/admission/src/oriolegauge/admission/servicegate.py
@@ -16,7 +16,6 @@
     GoOn,
     Need,
     Refuse,
-    Scarce,
     Supply,
     Wait,
     assess,
@@ -29,6 +28,7 @@
     WaitingRequest,
 )
 from oriolegauge.admission.workrates import WorkRates
+from oriolegauge.admission.workspaceshares import WorkspaceShares
 
 # Each class that waits gets this share of what is admitted.
 CLASS_FLOOR = 0.05
@@ -49,6 +49,11 @@
 # Loads that claim a shortage for this time while all answers are prompt are
 # wrong. A true one ends sooner, since the gate lets requests end.
 CLAIM_S = 3.0
+# While slots are short, a workspace waits that much longer for each equal share
+# of the work that it had beyond its own.
+TURN_S = 1.0
+# Slots count as short for this time after a request found none free.
+SCARCE_S = 0.25
 # Refused callers return spread over this further share of the time told.
 RETRY_JITTER = 0.25
 MIN_RETRY_S = 0.2
@@ -81,6 +86,7 @@
         self._line = WaitingLine(tools.bounds)
         self._experience = OwnExperience()
         self._rates = WorkRates()
+        self._workspaces = WorkspaceShares()
         self._pauses: dict[str, tuple[float, float]] = {}
         self._mean_prompt: float = 0
         self._mean_work_s: float = 0
@@ -90,6 +96,7 @@
         self._blind_credits: dict[int, float] = {}
         self._sizes: dict[int, int] = {}
         self._scarce_at = -math.inf
+        self._class_scarce_at: dict[int, float] = {}
         self._claimed_since = math.inf
 
     @property
@@ -139,6 +146,13 @@
         decision: Decision = GoOn()
         if not waiting.is_promised:
             decision = self._decide(request, look(request), now, is_held=True)
+            is_owed = self._tools.shares.owes(
+                kind=request.kind,
+                workspace=request.workspace or None,
+                size=size,
+            )
+            if isinstance(decision, Refuse) and is_owed:
+                decision = GoOn()
         return decision, self._apply(decision, request, size, now)
 
     def release(self, look: Look, now: float) -> list[int]:
@@ -154,7 +168,7 @@
                     break
                 self._line.remove(waiting.number)
                 size = self._sizes.pop(waiting.number, 0)
-                self._note_admitted(waiting.request, size)
+                self._note_admitted(waiting.request, size, now)
                 released.append(waiting.number)
         return released
 
@@ -223,14 +237,13 @@
         need = self._need(request, now)
         if is_held:
             need = replace(need, hold_s=0)
-        condition = assess(
-            need,
-            supply,
-            queue_s=self._queue_s(request, supply, now),
-            has_line=not is_held and self._must_queue(request, now),
-        )
-        if isinstance(condition, Scarce):
+        queue_s = self._queue_s(request, supply, now)
+        condition = assess(need, supply, queue_s=queue_s, has_line=False)
+        if not isinstance(condition, Ample):
             self._scarce_at = now
+            self._class_scarce_at[request.priority] = now
+        elif not is_held and self._must_queue(request, now):
+            condition = assess(need, supply, queue_s=queue_s, has_line=True)
         decision = decide(need, condition)
         if isinstance(decision, Refuse):
             return replace(
@@ -246,9 +259,18 @@
         """
         if self._line.has_before(request.priority):
             return True
+        scarce_at = self._class_scarce_at.get(request.priority, -math.inf)
+        if now - scarce_at < SCARCE_S and self._turn_s(request):
+            return True
         is_paced = self._marks.rank(request.priority) and self.is_tight(now)
         return bool(is_paced) and self._free_slots < 1
 
+    def _turn_s(self, request: GatedRequest) -> float:
+        """Return the time until it is the turn of the request's workspace."""
+        return TURN_S * self._workspaces.excess(
+            request.priority, request.workspace
+        )
+
     def _contradicts(
         self, request: GatedRequest, supply: Supply, now: float
     ) -> bool:
@@ -319,7 +341,8 @@
         # Slots taken beyond the mark are free again after a mean slot time.
         excess = max(0, supply.busy_share * need.share_ahead - need.mark)
         return (
-            excess * self._mean_work_s
+            self._turn_s(request)
+            + excess * self._mean_work_s
             + urgent_s / total_rate
             + (own_s + work_s) / own_rate
         )
@@ -338,7 +361,7 @@
         """Record a decision; return the request's place if it waits."""
         match decision:
             case GoOn():
-                self._note_admitted(request, size)
+                self._note_admitted(request, size, now)
             case Wait():
                 return self._enter(request, decision, size, now)
             case Refuse():
@@ -401,9 +424,12 @@
         self._rates.add(request.priority, work_s, now)
         self._mean_work_s += WORK_SMOOTHING * (work_s - self._mean_work_s)
 
-    def _note_admitted(self, request: GatedRequest, size: int) -> None:
+    def _note_admitted(
+        self, request: GatedRequest, size: int, now: float
+    ) -> None:
         work_s = self._work_s(request)
         self._line.charge(request, work_s)
+        self._workspaces.add(request.priority, request.workspace, work_s, now)
         earned = work_s * CLASS_FLOOR / (1 - CLASS_FLOOR)
         for priority in self._line.priorities:
             if priority != request.priority:
--- a/packages/admission/src/oriolegauge/admission/waitingline.py
+++ b/packages/admission/src/oriolegauge/admission/waitingline.py
@@ -67,6 +67,7 @@
         self.counts: Counter[str] = Counter()
         self.bytes: Counter[str] = Counter()
         self.work: dict[str, float] = {}
+        self.work_by_objective: Counter[float] = Counter()
         self.counters = TeamCounters()
 
 
@@ -110,6 +111,7 @@
         held.counts[workspace] += 1
         held.bytes[workspace] += request.body_bytes
         held.work[workspace] = held.work.get(workspace, 0) + waiting.work_s
+        held.work_by_objective[request.objective_s] += waiting.work_s
         self._waiting[waiting.number] = waiting
         self._bounds.add(1, request.body_bytes)
 
@@ -136,6 +138,7 @@
         held.counts[workspace] -= 1
         held.bytes[workspace] -= request.body_bytes
         held.work[workspace] -= waiting.work_s
+        held.work_by_objective[request.objective_s] -= waiting.work_s
         if not held.counts[workspace]:
             del held.heaps[workspace]
             for known in (held.counts, held.bytes, held.work):
@@ -166,7 +169,8 @@
     def work_before(self, request: GatedRequest) -> tuple[float, float]:
         """Return the work ahead in more urgent classes and in its own.
 
-        Each other workspace is served at most as much as its own meanwhile.
+        Each other workspace is served at most as much as its own meanwhile, and
+        requests with a longer objective have more slack.
         """
         urgent = sum(
             self.work_s(known)
@@ -180,7 +184,12 @@
         in_turn = held.work.get(request.workspace, 0) * workspaces
         # Of each other workspace one request goes first at least.
         ahead = max(in_turn, self._heads_work(held, request.workspace))
-        return urgent, min(sum(held.work.values()), ahead)
+        earlier = sum(
+            work
+            for objective_s, work in held.work_by_objective.items()
+            if objective_s <= request.objective_s
+        )
+        return urgent, min(earlier, ahead)
 
     def _heads_work(self, held: _Class, workspace: str) -> float:
         return sum(
--- a/packages/admission/tests/simulatedfleet.py
+++ b/packages/admission/tests/simulatedfleet.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
@@ -42,6 +43,7 @@
     held_then_refused: int = 0
     longest_lost_hold: float = 0
     waited: int = 0
+    sent: int = 0
 
     @property
     def refused(self):
@@ -69,7 +71,8 @@
     seed: int = 1
     is_gated: bool = True
     has_loads: bool = True
-    load_factor: float = 1.0
+    phantom_share: float = 0
+    loads_until: float = math.inf
     teams: int = 8
     team_weights: tuple = ()
     now: float = 0
@@ -94,6 +97,7 @@
         self.admitted_by_daemon = Counter()
         self.steps = []
         self.viewed = 0
+        self.least_busy = 1.0
         self.unseen = Counter()
 
     def run(self, seconds):
@@ -118,6 +122,8 @@
         self.busy.append(self.viewed / (self.servers * self.slots))
         marks = {gate.service(SERVICE)._marks.step for gate in self.gates}
         self.steps.append(marks)
+        if self.now >= self.loads_until:
+            self.has_loads = False
         self.at(self.now + VIEW_S, self.view)
 
     def look(self, call):
@@ -130,7 +136,7 @@
         slots = self.servers * self.slots
         # A daemon knows its own sends at once.
         taken = self.viewed + self.unseen[daemon]
-        share = self.load_factor * taken / slots
+        share = self.phantom_share + taken / slots
         return Supply(
             busy_share=share,
             wait_s=reading_s + max(0, share - 1) * slot_s,
@@ -222,6 +228,10 @@
 
     def refuse(self, call, *, is_held=False):
         held_s = self.now - call.request.arrived_at
+        taken = sum(self.running) + sum(map(len, self.queued))
+        self.least_busy = min(
+            self.least_busy, taken / (self.servers * self.slots)
+        )
         for key in self.keys(call):
             total = self.totals[key]
             if held_s > 0.001 or is_held:
@@ -233,6 +243,8 @@
 
     def send(self, call):
         self.admitted_by_daemon[call.daemon] += 1
+        for key in self.keys(call):
+            self.totals[key].sent += 1
         self.unseen[call.daemon] += 1
         chosen = self.rng.sample(range(self.servers), 3)
         server = min(
--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -39,6 +39,9 @@
 # A full server that sent no Retry-After accepts work again as soon as one of
 # its requests has ended.
 RETRY_AFTER_REJECTED_S = 0.15
+# While less of the slots is taken no request is refused, and the cost of
+# estimating waits is saved.
+AMPLE_SHARE = 0.45
 MS_PER_S = 1000
 CONTROL_CHARACTERS = re.compile(r'[\x00-\x1f\x7f]')
 FIRST_SERVER_ERROR = 500
@@ -148,22 +151,36 @@
     def supply(self, context: RequestContext) -> Supply:
         """Return how loaded the servers are that may serve the request.
 
-        Full servers that asked for a pause count, unreachable ones don't.
+        Full servers that asked for a pause count, unreachable ones don't. While
+        clearly less than half of the slots are taken, waits are not estimated.
         """
         now = self._clock()
-        candidates = [
-            Candidate(
-                name=server.instance, zone=server.zone, slots=server.slots
-            )
+        servers = [
+            server
             for server in self._directory.of_service(context.service)
             if self._chooser.is_reachable(server.instance, now)
         ]
-        room = self._chooser.room(candidates, context.work, now)
+        slots = sum([server.slots for server in servers])
+        running = self._chooser.running(server.instance for server in servers)
+        if running < slots * AMPLE_SHARE:
+            return Supply(
+                busy_share=running / slots, wait_s=0, reading_s=0, slots=slots
+            )
+        room = self._chooser.room(
+            [
+                Candidate(
+                    name=server.instance, zone=server.zone, slots=server.slots
+                )
+                for server in servers
+            ],
+            context.work,
+            now,
+        )
         return Supply(
             busy_share=room.busy_share,
             wait_s=room.wait_s,
             reading_s=room.reading_s,
-            slots=sum(candidate.slots for candidate in candidates),
+            slots=slots,
         )
 
     def rejection(self, context: RequestContext) -> NoServerError:
--- a/packages/routing/src/oriolegauge/routing/serverchooser.py
+++ b/packages/routing/src/oriolegauge/routing/serverchooser.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import Counter, deque
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from operator import attrgetter, itemgetter
 
@@ -201,6 +201,15 @@
         """Return the requests of all daemons known to run on the server."""
         return self._record(name).running + self._peer(name).requests
 
+    def running(self, names: Iterable[str]) -> int:
+        """Return the requests of all daemons that run on the servers."""
+        records, peers = self._records, self._peers
+        return sum(
+            (records[name].running if name in records else 0)
+            + (peers[name].requests if name in peers else 0)
+            for name in names
+        )
+
     def is_reachable(self, name: str, now: float) -> bool:
         """State whether the server is not left out after a failed attempt."""
         return self._record(name).unreachable_until <= now
