Expect waits for slots by the slots themselves, not by own admissions

The wait now follows from the slots, the line here times the number of daemons, and a factor that grows with promises that ended without a slot.

--- a/packages/admission/src/oriolegauge/admission/classmarks.py
+++ b/packages/admission/src/oriolegauge/admission/classmarks.py
@@ -16,14 +16,15 @@
 # The least urgent class may fill the slots up to this share in any case, which
 # is above the one below which refusals are mistakes.
 LOWEST_MARK = 0.6
-# The step grows if less than half of it stays free, averaged over the first
-# time, and falls if clearly more does, averaged over the second one, which is
-# that of several requests. Averages of shared loads, unlike times since a bound
-# was crossed, are nearly the same on all daemons.
+# The step grows if less than a quarter of it stays free, averaged over the first
+# time, and falls if the lower classes stay clearly below their marks, averaged
+# over the second one too, which is that of several requests. Averages of shared
+# loads, unlike times since a bound was crossed, are nearly the same everywhere.
+FREE_SHARE = 1 / 4
 RISE_AVERAGE_S = 0.3
-FALL_AVERAGE_S = 2.0
+FALL_AVERAGE_S = 4.0
 # A lower class that fills the slots up to its mark must not let the step fall.
-FALL_GAP = 2 * STEP_CHANGE
+FALL_GAP = 1 / 16
 # After a change the loads need this time to follow.
 SETTLE_S = 1.0
 
@@ -66,6 +67,11 @@
         """Return the share of the slots that a class may fill."""
         return max(LOWEST_MARK, 1 - self.rank(priority) * self._step)
 
+    @property
+    def average_busy(self) -> float:
+        """Return the share of taken slots, averaged over a short time."""
+        return self._averages[RISE_AVERAGE_S]
+
     @property
     def lowest(self) -> float:
         """Return the mark of the least urgent class."""
@@ -80,10 +86,9 @@
             self._averages[span_s] = busy_share + (known - busy_share) * fade
         if now - self._changed_at < SETTLE_S:
             return
-        bound = 1 - self._step / 2
-        if self._averages[RISE_AVERAGE_S] >= bound:
+        if self.average_busy >= 1 - FREE_SHARE * self._step:
             self._change(STEP_CHANGE, now)
-        elif self._averages[FALL_AVERAGE_S] < bound - FALL_GAP:
+        elif max(self._averages.values()) < 1 - self._step - FALL_GAP:
             self._change(-STEP_CHANGE, now)
 
     def _change(self, change: float, now: float) -> None:
--- a/packages/admission/src/oriolegauge/admission/ownexperience.py
+++ b/packages/admission/src/oriolegauge/admission/ownexperience.py
@@ -14,6 +14,8 @@
 CALM_HALF_LIFE_S = 5.0
 # Fewer samples tell nothing.
 MIN_SAMPLES = 3.0
+# Answers within this share of their objective did not wait for a slot long.
+PROMPT_SHARE = 0.5
 # Below this share of late or rejected requests the service is not short.
 CALM_SHARE = 0.1
 # Without loads the admitted share falls by a step in each period in which more
@@ -59,10 +61,11 @@
         self._cut: float = 0
         self._cut_at: float = 0
 
-    def answered(self, now: float, *, on_time: bool) -> None:
-        """Record a first answer."""
-        for count in (self._count, self._lasting):
-            count.add(now, late=not on_time, rejected=False)
+    def answered(self, now: float, objective_share: float) -> None:
+        """Record a first answer after that share of its objective."""
+        self._count.add(now, late=objective_share > 1, rejected=False)
+        is_slow = objective_share > PROMPT_SHARE
+        self._lasting.add(now, late=is_slow, rejected=False)
 
     def rejected(self, now: float) -> None:
         """Record that a full server rejected a request."""
--- a/packages/admission/src/oriolegauge/admission/scarcity.py
+++ b/packages/admission/src/oriolegauge/admission/scarcity.py
@@ -67,8 +67,8 @@
 class Scarce:
     """State that a slot may be had after others.
 
-    The request can wait for `slack_s` and still meet its objective. Those
-    ahead of it take `queue_s`, or None if that is unknown.
+    The request can wait for `slack_s` and still meet its objective. It is
+    expected to get a slot after `queue_s`, None if that is unknown.
     """
 
     slack_s: float
@@ -144,20 +144,22 @@
             hold_s = min(need.hold_s, slack_s)
             return Wait(hold_s, is_promised=True) if hold_s > 0 else GoOn()
         case Scarce(slack_s=slack_s, queue_s=queue_s) if slack_s <= 0:
-            late_s = (queue_s or 0) - slack_s
+            late_s = (queue_s or need.objective_s) - slack_s
             return Refuse('the objective can not be met', late_s)
         case Scarce(queue_s=float(queue_s), slack_s=slack_s) if (
             queue_s <= SURE_SHARE * slack_s
         ):
             return Wait(slack_s, is_promised=True)
         case Scarce(queue_s=float(queue_s), slack_s=slack_s) if (
-            queue_s > slack_s or need.hold_s <= 0
+            queue_s > slack_s
         ):
             return Refuse('no slot is expected in time', queue_s)
-        case Scarce(slack_s=slack_s) if need.hold_s > 0:
-            return Wait(min(need.hold_s, slack_s), is_promised=False)
+        case Scarce(queue_s=queue_s) if need.hold_s <= 0:
+            return Refuse(
+                'no slot was free in time', queue_s or need.objective_s
+            )
         case Scarce(slack_s=slack_s):
-            return Refuse('no slot was free in time', need.objective_s)
+            return Wait(min(need.hold_s, slack_s), is_promised=False)
 
 
 def _is_slow(need: Need, supply: Supply) -> bool:
--- a/packages/admission/src/oriolegauge/admission/servicegate.py
+++ b/packages/admission/src/oriolegauge/admission/servicegate.py
@@ -6,7 +6,12 @@
 from dataclasses import dataclass, replace
 
 from oriolegauge.admission.admittedshares import AdmittedShares
-from oriolegauge.admission.classmarks import SEEN_S, ClassMarks
+from oriolegauge.admission.classmarks import (
+    RISE_AVERAGE_S,
+    SEEN_S,
+    ClassMarks,
+)
+from oriolegauge.admission.classwork import ClassWork
 from oriolegauge.admission.gatedrequest import GatedRequest
 from oriolegauge.admission.ownexperience import HALF_LIFE_S, OwnExperience
 from oriolegauge.admission.scarcity import (
@@ -27,7 +32,6 @@
     WaitingLine,
     WaitingRequest,
 )
-from oriolegauge.admission.workrates import WorkRates
 from oriolegauge.admission.workspaceshares import WorkspaceShares
 
 # Each class that waits gets this share of what is admitted.
@@ -54,6 +58,14 @@
 TURN_S = 1.0
 # Slots count as short for this time after a request found none free.
 SCARCE_S = 0.25
+# Share of the slots that a class gets at least, beside more urgent ones.
+LEAST_SLOT_SHARE = CLASS_FLOOR
+# Expected waits grow by the first factor for each promise that ended without a
+# free slot, and shrink by the second for each request that found one.
+START_FACTOR = 4.0
+MISSED_FACTOR = 1.5
+FOUND_FACTOR = 0.95
+MAX_FACTOR = 32.0
 # Refused callers return spread over this further share of the time told.
 RETRY_JITTER = 0.25
 MIN_RETRY_S = 0.2
@@ -85,13 +97,14 @@
         self._marks = ClassMarks()
         self._line = WaitingLine(tools.bounds)
         self._experience = OwnExperience()
-        self._rates = WorkRates()
+        self._class_work = ClassWork()
         self._workspaces = WorkspaceShares()
         self._pauses: dict[str, tuple[float, float]] = {}
         self._mean_prompt: float = 0
         self._mean_work_s: float = 0
         self._free_slots: float = 0
         self._is_full = False
+        self._wait_factors: dict[int, float] = {}
         self._floor_credits: dict[int, float] = {}
         self._blind_credits: dict[int, float] = {}
         self._sizes: dict[int, int] = {}
@@ -128,7 +141,6 @@
                 'too many requests wait', self._retry_s(decision.seconds)
             )
         if isinstance(decision, GoOn):
-            self._count_rate(request, now)
             self._free_slots = max(0, self._free_slots - 1)
         if isinstance(decision, Refuse) and is_owed:
             decision = GoOn()
@@ -144,7 +156,9 @@
         size = self._sizes.pop(number, 0)
         request = waiting.request
         decision: Decision = GoOn()
-        if not waiting.is_promised:
+        if waiting.is_promised:
+            self._note_wait(request.priority, found_slot=False)
+        else:
             decision = self._decide(request, look(request), now, is_held=True)
             is_owed = self._tools.shares.owes(
                 kind=request.kind,
@@ -197,9 +211,9 @@
         if not self._is_full:
             self._free_slots = min(MAX_FREED, self._free_slots + 1)
 
-    def answered(self, now: float, *, on_time: bool) -> None:
-        """Record the first answer of a request."""
-        self._experience.answered(now, on_time=on_time)
+    def answered(self, now: float, objective_share: float) -> None:
+        """Record a first answer after that share of its objective."""
+        self._experience.answered(now, objective_share)
 
     def rejected(self, now: float) -> None:
         """Record that a full server rejected a request."""
@@ -231,6 +245,7 @@
     ) -> Decision:
         if supply is None or self._contradicts(request, supply, now):
             return self._decide_blind(request, now)
+        supply = self._averaged(request, supply)
         if math.isinf(supply.wait_s):
             # Without a server the dispatcher tells the reason.
             return GoOn()
@@ -251,6 +266,17 @@
             )
         return decision
 
+    def _averaged(self, request: GatedRequest, supply: Supply) -> Supply:
+        """Return loads that hold for as long as the request.
+
+        Slots that short calls take are free again before others hear of it.
+        """
+        is_known = self._tools.slot_times.is_known(request.kind)
+        if not is_known or self._work_s(request) > RISE_AVERAGE_S:
+            return supply
+        busy_share = min(supply.busy_share, self._marks.average_busy)
+        return replace(supply, busy_share=busy_share)
+
     def _must_queue(self, request: GatedRequest, now: float) -> bool:
         """State whether a new request comes after others.
 
@@ -317,7 +343,9 @@
         """
         if not request.prompt_tokens:
             return 1
-        return self._rates.share_up_to(request.priority, now)
+        if self._marks.rank(request.priority) + 1 >= self._marks.ranks():
+            return 1
+        return self._class_work.share_up_to(request.priority, now)
 
     def _reading_bound_s(self, request: GatedRequest, now: float) -> float:
         if request.prompt_tokens <= self._mean_prompt:
@@ -330,23 +358,34 @@
     def _queue_s(
         self, request: GatedRequest, supply: Supply, now: float
     ) -> float | None:
-        """Return the expected wait for a slot, None if it is unknown."""
-        own_rate = self._rates.rate(request.priority, now)
-        total_rate = self._rates.total(now)
-        if own_rate is None or total_rate is None:
+        """Return the expected wait for a slot, None if it is unknown.
+
+        The other daemons are taken to have as much waiting as this one, so that
+        the estimate is right in the mean over all daemons.
+        """
+        if not self._tools.slot_times.is_known(request.kind):
             return None
-        work_s = self._work_s(request)
-        urgent_s, own_s = self._line.work_before(request)
         need = self._need(request, now)
+        urgent_share = self._class_work.share_up_to(request.priority - 1, now)
+        left = need.mark - min(1, supply.busy_share) * urgent_share
+        slots = supply.slots * max(LEAST_SLOT_SHARE, left)
+        line_s = self._line.work_before(request) * self._tools.members()
         # Slots taken beyond the mark are free again after a mean slot time.
         excess = max(0, supply.busy_share * need.share_ahead - need.mark)
         return (
             self._turn_s(request)
             + excess * self._mean_work_s
-            + urgent_s / total_rate
-            + (own_s + work_s) / own_rate
+            + self._wait_factors.get(request.priority, START_FACTOR)
+            * (line_s + self._work_s(request))
+            / max(1, slots)
         )
 
+    def _note_wait(self, priority: int, *, found_slot: bool) -> None:
+        """Correct the expected wait of a class by what came of the last."""
+        known = self._wait_factors.get(priority, START_FACTOR)
+        change = FOUND_FACTOR if found_slot else MISSED_FACTOR
+        self._wait_factors[priority] = min(MAX_FACTOR, max(1, known * change))
+
     def _work_s(self, request: GatedRequest) -> float:
         return max(
             MIN_WORK_S,
@@ -395,12 +434,15 @@
         supply = look(request)
         if supply is not None:
             condition = assess(
-                self._need(request, now), supply, queue_s=None, has_line=False
+                self._need(request, now),
+                self._averaged(request, supply),
+                queue_s=0,
+                has_line=False,
             )
             if not isinstance(condition, Ample):
                 return False
         self._free_slots -= 1
-        self._count_rate(request, now)
+        self._note_wait(request.priority, found_slot=True)
         return True
 
     def _is_floor_due(self, waiting: WaitingRequest) -> bool:
@@ -415,19 +457,12 @@
         spread = 1 + RETRY_JITTER * self._tools.rng.random()
         return min(MAX_RETRY_S, max(MIN_RETRY_S, seconds)) * spread
 
-    def _count_rate(self, request: GatedRequest, now: float) -> None:
-        """Count a request that found a free slot.
-
-        Those that a floor or a promise admits tell nothing of free slots.
-        """
-        work_s = self._work_s(request)
-        self._rates.add(request.priority, work_s, now)
-        self._mean_work_s += WORK_SMOOTHING * (work_s - self._mean_work_s)
-
     def _note_admitted(
         self, request: GatedRequest, size: int, now: float
     ) -> None:
         work_s = self._work_s(request)
+        self._class_work.add(request.priority, work_s, now)
+        self._mean_work_s += WORK_SMOOTHING * (work_s - self._mean_work_s)
         self._line.charge(request, work_s)
         self._workspaces.add(request.priority, request.workspace, work_s, now)
         earned = work_s * CLASS_FLOOR / (1 - CLASS_FLOOR)
--- a/packages/admission/src/oriolegauge/admission/slottimes.py
+++ b/packages/admission/src/oriolegauge/admission/slottimes.py
@@ -35,6 +35,10 @@
         """Start without samples."""
         self._routes: dict[str, _Route] = {}
 
+    def is_known(self, route: str) -> bool:
+        """State whether a request of the route was answered."""
+        return self._route(route).first_s_per_token is not None
+
     def reading_s(self, route: str, prompt_tokens: int) -> float:
         """Return the expected time until the first event."""
         known = self._route(route).first_s_per_token or 0
--- a/packages/admission/src/oriolegauge/admission/waitingline.py
+++ b/packages/admission/src/oriolegauge/admission/waitingline.py
@@ -166,8 +166,8 @@
             for known, held in self._classes.items()
         )
 
-    def work_before(self, request: GatedRequest) -> tuple[float, float]:
-        """Return the work ahead in more urgent classes and in its own.
+    def work_before(self, request: GatedRequest) -> float:
+        """Return the work that goes before a new request.
 
         Each other workspace is served at most as much as its own meanwhile, and
         requests with a longer objective have more slack.
@@ -179,7 +179,7 @@
         )
         held = self._classes.get(request.priority)
         if held is None:
-            return urgent, 0
+            return urgent
         workspaces = len(held.heaps.keys() | {request.workspace})
         in_turn = held.work.get(request.workspace, 0) * workspaces
         # Of each other workspace one request goes first at least.
@@ -189,7 +189,7 @@
             for objective_s, work in held.work_by_objective.items()
             if objective_s <= request.objective_s
         )
-        return urgent, min(earlier, ahead)
+        return urgent + min(earlier, ahead)
 
     def _heads_work(self, held: _Class, workspace: str) -> float:
         return sum(
--- a/packages/forwarding/src/oriolegauge/forwarding/admissiongate.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/admissiongate.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from dataclasses import dataclass
 
@@ -111,7 +112,8 @@
         is_fluent = not route.longest_pause_s or (
             trace.longest_pause_s <= route.longest_pause_s
         )
-        gate.answered(now, on_time=first_s <= route.objective_s and is_fluent)
+        share = first_s / route.objective_s if is_fluent else math.inf
+        gate.answered(now, share)
         self._gate.ended(
             self._gated(context), first_s=first_s, rest_s=whole_s - first_s
         )
