--- a/packages/admission/src/oriolegauge/admission/classmarks.py
+++ b/packages/admission/src/oriolegauge/admission/classmarks.py
@@ -16,10 +16,11 @@
 # The least urgent class may fill the slots up to this share in any case, which
 # is above the one below which refusals are mistakes.
 LOWEST_MARK = 0.6
-# The step grows if less than a quarter of it stays free, averaged over the first
-# time, and falls if the lower classes stay clearly below their marks, averaged
-# over the second one too, which is that of several requests. Averages of shared
-# loads, unlike times since a bound was crossed, are nearly the same everywhere.
+# The step grows if less than a quarter of it stays free, averaged over the
+# first time, and falls if the lower classes stay clearly below their marks,
+# averaged over the second one too, which is that of several requests. Averages
+# of shared loads, unlike times since a bound was crossed, are nearly the same
+# on all daemons.
 FREE_SHARE = 1 / 4
 RISE_AVERAGE_S = 0.3
 FALL_AVERAGE_S = 4.0
--- a/packages/admission/src/oriolegauge/admission/servicegate.py
+++ b/packages/admission/src/oriolegauge/admission/servicegate.py
@@ -360,10 +360,12 @@
     ) -> float | None:
         """Return the expected wait for a slot, None if it is unknown.
 
+        It is not known for plain calls, which are shorter than loads are old.
         The other daemons are taken to have as much waiting as this one, so that
         the estimate is right in the mean over all daemons.
         """
-        if not self._tools.slot_times.is_known(request.kind):
+        is_known = self._tools.slot_times.is_known(request.kind)
+        if not (request.prompt_tokens and is_known):
             return None
         need = self._need(request, now)
         urgent_share = self._class_work.share_up_to(request.priority - 1, now)
--- a/packages/admission/tests/test_shedding.py
+++ b/packages/admission/tests/test_shedding.py
@@ -143,6 +143,18 @@
             assert served(fleet.totals[one.name]) > 0.5 * all_served(fleet)
         assert statistics.mean(fleet.busy[40:]) > 0.9
 
+    @pytest.mark.parametrize(('per_s', 'least'), [(135, 0.95), (300, 0.45)])
+    def test_plain_calls_are_decided_at_once(self, per_s, least):
+        """Guards against refusals by loads that are older than the calls.
+
+        At 300 calls a second 18 slots serve two thirds at most.
+        """
+        calls = Kind('call', 2, ((0, per_s),), 0.09, 0.09, 0.415, 1.55, 0, 0)
+        fleet = SimulatedFleet((calls,), daemons=68, servers=3, slots=6)
+        total = fleet.run(8).totals['call']
+        assert total.on_time > least * total.offered
+        assert total.longest_lost_hold < 1 / 8
+
 
 class TestFailures:
     @pytest.mark.parametrize('loads_until', [0, 6])
