--- a/packages/admission/src/oriolegauge/admission/scarcity.py
+++ b/packages/admission/src/oriolegauge/admission/scarcity.py
@@ -42,10 +42,11 @@
     """Describe a request at the gate; times are seconds from now.
 
     It may fill the slots up to `mark`. `rank` is 0 in the most urgent class.
-    `objective_left_s` and `left_s` are the times to its objective and deadline,
-    `hold_s` how much longer it may be held if it is then refused. A backlog of
-    `reading_bound_s` leaves no room for the reading of its prompt. Servers put
-    `share_ahead` of the work in their slots before it; it preempts the rest.
+    `left_s` is the time to its deadline, `objective_left_s` that to its
+    objective or deadline, whichever is earlier. `hold_s` is how much longer it
+    may be held if it is then refused. A backlog of `reading_bound_s` leaves no
+    room for the reading of its prompt. Servers put `share_ahead` of the work in
+    their slots before it; it preempts the rest.
     """
 
     rank: int
--- a/packages/admission/src/oriolegauge/admission/servicegate.py
+++ b/packages/admission/src/oriolegauge/admission/servicegate.py
@@ -324,12 +324,13 @@
 
     def _need(self, request: GatedRequest, now: float) -> Need:
         held_s = now - request.arrived_at
+        left_s = request.deadline - now
         return Need(
             rank=self._marks.rank(request.priority),
             mark=self._marks.mark(request.priority),
             objective_s=request.objective_s,
-            objective_left_s=request.objective_s - held_s,
-            left_s=request.deadline - now,
+            objective_left_s=min(request.objective_s - held_s, left_s),
+            left_s=left_s,
             hold_s=HOLD_SHARE * request.objective_s - held_s,
             reading_bound_s=self._reading_bound_s(request, now),
             share_ahead=self._share_ahead(request, now),
@@ -412,7 +413,9 @@
     def _enter(
         self, request: GatedRequest, wait: Wait, size: int, now: float
     ) -> WaitingRequest:
-        ends_at = request.arrived_at + request.objective_s
+        ends_at = min(
+            request.arrived_at + request.objective_s, request.deadline
+        )
         reading_s = self._tools.slot_times.reading_s(
             request.kind, request.prompt_tokens
         )
--- a/packages/forwarding/src/oriolegauge/forwarding/admissiongate.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/admissiongate.py
@@ -112,11 +112,10 @@
         is_fluent = not route.longest_pause_s or (
             trace.longest_pause_s <= route.longest_pause_s
         )
-        share = first_s / route.objective_s if is_fluent else math.inf
+        request = self._gated(context)
+        share = first_s / request.objective_s if is_fluent else math.inf
         gate.answered(now, share)
-        self._gate.ended(
-            self._gated(context), first_s=first_s, rest_s=whole_s - first_s
-        )
+        self._gate.ended(request, first_s=first_s, rest_s=whole_s - first_s)
 
     async def _wait(
         self, context: RequestContext, place: WaitingRequest
@@ -192,7 +191,8 @@
             kind=route.name,
             priority=context.priority,
             workspace=context.workspace or '',
-            objective_s=route.objective_s,
+            # Without an objective an answer by the deadline is on time.
+            objective_s=route.objective_s or route.timeout_s,
             arrived_at=context.request.received_at,
             deadline=context.deadline,
             prompt_tokens=work.prompt_tokens,
