Explain where a request would go now, without sending it

The daemon's own decision code answers on the metrics listener: the gate's condition and decision, the chosen server, and what each other would cost. The caller key is a header, as URLs may be logged. Of the age of the loads only whether they are fresh is known.

--- a/packages/admission/src/oriolegauge/admission/servicegate.py
+++ b/packages/admission/src/oriolegauge/admission/servicegate.py
@@ -17,6 +17,7 @@
 from oriolegauge.admission.scarcity import (
     HOLD_SHARE,
     Ample,
+    Condition,
     Decision,
     GoOn,
     Need,
@@ -146,6 +147,18 @@
             decision = GoOn()
         return decision, self._apply(decision, request, size, now)
 
+    def preview(
+        self, request: GatedRequest, supply: Supply | None, now: float
+    ) -> tuple[Condition | None, Decision]:
+        """Return the decision on a request, which changes nothing.
+
+        The condition is None if there are no loads to decide by.
+        """
+        if supply is None or math.isinf(supply.wait_s):
+            return None, GoOn()
+        must_queue = self._must_queue(request, now)
+        return self._weigh(request, supply, now, has_line=must_queue)
+
     def due(
         self, number: int, look: Look, now: float
     ) -> tuple[Decision, WaitingRequest | None]:
@@ -245,27 +258,43 @@
     ) -> Decision:
         if supply is None or self._contradicts(request, supply, now):
             return self._decide_blind(request, now)
-        supply = self._averaged(request, supply)
         if math.isinf(supply.wait_s):
             # Without a server the dispatcher tells the reason.
             return GoOn()
-        need = self._need(request, now)
-        if is_held:
-            need = replace(need, hold_s=0)
-        queue_s = self._queue_s(request, supply, now)
-        condition = assess(need, supply, queue_s=queue_s, has_line=False)
+        condition, decision = self._weigh(
+            request, supply, now, is_held=is_held, has_line=False
+        )
         if not isinstance(condition, Ample):
             self._scarce_at = now
             self._class_scarce_at[request.priority] = now
         elif not is_held and self._must_queue(request, now):
-            condition = assess(need, supply, queue_s=queue_s, has_line=True)
-        decision = decide(need, condition)
+            decision = self._weigh(request, supply, now, has_line=True)[1]
         if isinstance(decision, Refuse):
             return replace(
                 decision, retry_after_s=self._retry_s(decision.retry_after_s)
             )
         return decision
 
+    def _weigh(
+        self,
+        request: GatedRequest,
+        supply: Supply,
+        now: float,
+        *,
+        has_line: bool,
+        is_held: bool = False,
+    ) -> tuple[Condition, Decision]:
+        need = self._need(request, now)
+        if is_held:
+            need = replace(need, hold_s=0)
+        condition = assess(
+            need,
+            self._averaged(request, supply),
+            queue_s=self._queue_s(request, supply, now),
+            has_line=has_line,
+        )
+        return condition, decide(need, condition)
+
     def _averaged(self, request: GatedRequest, supply: Supply) -> Supply:
         """Return loads that hold for as long as the request.
 
--- a/packages/cli/src/oriolegauge/cli/adminclient.py
+++ b/packages/cli/src/oriolegauge/cli/adminclient.py
@@ -1,6 +1,7 @@
 """HTTP client of the admin ports of daemons."""
 
 import ssl
+from collections.abc import Mapping
 from typing import Any
 
 import aiohttp
@@ -12,6 +13,7 @@
 HTTP_UNAUTHENTICATED = 401
 HTTP_FORBIDDEN = 403
 HTTP_ERROR = 400
+EXPLAIN_KEY_HEADER = 'X-Explain-Key'
 
 
 class AdminClient:
@@ -41,12 +43,30 @@
         """Ask the daemon at the admin URL to drain."""
         return await self._call('POST', f'{url}/drain')
 
-    async def _call(self, method: str, url: str) -> dict[str, Any]:
+    async def explain(
+        self, url: str, query: Mapping[str, str], key: str
+    ) -> dict[str, Any]:
+        """Return where a request would go, by the daemon's metrics URL."""
+        # The metrics listener takes no operator's token.
+        headers = {EXPLAIN_KEY_HEADER: key} if key else {}
+        return await self._call(
+            'GET', f'{url}/explain', params=query, headers=headers
+        )
+
+    async def _call(
+        self,
+        method: str,
+        url: str,
+        *,
+        params: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> dict[str, Any]:
         try:
             async with self._session.request(
                 method,
                 url,
-                headers=self._headers,
+                params=params,
+                headers=self._headers if headers is None else headers,
                 ssl=self._trust,
                 timeout=TIMEOUT,
             ) as response:
--- a/packages/cli/src/oriolegauge/cli/fleetverbs.py
+++ b/packages/cli/src/oriolegauge/cli/fleetverbs.py
@@ -76,6 +76,44 @@
 
         return self._session.run_with_daemons(dump)
 
+    def explain(
+        self,
+        url: str,
+        *,
+        host: str,
+        path: str,
+        key: str = '',
+        bounds: str = '',
+        parts: str = '',
+        deadline_ms: str = '',
+    ) -> Row:
+        """Show where a daemon would send a request now, and why.
+
+        Nothing is sent to a backend server.
+
+        :param url: URL of the daemon's metrics listener
+        :param host: host of the request
+        :param path: path of the request
+        :param key: caller key
+        :param bounds: tokens of the prompt and at most of the output: 9190,60
+        :param parts: parts of the prompt with their tokens: a:6300,b:2890
+        :param deadline_ms: time until the caller's timeout
+        """
+        query = {
+            'host': host,
+            'path': path,
+            'bounds': bounds,
+            'parts': parts,
+            'deadline_ms': deadline_ms,
+        }
+
+        async def explain(
+            operator: Operator, store: ObjectStore, admin: AdminClient
+        ) -> Row:
+            return await admin.explain(url.rstrip('/'), query, key)
+
+        return self._session.run_with_daemons(explain)
+
     async def _admin_url(self, store: ObjectStore, daemon: str) -> str:
         if '://' in daemon:
             return daemon.rstrip('/')
--- a/packages/cli/src/oriolegauge/cli/main.py
+++ b/packages/cli/src/oriolegauge/cli/main.py
@@ -83,6 +83,7 @@
         'bill': budget.bill,
         'drain': fleet.drain,
         'dump': fleet.dump,
+        'explain': fleet.explain,
     }
 
 
--- a/packages/forwarding/src/oriolegauge/forwarding/admissiongate.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/admissiongate.py
@@ -8,12 +8,19 @@
 import itertools
 import math
 import random
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
+from typing import Any
 
 import structlog
 
 from oriolegauge.admission import CapacityShortError, GatedRequest, LoadGate
-from oriolegauge.admission.scarcity import Decision, GoOn, Refuse, Supply
+from oriolegauge.admission.scarcity import (
+    Condition,
+    Decision,
+    GoOn,
+    Refuse,
+    Supply,
+)
 from oriolegauge.admission.waitingline import WaitingRequest
 from oriolegauge.core.taskset import TaskSet
 from oriolegauge.forwarding.dispatcher import Dispatcher, FleetLoads
@@ -96,6 +103,22 @@
                 decision.reason, retry_after_s=decision.retry_after_s
             )
 
+    def explain(self, context: RequestContext) -> dict[str, Any]:
+        """Return the decision on a request now and its inputs.
+
+        Nothing changes, is sent or fetched.
+        """
+        supply = self._supply(context)
+        condition, decision = self._gate.service(context.service).preview(
+            self._gated(context), supply, self._clock()
+        )
+        return {
+            'decision': _described(decision),
+            'condition': condition and _described(condition),
+            'loads': supply and asdict(supply),
+            'waiting_here': self.waiting,
+        }
+
     def ended(self, context: RequestContext, trace: RequestTrace) -> None:
         """Record the end of a request that was let through."""
         now = self._clock()
@@ -200,3 +223,7 @@
             body_bytes=len(context.request.body),
             longest_pause_s=route.longest_pause_s,
         )
+
+
+def _described(part: Condition | Decision) -> dict[str, Any]:
+    return {'kind': type(part).__name__, **asdict(part)}
--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -100,6 +100,22 @@
     ok: bool = True
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerCost:
+    """State what a request would cost at a server; `running` is of all daemons.
+
+    `expected_s` is the expected time to the first event there.
+    """
+
+    server: str
+    zone: str
+    expected_s: float
+    running: int
+    slots: int
+    is_reachable: bool
+    is_paused: bool
+
+
 class Dispatcher:
     """Send a request to the server with the least expected time."""
 
@@ -167,14 +183,7 @@
                 busy_share=running / slots, wait_s=0, reading_s=0, slots=slots
             )
         room = self._chooser.room(
-            [
-                Candidate(
-                    name=server.instance, zone=server.zone, slots=server.slots
-                )
-                for server in servers
-            ],
-            context.work,
-            now,
+            [_candidate(server) for server in servers], context.work, now
         )
         return Supply(
             busy_share=room.busy_share,
@@ -183,6 +192,39 @@
             slots=slots,
         )
 
+    def explain(
+        self, context: RequestContext
+    ) -> tuple[str | None, list[ServerCost]]:
+        """Return the server that the request would go to now, and all costs.
+
+        Nothing is sent or fetched. The name is None if no server takes work.
+        """
+        now = self._clock()
+        usable = self._candidates(context.service, (), None)
+        chosen = self._chooser.choose(
+            [_candidate(server) for server in usable.values()],
+            context.work,
+            now,
+            is_index_current=self._loads.is_fresh,
+        )
+        costs = []
+        for server in self._directory.of_service(context.service):
+            name, candidate = server.instance, _candidate(server)
+            costs.append(
+                ServerCost(
+                    server=name,
+                    zone=server.zone,
+                    expected_s=self._chooser.room(
+                        [candidate], context.work, now
+                    ).wait_s,
+                    running=self._chooser.running([name]),
+                    slots=server.slots,
+                    is_reachable=self._chooser.is_reachable(name, now),
+                    is_paused=self._pauses.is_paused(name, now),
+                )
+            )
+        return chosen, costs
+
     def rejection(self, context: RequestContext) -> NoServerError:
         """Return the error for a request that full servers have rejected."""
         return self._no_server(
@@ -338,12 +380,7 @@
     ) -> BackendServer:
         servers = self._candidates(context.service, excluded, version)
         name = self._chooser.choose(
-            [
-                Candidate(
-                    name=server.instance, zone=server.zone, slots=server.slots
-                )
-                for server in servers.values()
-            ],
+            [_candidate(server) for server in servers.values()],
             context.work,
             self._clock(),
             is_index_current=is_index_current,
@@ -482,6 +519,10 @@
         return b'\r\n'.join((*lines, b'', request.body))
 
 
+def _candidate(server: BackendServer) -> Candidate:
+    return Candidate(name=server.instance, zone=server.zone, slots=server.slots)
+
+
 def _of_version(version: str | None) -> str:
     return '' if version is None else f' at version {version}'
 
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -3,9 +3,9 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, replace
-from typing import Protocol
+from collections.abc import Callable, Mapping
+from dataclasses import asdict, dataclass, replace
+from typing import Any, Protocol
 
 import structlog
 
@@ -33,6 +33,7 @@
 from oriolegauge.forwarding.drainplan import DrainPlan
 from oriolegauge.forwarding.errors import CallerDisconnectedError
 from oriolegauge.forwarding.exchange import ExchangeDependencies
+from oriolegauge.forwarding.explainedrequest import explained_request
 from oriolegauge.forwarding.forwardingconfig import Workspace
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.headernames import HeaderNames
@@ -175,6 +176,33 @@
         for timeout in self._drain_timeouts:
             timeout.reschedule(plan.answers_until)
 
+    def explain(self, query: Mapping[str, str], key: str) -> dict[str, Any]:
+        """Return where a request would go now and why; send nothing.
+
+        `query` and the caller key describe it as in `explained_request`.
+        """
+        request = explained_request(
+            query, key, names=self._names, now=self._clock()
+        )
+        try:
+            context = self._admit(request, '')
+            self._check_drain(context)
+        except OriolegaugeError as error:
+            return {'refused': error.message, 'status': status_of(error)}
+        chosen, costs = self._dispatcher.explain(context)
+        return {
+            'route': context.route.name,
+            'service': context.service,
+            'team': context.workspace,
+            'priority': context.priority,
+            'objective_s': context.route.objective_s,
+            'left_s': _rounded(context.deadline - self._clock()),
+            'state': asdict(self._state_versions()),
+            'gate': self._gate.explain(context) if self._gate else None,
+            'server': chosen,
+            'servers': [asdict(cost) for cost in costs],
+        }
+
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
         """Answer the request; bind its id to the log events meanwhile."""
         request_id = request.header(self._names.request_id)
--- a/packages/forwarding/tests/test_admissiongate.py
+++ b/packages/forwarding/tests/test_admissiongate.py
@@ -5,7 +5,7 @@
 from oriolegauge.forwarding import RequestKind
 from oriolegauge.routing.serverchooser import PeerLoad
 
-from .world import ScriptedServer, World, request_bytes, route
+from .world import KEY, ScriptedServer, World, request_bytes, route
 
 SLOTS = 8
 BOUNDS = {'X_Token_Bounds': '100,60'}
@@ -125,3 +125,35 @@
             await asyncio.sleep(0.25)
             assert not one.servers[0].seen
             assert not one.budget.reserved
+
+
+class TestExplanation:
+    QUERY = {'host': 'host.example', 'path': '/safe/x', 'bounds': '100,60'}
+
+    async def test_explanation_is_the_decision_and_sends_nothing(self):
+        """Guards against an answer that differs from what would happen."""
+        async with world() as one:
+            idle = one.forwarder.explain(self.QUERY, KEY)
+            assert idle['gate']['decision'] == {'kind': 'GoOn'}
+            assert idle['server'] == 's0'
+            take_slots(one, SLOTS)
+            full = one.forwarder.explain(self.QUERY, KEY)
+            assert full['gate']['decision']['kind'] == 'Wait'
+            assert full['gate']['loads']['busy_share'] == 1.0
+            assert full['servers'][0]['running'] == SLOTS
+            again = one.forwarder.explain(self.QUERY, KEY)
+            assert again['gate']['loads'] == full['gate']['loads']
+            assert one.forwarder.waiting == 0
+            assert not one.servers[0].seen
+            assert not one.budget.reserved
+
+    async def test_refusals_before_the_gate_are_explained(self):
+        """Guards against an explanation that fails for a wrong key."""
+        async with world() as one:
+            found = one.forwarder.explain(self.QUERY, 'wrong')
+            assert found == {
+                'refused': 'the caller key is unknown',
+                'status': 401,
+            }
+            nowhere = {**self.QUERY, 'path': '/nowhere'}
+            assert one.forwarder.explain(nowhere, KEY)['status'] == 404
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -232,7 +232,9 @@
         self._link = HostLink(mbps=settings.link_mbps, clock=self._clock)
         self._metrics = ForwardMetrics(self._gauges)
         self._checks = HttpChecks(
-            is_ready=self._is_ready, metrics=self._metrics
+            is_ready=self._is_ready,
+            metrics=self._metrics,
+            explain=lambda *query: self._forwarder.explain(*query),
         )
         self._registration = MemberRegistration(
             store=store,
