Count no slots of servers whose last connection failed as free

A server is left out for at most 2 s after a failed connection, so with a quarter of the servers dark the gate saw a quarter of the slots free and stayed open. Daemons that have not tried such a server still count it.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -174,7 +174,7 @@
         servers = [
             server
             for server in self._directory.of_service(context.service)
-            if self._chooser.is_reachable(server.instance, now)
+            if self._chooser.is_reachable(server.instance)
         ]
         slots = sum([server.slots for server in servers])
         running = self._chooser.running(server.instance for server in servers)
@@ -219,7 +219,7 @@
                     ).wait_s,
                     running=self._chooser.running([name]),
                     slots=server.slots,
-                    is_reachable=self._chooser.is_reachable(name, now),
+                    is_reachable=self._chooser.is_reachable(name),
                     is_paused=self._pauses.is_paused(name, now),
                 )
             )
--- a/packages/forwarding/tests/test_admissiongate.py
+++ b/packages/forwarding/tests/test_admissiongate.py
@@ -11,7 +11,7 @@
 BOUNDS = {'X_Token_Bounds': '100,60'}
 
 
-def world(*, objective_s=1.0, **changes):
+def world(*, objective_s=1.0, servers=1, **changes):
     routes = (
         route(
             '/safe/',
@@ -21,7 +21,9 @@
         ),
     )
     return World(
-        ScriptedServer(), routes=routes, **{'is_gated': True, **changes}
+        *(ScriptedServer() for _ in range(servers)),
+        routes=routes,
+        **{'is_gated': True, **changes},
     )
 
 
@@ -157,3 +159,22 @@
             }
             nowhere = {**self.QUERY, 'path': '/nowhere'}
             assert one.forwarder.explain(nowhere, KEY)['status'] == 404
+
+
+class TestUnreachableServers:
+    async def test_their_slots_do_not_count_as_free(self):
+        """Guards against a gate that is open while half of the servers run."""
+        async with world(servers=2) as one:
+            one.chooser.connected('s1', ok=False, now=one.now())
+            take_slots(one, SLOTS)
+            # The dispatcher tries it again after some time.
+            await asyncio.sleep(0.35)
+            answer = await one.call('/safe/x', **BOUNDS)
+            assert '429' in answer.first_line
+
+    async def test_all_of_them_are_left_to_the_dispatcher(self):
+        """Guards against a gate that fails without any server."""
+        async with world() as one:
+            one.chooser.connected('s0', ok=False, now=one.now())
+            answer = await one.call('/safe/x', **BOUNDS)
+            assert '200' in answer.first_line
--- a/packages/routing/src/oriolegauge/routing/serverchooser.py
+++ b/packages/routing/src/oriolegauge/routing/serverchooser.py
@@ -201,19 +201,6 @@
         """Return the requests of all daemons known to run on the server."""
         return self._record(name).running + self._peer(name).requests
 
-    def running(self, names: Iterable[str]) -> int:
-        """Return the requests of all daemons that run on the servers."""
-        records, peers = self._records, self._peers
-        return sum(
-            (records[name].running if name in records else 0)
-            + (peers[name].requests if name in peers else 0)
-            for name in names
-        )
-
-    def is_reachable(self, name: str, now: float) -> bool:
-        """State whether the server is not left out after a failed attempt."""
-        return self._record(name).unreachable_until <= now
-
     def own_loads(self) -> dict[str, PeerLoad]:
         """Return the load of this daemon by server, for its peers."""
         return {
@@ -288,6 +275,20 @@
         record.backoff_s = min(MAX_BACKOFF_S, 2 * record.backoff_s)
         self.parts.forget_server(name)
 
+    def running(self, names: Iterable[str]) -> int:
+        """Return the requests of all daemons that run on the servers."""
+        records, peers = self._records, self._peers
+        return sum(
+            (records[name].running if name in records else 0)
+            + (peers[name].requests if name in peers else 0)
+            for name in names
+        )
+
+    def is_reachable(self, name: str) -> bool:
+        """State whether no connection has failed since one succeeded."""
+        record = self._records.get(name)
+        return record is None or math.isinf(record.unreachable_until)
+
     def restarted(self, name: str) -> None:
         """Drop the prompt parts of a server that was restarted."""
         self.parts.forget_server(name)
