--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -11,6 +11,7 @@
 from functools import partial
 from typing import Protocol
 
+from oriolegauge.admission.scarcity import Supply
 from oriolegauge.core.errors import NoServerError
 from oriolegauge.forwarding.backendserver import BackendServer
 from oriolegauge.forwarding.connectionpool import ConnectionPool
@@ -39,6 +40,9 @@
 RETRY_AFTER_REJECTED_S = 0.15
 # Evacuations last; callers that return sooner only cost time.
 RETRY_AFTER_EVACUATED_S = 2.0
+# While less of the slots is taken no request is refused, and the cost of
+# estimating waits is saved.
+AMPLE_SHARE = 0.45
 MS_PER_S = 1000
 CONTROL_CHARACTERS = re.compile(r'[\x00-\x1f\x7f]')
 FIRST_SERVER_ERROR = 500
@@ -56,6 +60,10 @@
         Return whether they are known.
         """
 
+    @property
+    def is_fresh(self) -> bool:
+        """State whether the loads were fetched a fraction of a second ago."""
+
     def changed(self) -> None:
         """Schedule a report of this daemon's load to the others."""
 
@@ -95,6 +103,22 @@
     ok: bool = True
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerCost:
+    """State what a request would cost at a server; `running` is of all daemons.
+
+    `expected_s` is the expected time to the first event there.
+    """
+
+    server: str
+    zone: str
+    expected_s: float
+    running: int
+    slots: int
+    is_reachable: bool
+    is_paused: bool
+
+
 class Dispatcher:
     """Send a request to the server with the least expected time."""
 
@@ -113,6 +137,7 @@
         connection_limit: Callable[[str], int],
     ) -> None:
         """Keep at most `connection_limit(service)` connections per server."""
+        self._on_rejected: Callable[[str], None] | None = None
         self._directory = directory
         self._chooser = chooser
         self._pool = pool
@@ -129,6 +154,10 @@
         self._connection_limit = connection_limit
         self._clock = asyncio.get_running_loop().time
 
+    def report_rejections(self, on_rejected: Callable[[str], None]) -> None:
+        """Call `on_rejected` with a service whenever a server of it is full."""
+        self._on_rejected = on_rejected
+
     def has_server(
         self,
         service: str,
@@ -141,6 +170,67 @@
         """
         return bool(self._candidates(service, excluded, version))
 
+    def supply(self, context: RequestContext) -> Supply:
+        """Return how loaded the servers are that may serve the request.
+
+        Full servers that asked for a pause count, unreachable ones don't. While
+        clearly less than half of the slots are taken, waits are not estimated.
+        """
+        now = self._clock()
+        servers = [
+            server
+            for server in self._directory.of_service(context.service)
+            if self._chooser.is_reachable(server.instance)
+        ]
+        slots = sum([server.slots for server in servers])
+        running = self._chooser.running(server.instance for server in servers)
+        if running < slots * AMPLE_SHARE:
+            return Supply(
+                busy_share=running / slots, wait_s=0, reading_s=0, slots=slots
+            )
+        room = self._chooser.room(
+            [_candidate(server) for server in servers], context.work, now
+        )
+        return Supply(
+            busy_share=room.busy_share,
+            wait_s=room.wait_s,
+            reading_s=room.reading_s,
+            slots=slots,
+        )
+
+    def explain(
+        self, context: RequestContext
+    ) -> tuple[str | None, list[ServerCost]]:
+        """Return the server that the request would go to now, and all costs.
+
+        Nothing is sent or fetched. The name is None if no server takes work.
+        """
+        now = self._clock()
+        usable = self._candidates(context.service, (), None)
+        chosen = self._chooser.choose(
+            [_candidate(server) for server in usable.values()],
+            context.work,
+            now,
+            is_index_current=self._loads.is_fresh,
+        )
+        costs = []
+        for server in self._directory.of_service(context.service):
+            name, candidate = server.instance, _candidate(server)
+            costs.append(
+                ServerCost(
+                    server=name,
+                    zone=server.zone,
+                    expected_s=self._chooser.room(
+                        [candidate], context.work, now
+                    ).wait_s,
+                    running=self._chooser.running([name]),
+                    slots=server.slots,
+                    is_reachable=self._chooser.is_reachable(name),
+                    is_paused=self._pauses.is_paused(name, now),
+                )
+            )
+        return chosen, costs
+
     def rejection(self, context: RequestContext) -> NoServerError:
         """Return the error for a request that full servers have rejected."""
         return self._no_server(
@@ -218,6 +308,10 @@
         attempt.ok = reply.status < FIRST_SERVER_ERROR or is_full
         if not (is_full or reply.header(self._names.not_run)):
             self.record_first_part(attempt)
+        elif self._on_rejected and not (
+            reply.status == MISDIRECTED or reply.header(self._names.leaving)
+        ):
+            self._on_rejected(attempt.context.service)
 
     def record_first_part(self, attempt: Attempt) -> None:
         """Record the time to the first part of the answer."""
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -3,13 +3,13 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, replace
-from typing import Protocol
+from collections.abc import Callable, Mapping
+from dataclasses import asdict, dataclass, replace
+from typing import Any, Protocol
 
 import structlog
 
-from oriolegauge.admission import HostLink
+from oriolegauge.admission import HostLink, LoadGate
 from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.core.errors import (
     DrainingError,
@@ -21,13 +21,19 @@
     UnauthenticatedError,
 )
 from oriolegauge.core.runstate import RunState
+from oriolegauge.forwarding.admissiongate import AdmissionGate
 from oriolegauge.forwarding.answer import Answer
 from oriolegauge.forwarding.callerconnection import STOPPING_RETRY_AFTER_S
 from oriolegauge.forwarding.callerrequest import CallerRequest
-from oriolegauge.forwarding.dispatcher import MS_PER_S, Dispatcher
+from oriolegauge.forwarding.dispatcher import (
+    MS_PER_S,
+    Dispatcher,
+    FleetLoads,
+)
 from oriolegauge.forwarding.drainplan import DrainPlan
 from oriolegauge.forwarding.errors import CallerDisconnectedError
 from oriolegauge.forwarding.exchange import ExchangeDependencies
+from oriolegauge.forwarding.explainedrequest import explained_request
 from oriolegauge.forwarding.forwardingconfig import Workspace
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.headernames import HeaderNames
@@ -100,6 +106,7 @@
 
         `buffers` bounds the bytes of servers' replies that are held in memory.
         """
+        self._gate: AdmissionGate | None = None
         self._names = names
         self._budget = budget
         self._link = link
@@ -112,6 +119,7 @@
         self._route_table: RouteTable | None = None
         self._drain_plan: DrainPlan | None = None
         self._drain_timeouts: set[asyncio.Timeout] = set()
+        self._dispatcher = dispatcher
         dependencies = ExchangeDependencies(
             dispatcher=dispatcher,
             names=names,
@@ -133,6 +141,31 @@
         """Return the routes of the configuration in force, if it is known."""
         return self._route_table
 
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait for a slot of a server."""
+        return self._gate.waiting if self._gate else 0
+
+    def adapt_to_load(
+        self,
+        *,
+        loads: FleetLoads,
+        members: Callable[[], int],
+        max_bytes: int,
+    ) -> None:
+        """Delay or refuse requests while slots of servers are short.
+
+        `members` returns the number of daemons; bodies of waiting requests have
+        `max_bytes` together.
+        """
+        self._gate = AdmissionGate(
+            gate=LoadGate(rng=self._rng, members=members, max_bytes=max_bytes),
+            dispatcher=self._dispatcher,
+            loads=loads,
+            metrics=self._metrics,
+            rng=self._rng,
+        )
+
     def set_route_table(self, route_table: RouteTable) -> None:
         """Apply a version of the configuration to new requests."""
         self._route_table = route_table
@@ -143,6 +176,33 @@
         for timeout in self._drain_timeouts:
             timeout.reschedule(plan.answers_until)
 
+    def explain(self, query: Mapping[str, str], key: str) -> dict[str, Any]:
+        """Return where a request would go now and why; send nothing.
+
+        `query` and the caller key describe it as in `explained_request`.
+        """
+        request = explained_request(
+            query, key, names=self._names, now=self._clock()
+        )
+        try:
+            context = self._admit(request, '')
+            self._check_drain(context)
+        except OriolegaugeError as error:
+            return {'refused': error.message, 'status': status_of(error)}
+        chosen, costs = self._dispatcher.explain(context)
+        return {
+            'route': context.route.name,
+            'service': context.service,
+            'team': context.workspace,
+            'priority': context.priority,
+            'objective_s': context.route.objective_s,
+            'left_s': _rounded(context.deadline - self._clock()),
+            'state': asdict(self._state_versions()),
+            'gate': self._gate.explain(context) if self._gate else None,
+            'server': chosen,
+            'servers': [asdict(cost) for cost in costs],
+        }
+
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
         """Answer the request; bind its id to the log events meanwhile."""
         request_id = request.header(self._names.request_id)
@@ -288,6 +348,9 @@
         self._retries.request(context.service)
         route = context.route
         self._link.check(len(context.request.body), route.objective_s)
+        # The caller of a stream that is taken up already holds a part of it.
+        if self._gate and not context.request.header(self._names.resumes):
+            await self._gate.admit(context)
         reservation = None
         tokens = context.work.prompt_tokens + context.work.output_tokens
         if tokens and context.workspace is not None:
@@ -307,6 +370,8 @@
                 ),
             ) from None
         finally:
+            if self._gate:
+                self._gate.ended(context, trace)
             if reservation:
                 self._budget.settle(reservation, _used(context, trace))
 
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -173,8 +173,10 @@
 
     error: OriolegaugeError | None = None
     settled: list[tuple[int, int]] = field(default_factory=list)
+    reserved: list[int] = field(default_factory=list)
 
     async def reserve(self, team, tokens, until):
+        self.reserved.append(tokens)
         if self.error:
             raise self.error
         return Reservation(team, tokens)
@@ -220,6 +222,8 @@
 class NoOtherDaemons:
     """Fake the load exchange of a fleet with one daemon."""
 
+    is_fresh = True
+
     async def refresh(self, parts=()):
         await asyncio.sleep(0)
         return False
@@ -294,6 +298,7 @@
         workspace='team',
         cold_servers=None,
         adapts_to_load=False,
+        is_gated=False,
     ):
         self.servers = servers
         self.adapts_to_load = adapts_to_load
@@ -303,6 +308,7 @@
         self.credit = credit
         self.workspace = workspace
         self.cold_servers = cold_servers
+        self.is_gated = is_gated
         self.versions = FakeVersions()
         # Of each server, if they differ.
         self.server_versions = {}
@@ -385,6 +391,10 @@
             versions=self.versions,
             rng=random.Random(1),
         )
+        if self.is_gated:
+            self.forwarder.adapt_to_load(
+                loads=self.loads, members=lambda: 1, max_bytes=100_000
+            )
         self.forwarder.set_route_table(
             RouteTable(
                 ForwardingConfig(
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -74,6 +74,8 @@
 # the evacuations: heartbeats of a large fleet come every 0.75 s, and a fetch
 # takes up to 2 s.
 EVACUATIONS_WAIT_S = 3.0
+# Share for the bodies of requests that wait for a slot of a server.
+WAITING_BUFFER_SHARE = 0.04
 RELOADABLE = ('grace_s', 'retry_share', 'retry_slack')
 
 log = structlog.get_logger()
@@ -253,7 +255,9 @@
         self._grant_links.attach(self._keeper)
         self._metrics = ForwardMetrics(self._gauges)
         self._checks = HttpChecks(
-            is_ready=self._is_ready, metrics=self._metrics
+            is_ready=self._is_ready,
+            metrics=self._metrics,
+            explain=lambda *query: self._forwarder.explain(*query),
         )
         self._registration = MemberRegistration(
             store=store,
@@ -292,6 +296,12 @@
             versions=self._versions,
             rng=self._rng,
         )
+        if settings.adapts_to_load:
+            self._forwarder.adapt_to_load(
+                loads=self._links.loads,
+                members=lambda: self._links.members,
+                max_bytes=int(settings.memory_bytes * WAITING_BUFFER_SHARE),
+            )
         self._listener = CallerListener(
             handler=self._forwarder.handle,
             limits=self._caller_limits,
@@ -657,6 +667,7 @@
     def _gauges(self) -> Mapping[str, float]:
         return {
             'requests_running': self._forwarder.running,
+            'requests_waiting': self._forwarder.waiting,
             'caller_connections': self._listener.connections,
             'peers_linked': self._links.linked,
             'link_congested': float(self._link.is_congested),
--- a/packages/routing/src/oriolegauge/routing/serverchooser.py
+++ b/packages/routing/src/oriolegauge/routing/serverchooser.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import Counter, deque
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from operator import attrgetter, itemgetter
 
@@ -445,6 +445,20 @@
         """Replace the tokens that an engine can hold, by service."""
         self._learned_costs.memory_tokens = memory_tokens
 
+    def running(self, names: Iterable[str]) -> int:
+        """Return the requests of all daemons that run on the servers."""
+        records, peers = self._records, self._peers
+        return sum(
+            (records[name].running if name in records else 0)
+            + (peers[name].requests if name in peers else 0)
+            for name in names
+        )
+
+    def is_reachable(self, name: str) -> bool:
+        """State whether no connection has failed since one succeeded."""
+        record = self._records.get(name)
+        return record is None or math.isinf(record.unreachable_until)
+
     def restarted(self, name: str) -> None:
         """Drop what is known of a server that was restarted."""
         self._speeds.forget(name)
