--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -53,6 +53,11 @@
     is_first_start: bool = True
     evacuations_kind: str | None = None
     adapts_to_load: bool = False
+    memory_bytes: int = 256 * 1024 * 1024
+    peers: tuple = ()
+    peer_timeout_s: float = 0.6
+    max_peer_message_bytes: int = 8 * 1024 * 1024
+    connect_timeout_s: float = 0.3
 
     def drain_plan(self, began_at: float) -> DrainPlan:
         """Return the plan of a stop that began at the loop time (s)."""
