Keep a host with a full link out of the rotation for 20 s

A host was back after 2.5 s, and the balancer sent its large caller back to it, since the order in which the balancer tries hosts is fixed for a caller.

The time until the balancer has noticed is a constant of its own now, which the wait told to refused callers uses as before. Ruled out: leaving the rotation at a lower rate of bytes, which moves callers that the link carries.

--- a/packages/admission/src/oriolegauge/admission/hostlink.py
+++ b/packages/admission/src/oriolegauge/admission/hostlink.py
@@ -46,12 +46,16 @@
 # flood has ended.
 MAX_COUNTED_QUEUE_S = 0.5
 # The load balancer notices after two health checks, one a second.
-CONGESTION_HOLD_S = 2.5
-# A caller returns as soon as its host is back in the rotation. Each congestion
-# that begins within RELAPSE_S of the last hold doubles the hold up to the
-# maximum, so that the caller moves on until a host can carry it.
+BALANCER_S = 2.5
+# A caller returns as soon as its host is back in the rotation. The balancer
+# tries hosts in an order of its own, and each that can't carry the caller costs
+# some 3 s; with holds of 2.5 s a caller went from one small host to the next
+# and back, and never reached a host with a larger link.
+CONGESTION_HOLD_S = 20.0
+# Each congestion that begins within RELAPSE_S of the last hold doubles the hold
+# up to the maximum.
 RELAPSE_S = 10.0
-MAX_CONGESTION_HOLD_S = 20.0
+MAX_CONGESTION_HOLD_S = 60.0
 # Shortest time after which a refused request may come again. The balancer sends
 # it to this host again as long as that is in the rotation.
 RETRY_AFTER_S = 0.05
@@ -158,7 +162,7 @@
         """Return the time until the queue is sent or callers have moved."""
         if not self.is_congested:
             return max(RETRY_AFTER_S, queue_s)
-        moved_at = self._congested_at + CONGESTION_HOLD_S
+        moved_at = self._congested_at + BALANCER_S
         return max(RETRY_AFTER_S, moved_at - self._clock())
 
     def _note_congestion(self) -> None:
@@ -173,9 +177,7 @@
         if now >= self._congested_until:
             self._begin_congestion(now, waits)
         # Bytes still come while the balancer moves the callers.
-        self._congested_until = max(
-            self._congested_until, now + CONGESTION_HOLD_S
-        )
+        self._congested_until = max(self._congested_until, now + BALANCER_S)
 
     def _begin_congestion(self, now: float, waits: tuple[float, float]) -> None:
         is_relapse = now - self._congested_until < RELAPSE_S
