Bound the time that shares of workspaces fade at once

The first request of each daemon failed with an overflow, and nearly all after it: the scale grows with the time since the last request, which is the whole time of the clock at the first one.

A pause of more than ten time constants now counts as ten, after which earlier work is dropped.

--- a/packages/admission/src/oriolegauge/admission/workspaceshares.py
+++ b/packages/admission/src/oriolegauge/admission/workspaceshares.py
@@ -11,6 +11,9 @@
 # Bounds the scaled sums: rescaled after three time constants, when idle
 # workspaces are dropped too.
 MAX_SCALE = 20.0
+# After a longer pause earlier work counts next to nothing, and the scale would
+# overflow: the clock of a host that has run for weeks is far from zero.
+MAX_PAUSE_S = 10 * TIME_CONSTANT_S
 MIN_WORK_S = 0.0001
 
 
@@ -30,7 +33,8 @@
     ) -> None:
         """Add the work of an admitted request."""
         # Later work counts more, instead of fading all earlier work.
-        self._scale *= math.exp(max(0, now - self._at) / TIME_CONSTANT_S)
+        passed_s = min(MAX_PAUSE_S, max(0, now - self._at))
+        self._scale *= math.exp(passed_s / TIME_CONSTANT_S)
         self._at = max(now, self._at)
         if self._scale > MAX_SCALE or len(self._work) > MAX_WORKSPACES:
             self._rescale()
