Declare the methods of a store record abstract

Five methods raised NotImplementedError when called; a subclass without one of them now fails when it is made. Behaviour of the three records is unchanged.

--- a/packages/gateway/src/oriolegauge/gateway/storerecord.py
+++ b/packages/gateway/src/oriolegauge/gateway/storerecord.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Mapping
 from typing import Any, Generic, TypeVar
 
@@ -21,7 +22,7 @@
 log = structlog.get_logger()
 
 
-class StoreRecord(Generic[State]):
+class StoreRecord(ABC, Generic[State]):
     """Read a record at the start, and keep it up to date.
 
     Subclasses define the state and its stored form.
@@ -61,13 +62,13 @@
                     await self._changed.wait()
             self._changed.clear()
 
+    @abstractmethod
     def current(self) -> State:
         """Return the state to record."""
-        raise NotImplementedError
 
+    @abstractmethod
     def learn(self, recorded: State) -> None:
         """Use the recorded state, read for the first time."""
-        raise NotImplementedError
 
     def refresh(self, recorded: State) -> None:
         """Use the recorded state, read again before a write."""
@@ -75,17 +76,17 @@
     def confirm(self, state: State) -> None:
         """Note that the store has confirmed the state."""
 
+    @abstractmethod
     def encode(self, state: State) -> Mapping[str, Any]:
         """Return the stored form."""
-        raise NotImplementedError
 
+    @abstractmethod
     def decode(self, value: Mapping[str, Any]) -> State:
         """Read the stored form; raise KeyError, TypeError or ValueError."""
-        raise NotImplementedError
 
+    @abstractmethod
     def empty(self) -> State:
         """Return the state without a record."""
-        raise NotImplementedError
 
     async def _step(self) -> None:
         # A store that was restored may have lost the record.
