--- a/review/standins2/replica.py
+++ b/review/standins2/replica.py
@@ -19,6 +19,7 @@
         self.store = store
         self.name = name
         self.service = service
+        self.slots = 32
         self.port = 0
         self.born = int(time.time() * 1000)
         self.arrivals: list[tuple[float, str]] = []
@@ -43,7 +44,7 @@
                 'address': f'{HOST}:{self.port}',
                 'zone': 'z1',
                 'version': 'v1',
-                'slots': 32,
+                'slots': self.slots,
                 'state': state,
                 'coldLeftMs': 0,
                 'sequence': 1,
