--- a/review/standins2/platform.py
+++ b/review/standins2/platform.py
@@ -4,6 +4,7 @@
 import contextlib
 import secrets
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from .httpwire import encode, read_message
@@ -31,7 +32,12 @@
 
 
 def write_config(
-    store: Store, version: int, routes: list[dict], **tenant
+    store: Store,
+    version: int,
+    routes: list[dict],
+    *,
+    services: Iterable[str] = ('app',),
+    keys: Iterable[str] = (KEY,),
 ) -> None:
     """Write a configuration, as the operator does."""
     store.write(
@@ -42,11 +48,12 @@
             'routes': routes,
             'services': [
                 {
-                    'name': 'app',
+                    'name': service,
                     'healthPath': '/health',
                     'maxConns': 400,
                     'engine': {'slots': 32, 'stride': 4},
                 }
+                for service in services
             ],
             'limits': {
                 'maxHeaderBytes': 16384,
@@ -57,9 +64,8 @@
             'tenants': [
                 {
                     'name': TENANT,
-                    'apiKeys': [KEY],
+                    'apiKeys': list(keys),
                     'prepaid': 10_000_000,
-                    **tenant,
                 }
             ],
         },
