review: stand-ins end the daemons when a case is terminated

Cause: a script that outlasts its time limit left the daemons running. Change: SIGTERM cancels the play, whose cleanup kills the daemons.

--- a/review/standins2/verdict.py
+++ b/review/standins2/verdict.py
@@ -1,6 +1,7 @@
 """Runs a case and turns what it found into an exit code."""
 
 import asyncio
+import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -12,6 +13,15 @@
 NO_VERDICT = 2
 
 
+async def _played(play: Play, record: Record) -> list[str]:
+    """Play; SIGTERM cancels it, so that it ends what it has started."""
+    task = asyncio.current_task()
+    if task:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await play(record)
+
+
 def judge(folder: Path, rule: str, play: Play) -> int:
     """Return the exit code; `play(record)` returns how the rule was broken."""
     with (folder / 'record.txt').open('w') as out:
@@ -20,8 +30,8 @@
             out.write(f'{line}\n')
 
         try:
-            broken = asyncio.run(play(record))
-        except Exception as error:  # An unexpected error is no verdict.
+            broken = asyncio.run(_played(play, record))
+        except (Exception, asyncio.CancelledError) as error:
             record(f'no verdict: {error!r}')
             return NO_VERDICT
         for line in broken:
