Log who watches which kind of the store, and since when

A line for each change of the role names the kind, the revision held and its age; gauges hold the number of watched kinds and the time since the configuration was read from the store.

--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -664,6 +664,10 @@
             store_age_s=age_s,
         )
 
+    def _config_read_age_s(self) -> float:
+        reached_at = self._followers[self._settings.config_kind].reached_at
+        return math.inf if reached_at is None else self._clock() - reached_at
+
     def _gauges(self) -> Mapping[str, float]:
         return {
             'requests_running': self._forwarder.running,
@@ -675,6 +679,10 @@
             'servers_cold': self._cold_servers.count,
             'zones_evacuated': len(self._evacuated_zones),
             'store_age_seconds': self._state_versions().store_age_s,
+            'config_read_age_seconds': self._config_read_age_s(),
+            'kinds_watched': sum(
+                one.watches_store for one in self._followers.values()
+            ),
             'tokens_held_unspent': sum(self._keeper.free.values()),
         }
 
--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -89,6 +89,7 @@
         self._failed_at = -math.inf
         self._regained_at = clock()
         self._is_store_unavailable = False
+        self._has_watched: bool | None = None
 
     @property
     def has_tried_store(self) -> bool:
@@ -119,6 +120,11 @@
         """Return the loop time of the first answer after the last failure."""
         return self._regained_at
 
+    @property
+    def watches_store(self) -> bool:
+        """State whether changes are watched for, and not left to peers."""
+        return bool(self._has_watched)
+
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         failures = 0
@@ -143,7 +149,7 @@
         )
 
     async def _step(self) -> None:
-        is_watcher = self._is_watcher()
+        is_watcher = self._note_role()
         self._adopt_peer_document()
         if self._revision is None:
             await self._read_all()
@@ -166,6 +172,24 @@
         elif changes.changed or changes.deleted:
             await asyncio.sleep(BATCH_CHANGES_S)
 
+    def _note_role(self) -> bool:
+        """Return whether this daemon watches the store; log each change."""
+        is_watcher = self._is_watcher()
+        if is_watcher != self._has_watched:
+            self._has_watched = is_watcher
+            log.info(
+                'store watched' if is_watcher else 'store left to peers',
+                kind=self._kind,
+                revision=self._revision,
+                age_s=self._age_s(),
+            )
+        return is_watcher
+
+    def _age_s(self) -> float | None:
+        if self._reached_at is None:
+            return None
+        return round(self._clock() - self._reached_at, 3)
+
     def _adopt_peer_document(self) -> None:
         """Continue from a peer's newer document instead of reading it again."""
         held = self._documents.get(self._kind)
