Wake a follower when its daemon becomes a watcher or a leader

Cause: a follower asked for its role once and then slept, 4 to 8 s as a non-watcher and up to 3 s as a non-leader after a failure.

The class is a role that is sampled before a wait. Records of the store sample theirs each second and the list of members each 0.6 s, so they are not changed.

Change: both sleeps end within 0.1 s of the change of role. No store call is added while the role stays. Both tests fail without it.

--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -31,6 +31,9 @@
 # start at the same time, and each that polls just after a change reads from the
 # store what a peer would have sent.
 NON_WATCHER_POLL_S = (4.0, 8.0)
+# A daemon whose role changes during a pause acts on it within this time. Peers
+# send no changes while all daemons take each other for watchers.
+ROLE_CHECK_PERIOD_S = 0.1
 # Pause after a change, to read several at once. Otherwise each server that
 # registers or leaves would cost one call of each watcher.
 BATCH_CHANGES_S = 0.2
@@ -137,16 +140,31 @@
             except StoreError as error:
                 failures += 1
                 self._note_failure(error)
-                await asyncio.sleep(self._retry_pause_s(failures))
+                await self._pause_before_retry(failures)
             else:
                 failures = 0
                 self._note_success()
 
-    def _retry_pause_s(self, failures: int) -> float:
-        longest = LEADER_RETRY_MAX_S if self._is_leader() else RETRY_MAX_S
-        return random.uniform(
+    async def _pause_before_retry(self, failures: int) -> None:
+        is_leader = self._is_leader()
+        longest = LEADER_RETRY_MAX_S if is_leader else RETRY_MAX_S
+        pause_s = random.uniform(
             RETRY_MIN_S, min(longest, RETRY_MIN_S * 2**failures)
         )
+        if is_leader:
+            await asyncio.sleep(pause_s)
+        else:
+            await self._sleep_unless(pause_s, self._is_leader)
+
+    async def _sleep_unless(
+        self, seconds: float, has_role: Callable[[], bool]
+    ) -> None:
+        """Sleep, but return soon once this daemon has the role."""
+        left_s = seconds
+        while left_s > 0 and not has_role():
+            step_s = min(ROLE_CHECK_PERIOD_S, left_s)
+            await asyncio.sleep(step_s)
+            left_s -= step_s
 
     async def _step(self) -> None:
         is_watcher = self._note_role()
@@ -168,7 +186,9 @@
             # of them watches it, and no peer would send the next change.
             return
         if not is_watcher:
-            await asyncio.sleep(random.uniform(*NON_WATCHER_POLL_S))
+            await self._sleep_unless(
+                random.uniform(*NON_WATCHER_POLL_S), self._is_watcher
+            )
         elif changes.changed or changes.deleted:
             await asyncio.sleep(BATCH_CHANGES_S)
 
--- a/packages/gateway/tests/test_kindfollower.py
+++ b/packages/gateway/tests/test_kindfollower.py
@@ -1,6 +1,7 @@
 """Follower of the objects of one kind in the store."""
 
 import asyncio
+import random
 from dataclasses import replace
 
 import orjson
@@ -8,8 +9,10 @@
 
 from oriolegauge.gateway.kindfollower import (
     BATCH_CHANGES_S,
+    LEADER_RETRY_MAX_S,
     LONG_POLL_S,
     NON_WATCHER_POLL_S,
+    ROLE_CHECK_PERIOD_S,
     KindFollower,
 )
 from oriolegauge.gateway.shareddocuments import (
@@ -266,6 +269,57 @@
         assert store.calls == ['snapshot', 1, 1, 1]
         assert store.waits == [LONG_POLL_S, 0, LONG_POLL_S]
 
+    async def test_daemon_that_becomes_a_watcher_watches_at_once(self):
+        """Guards against a configuration that no daemon reads for 8 s.
+
+        A store that refused calls made all daemons leave it to their peers.
+        """
+        loop = asyncio.get_running_loop()
+        store = ScriptedStore(
+            Snapshot([entry('a', 1)], 1),
+            Changes([], [], 1),
+            Changes([], [], 1),
+        )
+        watches_from = loop.time() + 1
+        follower = KindFollower(
+            store=store,
+            kind='servers',
+            documents=SharedDocuments(lambda *_: None),
+            clock=loop.time,
+            is_watcher=lambda: loop.time() >= watches_from,
+            is_leader=lambda: True,
+            on_store_regained=lambda: None,
+            on_first_attempt=lambda: None,
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(1 + ROLE_CHECK_PERIOD_S)
+        task.cancel()
+        assert store.calls == ['snapshot', 'old 1', 1, 1]
+        assert follower.watches_store
+
+    async def test_daemon_that_becomes_a_leader_retries_soon(self, monkeypatch):
+        """Guards against a recovery of the store that is noticed 3 s late."""
+        monkeypatch.setattr(random, 'uniform', lambda _, longest: longest)
+        loop = asyncio.get_running_loop()
+        store = ScriptedStore(*[StoreUnavailableError('down')] * 100)
+        leads_from = loop.time() + 20
+        follower = KindFollower(
+            store=store,
+            kind='servers',
+            documents=SharedDocuments(lambda *_: None),
+            clock=loop.time,
+            is_watcher=lambda: False,
+            is_leader=lambda: loop.time() >= leads_from,
+            on_store_regained=lambda: None,
+            on_first_attempt=lambda: None,
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(20)
+        before = len(store.calls)
+        await asyncio.sleep(LEADER_RETRY_MAX_S + ROLE_CHECK_PERIOD_S)
+        task.cancel()
+        assert len(store.calls) > before
+
     async def test_stale_reply_of_the_store_is_ignored(self):
         """Guards against a return to an older state."""
         taken, _, _ = await follow(
