--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -31,6 +31,9 @@
 # start at the same time, and each that polls just after a change reads from the
 # store what a peer would have sent.
 NON_WATCHER_POLL_S = (4.0, 8.0)
+# A daemon whose role changes during a pause acts on it within this time. Peers
+# send no changes while all daemons take each other for watchers.
+ROLE_CHECK_PERIOD_S = 0.1
 # Pause after a change, to read several at once. Otherwise each server that
 # registers or leaves would cost one call of each watcher.
 BATCH_CHANGES_S = 0.2
@@ -89,6 +92,7 @@
         self._failed_at = -math.inf
         self._regained_at = clock()
         self._is_store_unavailable = False
+        self._has_watched: bool | None = None
 
     @property
     def has_tried_store(self) -> bool:
@@ -119,6 +123,11 @@
         """Return the loop time of the first answer after the last failure."""
         return self._regained_at
 
+    @property
+    def watches_store(self) -> bool:
+        """State whether changes are watched for, and not left to peers."""
+        return bool(self._has_watched)
+
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         failures = 0
@@ -131,19 +140,34 @@
             except StoreError as error:
                 failures += 1
                 self._note_failure(error)
-                await asyncio.sleep(self._retry_pause_s(failures))
+                await self._pause_before_retry(failures)
             else:
                 failures = 0
                 self._note_success()
 
-    def _retry_pause_s(self, failures: int) -> float:
-        longest = LEADER_RETRY_MAX_S if self._is_leader() else RETRY_MAX_S
-        return random.uniform(
+    async def _pause_before_retry(self, failures: int) -> None:
+        is_leader = self._is_leader()
+        longest = LEADER_RETRY_MAX_S if is_leader else RETRY_MAX_S
+        pause_s = random.uniform(
             RETRY_MIN_S, min(longest, RETRY_MIN_S * 2**failures)
         )
+        if is_leader:
+            await asyncio.sleep(pause_s)
+        else:
+            await self._sleep_unless(pause_s, self._is_leader)
+
+    async def _sleep_unless(
+        self, seconds: float, has_role: Callable[[], bool]
+    ) -> None:
+        """Sleep, but return soon once this daemon has the role."""
+        left_s = seconds
+        while left_s > 0 and not has_role():
+            step_s = min(ROLE_CHECK_PERIOD_S, left_s)
+            await asyncio.sleep(step_s)
+            left_s -= step_s
 
     async def _step(self) -> None:
-        is_watcher = self._is_watcher()
+        is_watcher = self._note_role()
         self._adopt_peer_document()
         if self._revision is None:
             await self._read_all()
@@ -162,10 +186,30 @@
             # of them watches it, and no peer would send the next change.
             return
         if not is_watcher:
-            await asyncio.sleep(random.uniform(*NON_WATCHER_POLL_S))
+            await self._sleep_unless(
+                random.uniform(*NON_WATCHER_POLL_S), self._is_watcher
+            )
         elif changes.changed or changes.deleted:
             await asyncio.sleep(BATCH_CHANGES_S)
 
+    def _note_role(self) -> bool:
+        """Return whether this daemon watches the store; log each change."""
+        is_watcher = self._is_watcher()
+        if is_watcher != self._has_watched:
+            self._has_watched = is_watcher
+            log.info(
+                'store watched' if is_watcher else 'store left to peers',
+                kind=self._kind,
+                revision=self._revision,
+                age_s=self._age_s(),
+            )
+        return is_watcher
+
+    def _age_s(self) -> float | None:
+        if self._reached_at is None:
+            return None
+        return round(self._clock() - self._reached_at, 3)
+
     def _adopt_peer_document(self) -> None:
         """Continue from a peer's newer document instead of reading it again."""
         held = self._documents.get(self._kind)
