Watch the store also while calls of another kind fail

A daemon whose store calls for grants failed counted itself as one that does not watch. When all daemons did so at the same moment none watched, and a confirmed configuration reached nobody until one of them polled, 4 to 8 s later.

Its own failures no longer end a daemon's watch: a follower whose calls fail retries in any case, and one whose calls succeed reaches the store. Peers still pass over a daemon that reports the store lost, so at worst more daemons watch than needed.

The test has all daemons refuse each other, at 8 and 68 daemons: none watched before, all do now.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -329,12 +329,14 @@
         """State whether this daemon watches the store.
 
         The first leaders that reach the store watch it for all daemons. A
-        daemon without an open link watches for itself.
+        daemon without an open link watches for itself. Its own failures do not
+        end its watch: calls of one kind fail without those of others, and if
+        all daemons gave up at once, nobody would notice the next change.
         """
         if not self.linked_peers():
             return True
         watchers = islice(
-            filter(self._may_reach_store, self._leaders()), MAX_WATCHERS
+            filter(self._may_watch, self._leaders()), MAX_WATCHERS
         )
         return self._name in watchers
 
@@ -601,6 +603,9 @@
         received = self._mesh.heartbeats.get(name) if self._mesh else None
         return received is None or received.heartbeat.watches_store
 
+    def _may_watch(self, name: str) -> bool:
+        return name == self._name or self._may_reach_store(name)
+
     def _update_links(self) -> None:
         if self._mesh is None:
             return
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -236,6 +236,21 @@
         assert grants.allocator() == first
 
 
+class TestWatchers:
+    @pytest.mark.parametrize('size', [8, 68])
+    async def test_store_is_watched_when_it_refuses_grants_to_all(self, size):
+        """Guards against a configuration that all daemons leave to others."""
+        names = [f'd{number:02}' for number in range(size)]
+        clock = asyncio.get_running_loop().time
+        watching = 0
+        for name in names:
+            links, _ = links_of(name, names, clock, reaches_store=False)
+            for peer in links._mesh.names:
+                links._mesh.heartbeats[peer] = heartbeat(peer, False)
+            watching += links.is_watcher()
+        assert watching >= MAX_WATCHERS
+
+
 class TestRankedMembers:
     def test_hosts_of_high_capacity_come_first(self):
         """Guards against load aggregators and allocators on the smallest hosts.
