Count a daemon as a watcher only while it shows signs of it

The entries of hosts that are gone are never removed from the store, and in a fleet of more than 16 entries a daemon took each member that it is not linked to for a leader that watches. They filled all eight ranks, so no daemon watched the store.

Heartbeats now bear signs: which members are known to watch, and how long ago. A daemon counts the members ranked above it as watchers only with a sign at most 3.75 s old in a large fleet, 1.5 s in a small one, or in the first second after it knows of them. A build that knows no signs sends none; its peers then watch themselves. Only the role of a watcher uses signs: allocators and limiters must stay the same when the store is away and nobody can show a sign.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlayout.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlayout.py
@@ -22,6 +22,20 @@
 RING_LEASE_S = 4.5
 
 
+# A daemon counts as a watcher of the store for this many periods after it was
+# known to be one. A sign takes a period for each hop, and one may be lost.
+WATCH_SIGN_PERIODS = 5
+# Hosts whose processor is busy send heartbeats late by a second.
+MIN_WATCH_SIGN_S = 1.5
+
+
+def watch_sign_age_s(members: int) -> float:
+    """Return for how many seconds a sign that a daemon watches counts."""
+    return max(
+        MIN_WATCH_SIGN_S, WATCH_SIGN_PERIODS * heartbeat_period_s(members)
+    )
+
+
 def lease_s(members: int) -> float:
     """Return for how many seconds a share of the limits is lent."""
     return FULL_MESH_LEASE_S if members <= FULL_MESH_MEMBERS else RING_LEASE_S
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -30,9 +30,11 @@
 from oriolegauge.forwarding.serverlimits import ReportedLimit, ServerLimits
 from oriolegauge.gateway.documentexchange import DocumentExchange
 from oriolegauge.gateway.fleetlayout import (
+    FULL_MESH_MEMBERS,
     has_zone_aggregators,
     heartbeat_period_s,
     ring_neighbours,
+    watch_sign_age_s,
 )
 from oriolegauge.gateway.limitexchange import LimitExchange
 from oriolegauge.gateway.loadexchange import (
@@ -43,6 +45,7 @@
 from oriolegauge.gateway.rankedmembers import FleetMember, RankedMembers
 from oriolegauge.gateway.shareddocuments import Document, SharedDocuments
 from oriolegauge.gateway.versionexchange import VersionExchange
+from oriolegauge.gateway.watchsigns import WatchSigns
 from oriolegauge.mesh import PeerMesh
 from oriolegauge.routing.crashsuspects import CrashSuspects
 from oriolegauge.routing.loadaggregator import LoadAggregator
@@ -60,6 +63,7 @@
     ServerLimit,
     StreamStartQuery,
     StreamStarts,
+    WatchSign,
 )
 
 # Loads in an older heartbeat are ignored.
@@ -162,7 +166,11 @@
         self._chooser = chooser
         self._state = state
         self._reaches_store = reaches_store
+        self._watches_store: Callable[[], bool] | None = None
         self._clock = clock
+        self._watch_signs = WatchSigns(clock)
+        # Loop times at which other daemons became known.
+        self._known_since: dict[str, float] = {}
         self.loads = LoadExchange(
             name=own.name, links=self, chooser=chooser, clock=clock
         )
@@ -264,6 +272,10 @@
         """Exchange a document only with builds that know of it."""
         self._documents.add_later_key(key)
 
+    def attach_watch(self, watches_store: Callable[[], bool]) -> None:
+        """Tell peers whether this daemon watches the store for them."""
+        self._watches_store = watches_store
+
     def attach_limits(self, limits: LimitExchange) -> None:
         """Answer requests of peers for permits."""
         self._limits = limits
@@ -276,6 +288,7 @@
         """Add a daemon, or update what is known of it."""
         if not member.name or not self._ranked_members.add(member):
             return
+        self._known_since.setdefault(member.name, self._clock())
         log.info(
             'peer found',
             peer=member.name,
@@ -309,6 +322,7 @@
                     _reported_limits(message.server_limits), peer=sender.name
                 )
                 self._crash_suspects.learn(message.crashes)
+                self._watch_signs.learn(message.watch_signs)
                 if self._versions:
                     self._versions.learn(message, sender.name)
                 return None
@@ -604,7 +618,28 @@
         return received is None or received.heartbeat.watches_store
 
     def _may_watch(self, name: str) -> bool:
-        return name == self._name or self._may_reach_store(name)
+        if name == self._name:
+            return True
+        return self._may_reach_store(name) and self._shows_watch(name)
+
+    def _shows_watch(self, name: str) -> bool:
+        """State whether the daemon was lately known to watch the store.
+
+        A daemon that has just become known counts until its sign can be here.
+        """
+        known_s = self._clock() - self._known_since.get(name, -math.inf)
+        return known_s < LINK_OPENING_S or self._watch_signs.is_fresh(
+            name, watch_sign_age_s(self.members)
+        )
+
+    def _signs_to_send(self) -> tuple[WatchSign, ...]:
+        if self._watches_store and self._watches_store():
+            self._watch_signs.note(self._name)
+        names = [self._name]
+        if self.members > FULL_MESH_MEMBERS:
+            names = [member.name for member in self._ranked_members.ranked]
+        signs = self._watch_signs.fresh(names, watch_sign_age_s(self.members))
+        return tuple(islice(signs, MAX_WATCHERS))
 
     def _update_links(self) -> None:
         if self._mesh is None:
@@ -667,6 +702,7 @@
             crashes=self._crash_suspects.all(),
             version_period=versions.history.number if versions else 0,
             version_shares=versions.shares() if versions else (),
+            watch_signs=self._signs_to_send(),
         )
 
     def apply_heartbeats(self) -> None:
@@ -722,6 +758,9 @@
             ):
                 self._lost_at[name] = now
         self._ranked_members.remove(forgotten)
+        self._watch_signs.keep_only((self._name, *self._ranked_members.others))
+        for name in forgotten:
+            self._known_since.pop(name, None)
         self._extra_links -= forgotten
         self._update_links()
 
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -240,6 +240,7 @@
             )
             if kind
         }
+        self._links.attach_watch(self._watches_store)
         if settings.evacuations_kind:
             self._links.add_later_document(settings.evacuations_kind)
         self._mesh = PeerMesh(
@@ -611,6 +612,9 @@
             and not self._keeper.is_store_unavailable
         )
 
+    def _watches_store(self) -> bool:
+        return all(one.is_watching for one in self._followers.values())
+
     def _note_leaving_instance(self) -> None:
         self._versions.servers_changed()
         self._links.announce_change()
--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -26,6 +26,9 @@
 # noticed when the reply is missing at its end, so this is below the 3 s after
 # which a daemon counts as disconnected from the store.
 LONG_POLL_S = 2.0
+# A watcher that has had no answer for this time does not count as one: a long
+# poll, and a slow store.
+WATCH_OVERDUE_S = 3.0
 # Other daemons get changes from the watchers. This poll limits how stale a
 # daemon gets that no peer reaches. The interval is random since all daemons
 # start at the same time, and each that polls just after a change reads from the
@@ -128,6 +131,16 @@
         """State whether changes are watched for, and not left to peers."""
         return bool(self._has_watched)
 
+    @property
+    def is_watching(self) -> bool:
+        """State whether the store answers the watch of this daemon."""
+        return (
+            self.watches_store
+            and not self._is_store_unavailable
+            and self._reached_at is not None
+            and self._clock() - self._reached_at < WATCH_OVERDUE_S
+        )
+
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         failures = 0
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -113,7 +113,12 @@
 
 
 def links_of(
-    name, others, clock, reaches_store=True, capacity_classes=None, zones=None
+    name,
+    others,
+    clock,
+    reaches_store=True,
+    capacity_classes=None,
+    zones=None,
 ):
     def member(called):
         return FleetMember(
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -75,6 +75,7 @@
   versionPeriod @17 :Int64;
   versionShares @18 :VersionShares;
   laterVersions @19 :ConfigVersions;
+  watchSigns @20 :WatchSigns;
 }
 
 struct ConfigVersions {
@@ -99,6 +100,7 @@
   perS @2 :List(Float64);
   ageMs @3 :List(Int64);
 }
+struct WatchSigns { member @0 :List(Text); ageMs @1 :List(Int64); }
 struct VersionShares {
   period @0 :List(Int64);
   service @1 :List(Text);
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -131,6 +131,14 @@
     ended_age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class WatchSign:
+    """State how long ago (ms) a member was known to watch the store."""
+
+    member: str
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Heartbeat:
     """Tell peers that a member is alive, and what it holds and runs.
@@ -142,7 +150,8 @@
     revisions; `document_versions` hold the era of the store too.
     `later_versions` are those of documents that earlier builds do not know.
     `version_period` is the number of the present period, 0 if the member does
-    not know of periods.
+    not know of periods. `watch_signs` are those of the sender and, in a large
+    fleet, of other members that watch the store.
     """
 
     member: str
@@ -165,6 +174,7 @@
     version_period: int = 0
     version_shares: tuple[VersionShare, ...] = ()
     later_versions: tuple[ConfigVersion, ...] = ()
+    watch_signs: tuple[WatchSign, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
