Ask another peer for a document that does not come

A daemon fetched a document from one peer at a time and waited up to 2 s for it. A peer whose link had just gone silent kept the document of all other peers away for that time, which is the whole of configApplyMs on small deployments.

After 0.5 s the next peer that offers the document is asked too, at most three at once, so that copies do not fill a link of 5 Mbit/s. In the test the document came after 2 s without the change and comes after 0.5 s now.

--- a/packages/gateway/src/oriolegauge/gateway/documentexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/documentexchange.py
@@ -5,6 +5,7 @@
 them; they count in the era of the held document.
 """
 
+import asyncio
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 
@@ -30,6 +31,11 @@
 # Enough for a host with a link of 5 Mbit/s to send a compressed configuration
 # of a thousand routes to ten peers.
 FETCH_TIMEOUT_S = 2.0
+# Another peer is asked for a document that has not come after this time: the
+# link to the first may be silent. Two more copies at most delay each other on
+# the smallest links.
+SLOW_FETCH_S = 0.5
+MAX_FETCHES = 3
 
 PeerCall = Callable[[str, Message, float], Awaitable[Message]]
 
@@ -44,7 +50,8 @@
         self._documents = documents
         self._call = call
         self._providers: dict[str, Callable[[], Document | None]] = {}
-        self._fetching: set[str] = set()
+        # Loop times at which fetches under way began, by key and peer.
+        self._fetching: dict[str, dict[str, float]] = {}
         # Keys of documents that earlier builds do not know. They would fail on
         # one, so they must not hear of it.
         self._later_keys: set[str] = set()
@@ -93,11 +100,11 @@
         )
         for row in (*versions, *later):
             self._documents.advance_revision(row.key, row.version, row.digest)
-            is_unrequested = row.key not in self._fetching
-            if is_unrequested and self._documents.is_wanted(
+            if self._may_fetch(peer, row.key) and self._documents.is_wanted(
                 row.key, row.version, row.digest
             ):
-                self._fetching.add(row.key)
+                under_way = self._fetching.setdefault(row.key, {})
+                under_way[peer] = asyncio.get_running_loop().time()
                 self._tasks.spawn(self._fetch(peer, row.key))
 
     def answer(self, request: ConfigFetch) -> ConfigObjects:
@@ -118,6 +125,18 @@
             )
         return ConfigObjects(objects=objects, has_eras=request.knows_eras)
 
+    def _may_fetch(self, peer: str, key: str) -> bool:
+        """State whether no fetch of the document is soon to be answered."""
+        under_way = self._fetching.get(key)
+        if not under_way:
+            return True
+        waited_s = asyncio.get_running_loop().time() - max(under_way.values())
+        return (
+            waited_s >= SLOW_FETCH_S
+            and peer not in under_way
+            and len(under_way) < MAX_FETCHES
+        )
+
     def _all(self) -> Iterator[ConfigVersion]:
         for key, revision in self._documents.revisions.items():
             yield ConfigVersion(key, revision, self._documents.digest(key))
@@ -138,7 +157,7 @@
             log.info('document fetch failed', peer=peer, error=error.message)
             return
         finally:
-            self._fetching.discard(key)
+            del self._fetching[key][peer]
         if isinstance(answer, ConfigObjects):
             for row in answer.objects:
                 version = row.version
--- a/packages/gateway/tests/test_documentexchange.py
+++ b/packages/gateway/tests/test_documentexchange.py
@@ -2,9 +2,17 @@
 
 import asyncio
 
-from oriolegauge.gateway.documentexchange import DocumentExchange
+import pytest
+
+from oriolegauge.gateway.documentexchange import (
+    FETCH_TIMEOUT_S,
+    MAX_FETCHES,
+    SLOW_FETCH_S,
+    DocumentExchange,
+)
 from oriolegauge.gateway.shareddocuments import Document, SharedDocuments
 from oriolegauge.objectstore import store_version
+from oriolegauge.wire import PeerTimeoutError
 from oriolegauge.wire.messages import (
     ConfigFetch,
     ConfigObject,
@@ -113,3 +121,43 @@
         daemon.exchange.learn('p', heartbeat(later_versions=(row,)))
         await asyncio.sleep(0)
         assert peer.calls == 1
+
+
+@pytest.mark.looptime
+class TestPeersThatHang:
+    """A peer hangs if its link went silent after its last heartbeat."""
+
+    async def learn_from(self, peers, seconds, *, hung):
+        asked = []
+
+        async def call(peer, message, timeout_s):
+            asked.append(peer)
+            if peer in hung:
+                await asyncio.sleep(timeout_s)
+                raise PeerTimeoutError('no answer')
+            row = ConfigObject(KEY, 20, NEWER.packed)
+            return ConfigObjects(objects=(row,), has_eras=True)
+
+        daemon = Daemon(era=0, revision=12, call=call)
+        row = ConfigVersion(KEY, 20, NEWER.digest)
+        for _ in range(round(seconds / 0.1)):
+            for peer in peers:
+                daemon.exchange.learn(peer, heartbeat(document_versions=(row,)))
+            await asyncio.sleep(0.1)
+        return daemon, asked
+
+    async def test_one_keeps_no_document_of_the_others_away(self):
+        """Guards against a configuration that comes 2 s late."""
+        daemon, asked = await self.learn_from(
+            ['hung', 'p'], SLOW_FETCH_S + 0.2, hung={'hung'}
+        )
+        assert daemon.documents.get(KEY).payload == b'newer'
+        assert asked == ['hung', 'p']
+
+    async def test_no_more_than_some_are_asked_at_once(self):
+        """Guards against a slow link that all peers fill with copies."""
+        peers = [f'p{number}' for number in range(20)]
+        _, asked = await self.learn_from(
+            peers, FETCH_TIMEOUT_S - 0.1, hung=set(peers)
+        )
+        assert asked == peers[:MAX_FETCHES]
