Serve callers of hosts that reach no server through a peer

Each request searched the servers anew for 0.35 to 0.7 s, and nothing led to the hosts that reach them.

A daemon now keeps one belief per service: three servers, or all, accepted no connection since one last did. While it holds, requests go at once over HTTP to a peer that does not report the same service as lost, holds no older configuration and serves; a test connection each 0.3 s ends it. The peer admits and bills the request like those of its own callers, so nothing is reserved or counted twice. Only what was sent nowhere is relayed, to one peer, and not further; a lost answer is 502 or 504, never a refusal. If the servers are down for all, all report it and nothing is relayed.

Ruled out: a host that says it is not ready moves no kept connections, and none at all when most of its zone is cut off.

A heartbeat has two fields more, so the size that the test of earlier builds allows rises by their two words.

--- a/packages/forwarding/src/oriolegauge/forwarding/connectionpool.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/connectionpool.py
@@ -15,6 +15,7 @@
 from oriolegauge.forwarding.serversignals import ServerSignals
 from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
 from oriolegauge.routing.connectfailure import ConnectFailure
+from oriolegauge.routing.servicereach import ServiceReach
 
 # Idle connections kept per server. Further ones, as after a burst, are closed.
 MAX_IDLE_PER_SERVER = 16
@@ -61,6 +62,7 @@
         connect_timeout_s: float,
         on_connected: ConnectObserver,
         signals: ServerSignals,
+        reach: ServiceReach,
         traffic: Traffic = UNCOUNTED,
         idle_limit: Callable[[str], int] | None = None,
     ) -> None:
@@ -69,10 +71,11 @@
         Keep at most `idle_limit(service)` idle connections per server, since
         they count against its limit too.
 
-        `signals` observes the header of each reply, and `traffic` counts the
-        bytes of all connections.
+        `signals` observes the header of each reply, `traffic` counts the bytes
+        of all connections, and `reach` learns which attempts to connect fail.
         """
         self._traffic = traffic
+        self._reach = reach
         self._idle_limit = idle_limit
         self._clock = asyncio.get_running_loop().time
         self._tasks = TaskSet()
@@ -167,6 +170,10 @@
         connection.release()
         self._keep(server, connection)
 
+    def note_answered(self, server: BackendServer) -> None:
+        """Record that the server has answered."""
+        self._reach.note_reached(server.service)
+
     def note_reset(self, server: BackendServer) -> None:
         """Record that the server closed a new connection."""
         now = self._clock()
@@ -243,6 +250,7 @@
         )
         self._silent.discard(server.server_instance)
         self._silent_in_a_row.clear()
+        self._reach.note_reached(server.service)
         self._on_connected(
             server.instance,
             ok=True,
@@ -256,6 +264,8 @@
         if failure is ConnectFailure.RESET:
             self.note_reset(server)
             return
+        if not self._traffic.is_loaded:
+            self._reach.note_failed(server.service, server.instance)
         if failure is ConnectFailure.SILENT:
             is_own_fault = self.is_own_link_loaded
             self._silent_in_a_row.add(server.server_instance)
--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -302,6 +302,7 @@
     async def wait_for_header(self, attempt: Attempt) -> ServerReply:
         """Wait for the reply's header; raise ReplyBrokenError if it fails."""
         reply = await attempt.connection.head()
+        self._pool.note_answered(attempt.server)
         if reply.status == MISDIRECTED:
             self._chooser.leave_out(
                 attempt.server.instance,
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -1,9 +1,10 @@
 """Admit, bill and log requests that are routed to backend servers."""
 
 import asyncio
+import contextlib
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import asdict, dataclass, replace
 from typing import Any, Protocol
 
@@ -14,6 +15,7 @@
 from oriolegauge.core.errors import (
     DrainingError,
     InvalidRequestError,
+    NoServerError,
     NotFoundError,
     OriolegaugeError,
     OutcomeUnknownError,
@@ -37,6 +39,7 @@
 from oriolegauge.forwarding.forwardingconfig import Workspace
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.headernames import HeaderNames
+from oriolegauge.forwarding.peerrelay import PeerRelay
 from oriolegauge.forwarding.refusal import refuse, status_of
 from oriolegauge.forwarding.requestcontext import (
     RequestContext,
@@ -107,6 +110,7 @@
         `buffers` bounds the bytes of servers' replies that are held in memory.
         """
         self._gate: AdmissionGate | None = None
+        self._relay: PeerRelay | None = None
         self._names = names
         self._budget = budget
         self._link = link
@@ -166,6 +170,10 @@
             rng=self._rng,
         )
 
+    def relay_by(self, relay: PeerRelay) -> None:
+        """Send requests through peers while no server can be reached."""
+        self._relay = relay
+
     def set_route_table(self, route_table: RouteTable) -> None:
         """Apply a version of the configuration to new requests."""
         self._route_table = route_table
@@ -205,18 +213,38 @@
 
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
         """Answer the request; bind its id to the log events meanwhile."""
+        await self._handle(request, answer, is_relayed=False)
+
+    async def handle_relayed(
+        self, request: CallerRequest, answer: Answer
+    ) -> None:
+        """Answer a request that another daemon has sent here."""
+        await self._handle(request, answer, is_relayed=True)
+
+    async def _handle(
+        self, request: CallerRequest, answer: Answer, *, is_relayed: bool
+    ) -> None:
         request_id = request.header(self._names.request_id)
         with structlog.contextvars.bound_contextvars(request_id=request_id):
-            await self._handle(request, request_id, answer)
+            await self._answer(
+                request, request_id, answer, is_relayed=is_relayed
+            )
 
-    async def _handle(
-        self, request: CallerRequest, request_id: str, answer: Answer
+    async def _answer(
+        self,
+        request: CallerRequest,
+        request_id: str,
+        answer: Answer,
+        *,
+        is_relayed: bool,
     ) -> None:
         trace = RequestTrace()
         context: RequestContext | None = None
         self.running += 1
         try:
-            context = self._admit(request, request_id)
+            context = replace(
+                self._admit(request, request_id), is_relayed=is_relayed
+            )
             self._check_drain(context)
             await self._serve_until_stop(context, trace, answer)
         except CallerDisconnectedError as error:
@@ -345,9 +373,34 @@
     async def _serve(
         self, context: RequestContext, trace: RequestTrace, answer: Answer
     ) -> None:
+        self._link.check(len(context.request.body), context.route.objective_s)
+        if await self._is_served_by_peer(context, trace, answer):
+            return
         self._retries.request(context.service)
-        route = context.route
-        self._link.check(len(context.request.body), route.objective_s)
+        try:
+            await self._serve_here(context, trace, answer)
+        except NoServerError:
+            # Only what was sent to no server may be sent elsewhere.
+            if trace.sends or answer.is_started:
+                raise
+            if not await self._is_served_by_peer(context, trace, answer):
+                raise
+
+    async def _is_served_by_peer(
+        self, context: RequestContext, trace: RequestTrace, answer: Answer
+    ) -> bool:
+        """Answer through a peer if this host reaches no server."""
+        relay = self._relay
+        if relay is None or context.is_relayed:
+            return False
+        if not relay.is_needed(context.service):
+            return False
+        async with _until_deadline(context, trace):
+            return await relay.serve(context, trace, answer)
+
+    async def _serve_here(
+        self, context: RequestContext, trace: RequestTrace, answer: Answer
+    ) -> None:
         # The caller of a stream that is taken up already holds a part of it.
         if self._gate and not context.request.header(self._names.resumes):
             await self._gate.admit(context)
@@ -357,18 +410,11 @@
             reservation = await self._budget.reserve(
                 context.workspace, tokens, context.deadline
             )
-        is_stream = route.kind is RequestKind.STREAM
+        is_stream = context.route.kind is RequestKind.STREAM
         exchange = self._streams if is_stream else self._whole
         try:
-            async with asyncio.timeout_at(context.deadline):
+            async with _until_deadline(context, trace):
                 await exchange.serve(context, trace, answer)
-        except TimeoutError:
-            raise OutcomeUnknownError(
-                'the time for the request has passed',
-                run_state=(
-                    RunState.UNKNOWN if trace.may_have_run else RunState.NOT_RUN
-                ),
-            ) from None
         finally:
             if self._gate:
                 self._gate.ended(context, trace)
@@ -425,6 +471,7 @@
             route=context.route.name if context else None,
             service=context.service if context else None,
             team=context.workspace if context else None,
+            is_relayed=context is not None and context.is_relayed,
             attempts=trace.attempts,
             version=trace.version,
             resumes=trace.resumes,
@@ -442,6 +489,23 @@
         )
 
 
+@contextlib.asynccontextmanager
+async def _until_deadline(
+    context: RequestContext, trace: RequestTrace
+) -> AsyncIterator[None]:
+    """Raise OutcomeUnknownError at the request's deadline."""
+    try:
+        async with asyncio.timeout_at(context.deadline):
+            yield
+    except TimeoutError:
+        raise OutcomeUnknownError(
+            'the time for the request has passed',
+            run_state=(
+                RunState.UNKNOWN if trace.may_have_run else RunState.NOT_RUN
+            ),
+        ) from None
+
+
 def _used(context: RequestContext, trace: RequestTrace) -> int:
     """Return the tokens to charge: the prompt once, and delivered output."""
     if not trace.may_have_run:
--- /dev/null
+++ b/packages/forwarding/src/oriolegauge/forwarding/peerrelay.py
@@ -0,0 +1,240 @@
+"""Send requests through another daemon while this host reaches no server.
+
+Matters when the links from a host to the servers are cut and callers still
+connect to it. The other daemon treats the request as one of its own callers:
+it admits and bills it, keeps the limits of servers, and retries. This one only
+passes on bytes, so a request is sent once, and what its peer promises holds.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from typing import Protocol
+
+import structlog
+
+from oriolegauge.core.bytebudget import ByteBudget, ByteLease
+from oriolegauge.core.errors import OutcomeUnknownError, ServerFailedError
+from oriolegauge.forwarding.answer import Answer
+from oriolegauge.forwarding.errors import (
+    ReplyBrokenError,
+    ServerUnreachableError,
+)
+from oriolegauge.forwarding.headernames import HeaderNames
+from oriolegauge.forwarding.headers import end_to_end
+from oriolegauge.forwarding.requestcontext import RequestContext, RequestTrace
+from oriolegauge.forwarding.route import RequestKind
+from oriolegauge.forwarding.serverconnection import ServerConnection
+from oriolegauge.forwarding.serverreply import ServerReply
+from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
+from oriolegauge.forwarding.wholeexchange import read_body
+from oriolegauge.routing.servicereach import ServiceReach
+
+Address = tuple[str, int]
+
+# Peers answer within some milliseconds; one that does not is passed over.
+CONNECT_TIMEOUT_S = 0.2
+MAX_PEERS_TRIED = 2
+# Requests that one daemon has under way at one peer. Each of many hosts that
+# are cut off sends a part to each host that is not.
+MAX_RUNNING_PER_PEER = 64
+_MS_PER_S = 1000
+
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class RelayPeer:
+    """Name a daemon and the address at which it takes requests of peers."""
+
+    name: str
+    address: Address
+
+
+class RelayPeers(Protocol):
+    """Know which daemons reach a service."""
+
+    def find(self, service: str, excluded: Collection[str]) -> list[RelayPeer]:
+        """Return the daemons that may reach a server of the service."""
+
+
+class PeerRelay:
+    """Answer requests by way of other daemons."""
+
+    def __init__(
+        self,
+        *,
+        peers: RelayPeers,
+        reach: ServiceReach,
+        test_server: Callable[[str], None],
+        names: HeaderNames,
+        buffers: ByteBudget,
+        choose: Callable[[list[RelayPeer]], RelayPeer],
+        traffic: Traffic = UNCOUNTED,
+    ) -> None:
+        """Relay to one of `peers`, the less loaded of two that `choose` picks.
+
+        `test_server(service)` tries to connect to a server of the service, to
+        notice when this host reaches it again.
+        """
+        self._peers = peers
+        self._reach = reach
+        self._test_server = test_server
+        self._names = names
+        self._buffers = buffers
+        self._choose = choose
+        self._traffic = traffic
+        self._clock = asyncio.get_running_loop().time
+        self._running: Counter[str] = Counter()
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests that peers are answering."""
+        return self._running.total()
+
+    def is_needed(self, service: str) -> bool:
+        """State whether this host reaches no server of the service."""
+        if not self._reach.is_lost(service):
+            return False
+        if self._reach.take_test(service):
+            self._test_server(service)
+        return True
+
+    async def serve(
+        self, context: RequestContext, trace: RequestTrace, answer: Answer
+    ) -> bool:
+        """Answer through a peer; return false if no peer got the request.
+
+        Raise an OriolegaugeError if a peer got it and the answer is lost.
+        """
+        if not context.request_id:
+            return False
+        tried: set[str] = set()
+        while len(tried) < MAX_PEERS_TRIED:
+            peer = self._next_peer(context.service, tried)
+            if peer is None:
+                return False
+            tried.add(peer.name)
+            self._running[peer.name] += 1
+            try:
+                if await self._serve_at(peer, context, trace, answer):
+                    return True
+            finally:
+                self._running[peer.name] -= 1
+        return False
+
+    def _next_peer(
+        self, service: str, tried: Collection[str]
+    ) -> RelayPeer | None:
+        found = [
+            peer
+            for peer in self._peers.find(service, tried)
+            if self._running[peer.name] < MAX_RUNNING_PER_PEER
+        ]
+        if not found:
+            return None
+        pair = (self._choose(found), self._choose(found))
+        return min(pair, key=lambda peer: self._running[peer.name])
+
+    async def _serve_at(
+        self,
+        peer: RelayPeer,
+        context: RequestContext,
+        trace: RequestTrace,
+        answer: Answer,
+    ) -> bool:
+        """Return false if the peer did not get the request."""
+        label = f'peer {peer.name}'
+        try:
+            # A peer that stops closes kept connections, and a request that is
+            # lost in this way can't be sent again.
+            connection = await ServerConnection.open(
+                peer.address,
+                self._names.request_id,
+                CONNECT_TIMEOUT_S,
+                traffic=self._traffic,
+            )
+            await connection.send(self._encode(context), context.request_id)
+        except ServerUnreachableError as error:
+            trace.note(label, f'not sent ({error.message})')
+            return False
+        trace.note_relayed(label, self._clock() - context.request.received_at)
+        try:
+            with self._buffers.lease() as buffer_lease:
+                await self._pass_on(
+                    connection, context, trace, answer, buffer_lease
+                )
+        except ReplyBrokenError as error:
+            trace.note(label, error.message)
+            if self._clock() >= context.deadline:
+                raise OutcomeUnknownError(error.message) from error
+            raise ServerFailedError(error.message) from error
+        finally:
+            connection.abort()
+        trace.note(label, str(answer.status))
+        return True
+
+    async def _pass_on(
+        self,
+        connection: ServerConnection,
+        context: RequestContext,
+        trace: RequestTrace,
+        answer: Answer,
+        buffer_lease: ByteLease,
+    ) -> None:
+        reply = await connection.head()
+        is_stream = context.route.kind is RequestKind.STREAM
+        if is_stream and reply.is_success:
+            await self._pass_on_stream(
+                connection, reply, context, trace, answer
+            )
+        else:
+            body = await read_body(connection.read, buffer_lease)
+            await answer.send_whole(
+                reply.status, end_to_end(reply.headers), body
+            )
+        trace.outcome = 'answered' if reply.is_success else 'failed'
+
+    async def _pass_on_stream(
+        self,
+        connection: ServerConnection,
+        reply: ServerReply,
+        context: RequestContext,
+        trace: RequestTrace,
+        answer: Answer,
+    ) -> None:
+        received_at = context.request.received_at
+        while (part := await connection.read()) is not None:
+            trace.note_event(self._clock(), received_at)
+            if answer.is_started:
+                await answer.send(part)
+            else:
+                await answer.begin(
+                    reply.status, end_to_end(reply.headers), part
+                )
+        if answer.is_started:
+            await answer.end()
+        else:
+            await answer.send_whole(
+                reply.status, end_to_end(reply.headers), b''
+            )
+
+    def _encode(self, context: RequestContext) -> bytes:
+        names = self._names
+        request = context.request
+        left_s = context.deadline - self._clock()
+        left_ms = max(1, int(left_s * _MS_PER_S))
+        kept = [
+            names.request_id,
+            names.caller_key,
+            names.token_bounds,
+            names.prompt_parts,
+        ]
+        headers = end_to_end(request.headers, [names.deadline_ms], kept)
+        headers.append((names.deadline_ms.encode(), b'%d' % left_ms))
+        if request.body or request.method not in {b'GET', b'HEAD'}:
+            headers.append((b'Content-Length', b'%d' % len(request.body)))
+        lines = [b'%b %b HTTP/1.1' % (request.method, request.target)]
+        lines += [b'%b: %b' % header for header in headers]
+        return b'\r\n'.join((*lines, b'', request.body))
--- a/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
@@ -15,7 +15,8 @@
     """Hold the decisions that apply to all attempts of a request.
 
     `deadline` is loop time in seconds; `caller_deadline` that until which the
-    caller waits, also for a repeated request.
+    caller waits, also for a repeated request. `is_relayed` states that it came
+    from another daemon, which reaches no server.
     """
 
     request: CallerRequest
@@ -28,6 +29,7 @@
     caller_deadline: float
     work: Work
     tokens_per_event: int
+    is_relayed: bool = False
 
 
 @dataclass(slots=True)
@@ -73,6 +75,12 @@
         self.may_have_run = True
         self.attempts.append(_sent(server))
 
+    def note_relayed(self, peer: str, waited_s: float) -> None:
+        """Add a send to another daemon, which sends it to a server."""
+        self.first_send_s = waited_s
+        self.may_have_run = True
+        self.attempts.append(_sent(peer))
+
     def note_event(self, now: float, received_at: float) -> None:
         """Record that events were passed on to the caller."""
         if self.last_event_at is None:
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -41,6 +41,7 @@
 from oriolegauge.routing.retrybudgets import RetryBudgets
 from oriolegauge.routing.serverchooser import ServerChooser
 from oriolegauge.routing.serverpauses import ServerPauses
+from oriolegauge.routing.servicereach import ServiceReach
 
 HOST = '127.0.0.1'
 NAMES = HeaderNames(callers_never_set=frozenset(('X-Hold',)))
@@ -338,6 +339,13 @@
             adapts_to_load=self.adapts_to_load,
         )
         self.link = HostLink(mbps=1_000, clock=clock)
+        self.reach = ServiceReach(
+            clock=clock,
+            servers_of=lambda service: [
+                server.instance for server in self.directory.of_service(service)
+            ],
+            on_change=lambda: None,
+        )
         self.pool = ConnectionPool(
             request_id_header=NAMES.request_id,
             connect_timeout_s=0.3,
@@ -351,6 +359,7 @@
                 limits=self.limits_named,
                 clock=clock,
             ),
+            reach=self.reach,
             traffic=self.link,
         )
         self.suspects = CrashSuspects(
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -51,6 +51,7 @@
 from oriolegauge.routing.loadaggregator import LoadAggregator
 from oriolegauge.routing.peerload import PeerLoad
 from oriolegauge.routing.serverchooser import ServerChooser
+from oriolegauge.routing.servicereach import ServiceReach
 from oriolegauge.wire import PeerTimeoutError, PeerUnreachableError, Sender
 from oriolegauge.wire.messages import (
     UNLIMITED_PER_S,
@@ -167,6 +168,8 @@
         self._state = state
         self._reaches_store = reaches_store
         self._watches_store: Callable[[], bool] | None = None
+        self._reach: ServiceReach | None = None
+        self._relay_port = 0
         self._clock = clock
         self._watch_signs = WatchSigns(clock)
         # Loop times at which other daemons became known.
@@ -276,6 +279,11 @@
         """Tell peers whether this daemon watches the store for them."""
         self._watches_store = watches_store
 
+    def attach_relay(self, reach: ServiceReach, port: int) -> None:
+        """Tell peers what this daemon reaches, and where it takes requests."""
+        self._reach = reach
+        self._relay_port = port
+
     def attach_limits(self, limits: LimitExchange) -> None:
         """Answer requests of peers for permits."""
         self._limits = limits
@@ -493,18 +501,26 @@
         mesh = self._mesh
         if mesh is None or not mesh.names:
             return self._reaches_store()
+        heard = self.fresh_heartbeats()
+        if not heard:
+            return False
+        reaches_store = self._reaches_store() or any(
+            heartbeat.watches_store for heartbeat in heard.values()
+        )
+        return reaches_store or heard.keys() >= set(mesh.names)
+
+    def fresh_heartbeats(self) -> dict[str, Heartbeat]:
+        """Return the heartbeats of the peers that are heard, by name."""
+        if self._mesh is None:
+            return {}
         oldest = self._clock() - FRESH_PERIODS * heartbeat_period_s(
             self.members
         )
-        heard = {
-            name: received.heartbeat.watches_store
-            for name, received in mesh.heartbeats.items()
+        return {
+            name: received.heartbeat
+            for name, received in self._mesh.heartbeats.items()
             if received.received_at > oldest
         }
-        if not heard:
-            return False
-        reaches_store = self._reaches_store() or any(heard.values())
-        return reaches_store or heard.keys() >= set(mesh.names)
 
     def _known_periods(self) -> dict[str, int]:
         mesh = self._mesh
@@ -703,6 +719,8 @@
             version_period=versions.history.number if versions else 0,
             version_shares=versions.shares() if versions else (),
             watch_signs=self._signs_to_send(),
+            lost_services=self._reach.lost_services if self._reach else (),
+            relay_port=self._relay_port,
         )
 
     def apply_heartbeats(self) -> None:
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -25,7 +25,6 @@
     RouteTable,
     StateVersions,
 )
-from oriolegauge.forwarding.callerlistener import CallerListener
 from oriolegauge.forwarding.connectionpool import ConnectionPool
 from oriolegauge.forwarding.crashdetector import CrashDetector
 from oriolegauge.forwarding.dispatcher import Dispatcher
@@ -33,6 +32,7 @@
 from oriolegauge.forwarding.forwardmetrics import ForwardMetrics
 from oriolegauge.forwarding.leavinginstances import LeavingInstance
 from oriolegauge.forwarding.serversignals import ServerSignals
+from oriolegauge.gateway.callerports import CallerPorts
 from oriolegauge.gateway.fleetlayout import heartbeat_period_s
 from oriolegauge.gateway.fleetlinks import FleetLinks
 from oriolegauge.gateway.gatewaysettings import GatewaySettings
@@ -47,6 +47,7 @@
 )
 from oriolegauge.gateway.missingservergrace import missing_kept_until
 from oriolegauge.gateway.rankedmembers import FleetMember, capacity_class
+from oriolegauge.gateway.relaypeers import FleetRelayPeers, fleet_relay
 from oriolegauge.gateway.shareddocuments import Document, SharedDocuments
 from oriolegauge.gateway.storerecords import StoreRecords
 from oriolegauge.gateway.versionexchange import VersionExchange
@@ -57,7 +58,7 @@
 from oriolegauge.routing.retrybudgets import RetryBudgets
 from oriolegauge.routing.serverchooser import ServerChooser
 
-DRAIN_POLL_S = 0.05
+SETTLE_PAUSE_S = 0.05
 PRUNE_PERIOD_S = 0.5
 # Connections of one daemon to a server, as a multiple of its equal share of the
 # server's limit. Above 1 since traffic is uneven over daemons.
@@ -125,7 +126,9 @@
             on_limit=self._note_limit,
             # Peers are not told, as they derive the change themselves.
             on_cold=lambda: self._permits.changed(),
+            on_reach=lambda: self._links.announce_change(),
         )
+        self._reach = known.reach
         self._leaving_instances = known.leaving_instances
         self._directory = known.directory
         self._evacuated_zones = known.evacuated_zones
@@ -156,6 +159,7 @@
                 limits=self._limits,
                 clock=self._clock,
             ),
+            reach=self._reach,
             traffic=self._link,
             idle_limit=self._idle_limit,
         )
@@ -241,6 +245,7 @@
             if kind
         }
         self._links.attach_watch(self._watches_store)
+        self._links.attach_relay(self._reach, settings.relay_port)
         if settings.evacuations_kind:
             self._links.add_later_document(settings.evacuations_kind)
         self._mesh = PeerMesh(
@@ -272,6 +277,7 @@
             share=settings.retry_share,
             max_credit=self._retry_credit,
         )
+        buffers = ByteBudget(int(settings.memory_bytes * REPLY_BUFFER_SHARE))
         self._forwarder = Forwarder(
             names=names,
             dispatcher=Dispatcher(
@@ -289,7 +295,7 @@
                 connection_limit=self._connection_limit,
             ),
             budget=self._keeper,
-            buffers=ByteBudget(int(settings.memory_bytes * REPLY_BUFFER_SHARE)),
+            buffers=buffers,
             link=self._link,
             metrics=self._metrics,
             state_versions=self._state_versions,
@@ -303,12 +309,25 @@
                 members=lambda: self._links.members,
                 max_bytes=int(settings.memory_bytes * WAITING_BUFFER_SHARE),
             )
-        self._listener = CallerListener(
-            handler=self._forwarder.handle,
+        self._relay = fleet_relay(
+            peers=FleetRelayPeers(
+                links=self._links,
+                documents=self._documents,
+                config_kind=settings.config_kind,
+            ),
+            servers=known,
+            pool=self._pool,
+            names=names,
+            buffers=buffers,
+            link=self._link,
+            rng=self._rng,
+        )
+        self._forwarder.relay_by(self._relay)
+        self._ports = CallerPorts(
+            settings=settings,
+            forwarder=self._forwarder,
             limits=self._caller_limits,
-            max_connections=settings.max_caller_connections,
-            may_keep_open=lambda: not self._link.is_congested,
-            traffic=self._link,
+            link=self._link,
         )
 
     def start_drain(self) -> None:
@@ -339,9 +358,7 @@
         if settings.metrics:
             await self._checks.serve_metrics(settings.metrics)
         await self._mesh.listen()
-        await self._listener.listen(
-            settings.callers.host, settings.callers.port
-        )
+        await self._ports.listen()
         tasks = [
             asyncio.create_task(run_supervised(job)) for job in self._jobs()
         ]
@@ -388,34 +405,27 @@
         self.lifecycle.drain()
         log.info('drain', running=self._forwarder.running)
         self._forwarder.drain(plan)
-        self._listener.drain()
+        self._ports.drain()
         await asyncio.sleep(plan.listener_closes_at - self._clock())
-        self._listener.close()
-        # The last connections are accepted after the listener is closed.
-        await asyncio.sleep(DRAIN_POLL_S)
-        await self._wait_for_callers(plan.idle_closes_at)
-        self._listener.close_idle()
-        await self._wait_for_callers(plan.answers_until)
-        self._listener.refuse_unfinished()
+        await self._ports.close()
+        await self._ports.wait_until_closed(plan.idle_closes_at)
+        self._ports.close_idle()
+        await self._ports.wait_until_closed(plan.answers_until)
+        self._ports.refuse_unfinished()
         # Requests that were given up settle their tokens and are answered.
-        await asyncio.sleep(DRAIN_POLL_S)
+        await asyncio.sleep(SETTLE_PAUSE_S)
         log.info(
             'drained',
             running=self._forwarder.running,
-            connections=self._listener.connections,
+            connections=self._ports.connections,
         )
         self.lifecycle.finish()
         await asyncio.gather(
             self._return_grants(plan.closed_by),
-            self._wait_for_callers(plan.flushed_by),
+            self._ports.wait_until_closed(plan.flushed_by),
         )
         self._pool.close()
 
-    async def _wait_for_callers(self, until: float) -> None:
-        """Wait until all connections of callers have closed."""
-        while self._listener.connections and self._clock() < until:
-            await asyncio.sleep(min(DRAIN_POLL_S, until - self._clock()))
-
     async def _return_grants(self, until: float) -> None:
         try:
             async with asyncio.timeout_at(until):
@@ -676,7 +686,10 @@
         return {
             'requests_running': self._forwarder.running,
             'requests_waiting': self._forwarder.waiting,
-            'caller_connections': self._listener.connections,
+            'caller_connections': self._ports.caller_connections,
+            'relay_connections': self._ports.peer_connections,
+            'requests_relayed': self._relay.running,
+            'services_out_of_reach': len(self._reach.lost_services),
             'peers_linked': self._links.linked,
             'link_congested': float(self._link.is_congested),
             'servers_known': len(self._directory.instances),
--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -27,6 +27,8 @@
     `evacuations_kind` is the kind of the objects that request evacuations of
     availability zones; None if none are followed.
     `adapts_to_load` turns on placement by learned speeds and load shedding.
+    `relay_port` takes requests of daemons that reach no server, at the address
+    of the peer port; 0 takes none.
     `is_first_start` states that the whole fleet starts for the first time.
     """
 
@@ -51,6 +53,7 @@
     cores: float
     link_mbps: float
     is_first_start: bool = True
+    relay_port: int = 0
     evacuations_kind: str | None = None
     adapts_to_load: bool = False
     memory_bytes: int = 256 * 1024 * 1024
--- a/packages/gateway/src/oriolegauge/gateway/knownservers.py
+++ b/packages/gateway/src/oriolegauge/gateway/knownservers.py
@@ -14,6 +14,7 @@
 from oriolegauge.grants import HostClocks
 from oriolegauge.routing.coldservers import ColdServers
 from oriolegauge.routing.serverpauses import ServerPauses
+from oriolegauge.routing.servicereach import ServiceReach
 
 
 class KnownServers:
@@ -28,10 +29,12 @@
         on_leaving_instance: Callable[[], None],
         on_limit: Callable[[str], None],
         on_cold: Callable[[], None],
+        on_reach: Callable[[], None],
     ) -> None:
         """Call `on_limit(instance)` when a server names another rate.
 
-        Call `on_cold` when a server becomes cold or warm.
+        Call `on_cold` when a server becomes cold or warm, `on_reach` when a
+        service gets in or out of reach.
         """
         self._on_cold = on_cold
         self.leaving_instances = LeavingInstances(clock, on_leaving_instance)
@@ -50,6 +53,15 @@
             cold_servers=cold_servers,
         )
 
+        self.reach = ServiceReach(
+            clock=clock, servers_of=self._servers_of, on_change=on_reach
+        )
+
+    def _servers_of(self, service: str) -> list[str]:
+        return [
+            server.instance for server in self.directory.of_service(service)
+        ]
+
     def _note_returned(self, zones: Collection[str]) -> None:
         self.cold.zones_returned(zones)
 
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -76,6 +76,8 @@
   versionShares @18 :VersionShares;
   laterVersions @19 :ConfigVersions;
   watchSigns @20 :WatchSigns;
+  lostServices @21 :List(Text);
+  relayPort @22 :Int64;
 }
 
 struct ConfigVersions {
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -151,7 +151,9 @@
     `later_versions` are those of documents that earlier builds do not know.
     `version_period` is the number of the present period, 0 if the member does
     not know of periods. `watch_signs` are those of the sender and, in a large
-    fleet, of other members that watch the store.
+    fleet, of other members that watch the store. `lost_services` are those of
+    which the member reaches no server. `relay_port` takes requests of members
+    for which that is so, 0 if there is none.
     """
 
     member: str
@@ -175,6 +177,8 @@
     version_shares: tuple[VersionShare, ...] = ()
     later_versions: tuple[ConfigVersion, ...] = ()
     watch_signs: tuple[WatchSign, ...] = ()
+    lost_services: tuple[str, ...] = ()
+    relay_port: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wire/tests/test_olderbuilds.py
+++ b/packages/wire/tests/test_olderbuilds.py
@@ -37,6 +37,8 @@
     'versionShares @18',
     'laterVersions @19',
     'watchSigns @20',
+    'lostServices @21',
+    'relayPort @22',
     'streamStarts @42',
     'streamStartQuery @43',
     'loadDetails @5',
@@ -46,10 +48,15 @@
 SCHEMA_ID = '@0xd3a1c6f07b52e948'
 OLDER_SCHEMA_ID = '@0xd3a1c6f07b52e949'
 # The build before the documents of later keys.
-PREVIOUS_LINES = ('laterVersions @19', 'watchSigns @20')
+PREVIOUS_LINES = (
+    'laterVersions @19',
+    'watchSigns @20',
+    'lostServices @21',
+    'relayPort @22',
+)
 PREVIOUS_SCHEMA_ID = '@0xd3a1c6f07b52e94a'
-# One word, of 8 bytes, for each of the four new fields of a heartbeat.
-NEW_FIELDS_BYTES = 32
+# One word, of 8 bytes, for each of the six new fields of a heartbeat.
+NEW_FIELDS_BYTES = 48
 # All words are zero, and deflate stores them in next to nothing.
 DEFLATED_FIELDS_BYTES = 4
 
