Take a reply whose status is below 100 for no answer

The parser accepts any number as a status, and the forwarder compared it only with the bounds of interim and successful replies.

Such a reply now fails at its header, before any signal in it is used: callers get 502, or a retry where one is allowed, and the connection is closed, so that what follows it meets no other request. Relayed replies take the same path.

--- a/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
@@ -259,6 +259,9 @@
         """Decide whether the reply belongs to the request."""
         self._is_in_head = False
         status = self._parser.get_status_code()
+        # The parser takes any number for a status.
+        if status < _FIRST_INTERIM_STATUS:
+            self._fail_and_stop_parsing('the status is below 100')
         names = {name.lower() for name, _ in self._headers}
         reply = ServerReply(
             status=status,
