Close the connection to a peer that did not get the request

A connection to a peer that closed it before the request was written stayed open until its object was collected. Found when reading the relay again. A 503 of a peer is now logged as refused, as it is at the peer, and not as failed. 29 tests of the relay and of early replies pass.

--- a/packages/forwarding/src/oriolegauge/forwarding/peerrelay.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/peerrelay.py
@@ -12,9 +12,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-import structlog
-
-from oriolegauge.core.bytebudget import ByteBudget, ByteLease
+from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.core.errors import OutcomeUnknownError, ServerFailedError
 from oriolegauge.forwarding.answer import Answer
 from oriolegauge.forwarding.errors import (
@@ -28,7 +26,7 @@
 from oriolegauge.forwarding.serverconnection import ServerConnection
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
-from oriolegauge.forwarding.wholeexchange import read_body
+from oriolegauge.forwarding.wholeexchange import NOT_RUN_STATUSES, read_body
 from oriolegauge.routing.servicereach import ServiceReach
 
 Address = tuple[str, int]
@@ -41,8 +39,6 @@
 MAX_RUNNING_PER_PEER = 64
 _MS_PER_S = 1000
 
-log = structlog.get_logger()
-
 
 @dataclass(frozen=True, slots=True)
 class RelayPeer:
@@ -147,24 +143,15 @@
         """Return false if the peer did not get the request."""
         label = f'peer {peer.name}'
         try:
-            # A peer that stops closes kept connections, and a request that is
-            # lost in this way can't be sent again.
-            connection = await ServerConnection.open(
-                peer.address,
-                self._names.request_id,
-                CONNECT_TIMEOUT_S,
-                traffic=self._traffic,
-            )
-            await connection.send(self._encode(context), context.request_id)
+            connection = await self._send(peer, context)
         except ServerUnreachableError as error:
             trace.note(label, f'not sent ({error.message})')
             return False
-        trace.note_relayed(label, self._clock() - context.request.received_at)
         try:
-            with self._buffers.lease() as buffer_lease:
-                await self._pass_on(
-                    connection, context, trace, answer, buffer_lease
-                )
+            trace.note_relayed(
+                label, self._clock() - context.request.received_at
+            )
+            await self._pass_on(connection, context, trace, answer)
         except ReplyBrokenError as error:
             trace.note(label, error.message)
             if self._clock() >= context.deadline:
@@ -175,26 +162,47 @@
         trace.note(label, str(answer.status))
         return True
 
+    async def _send(
+        self, peer: RelayPeer, context: RequestContext
+    ) -> ServerConnection:
+        """Send on a new connection; raise ServerUnreachableError.
+
+        A peer that stops closes kept connections, and a request that is lost in
+        this way can't be sent again.
+        """
+        connection = await ServerConnection.open(
+            peer.address,
+            self._names.request_id,
+            CONNECT_TIMEOUT_S,
+            traffic=self._traffic,
+        )
+        try:
+            await connection.send(self._encode(context), context.request_id)
+        except ServerUnreachableError:
+            connection.abort()
+            raise
+        return connection
+
     async def _pass_on(
         self,
         connection: ServerConnection,
         context: RequestContext,
         trace: RequestTrace,
         answer: Answer,
-        buffer_lease: ByteLease,
     ) -> None:
         reply = await connection.head()
+        trace.outcome = _outcome(reply)
         is_stream = context.route.kind is RequestKind.STREAM
         if is_stream and reply.is_success:
             await self._pass_on_stream(
                 connection, reply, context, trace, answer
             )
-        else:
+            return
+        with self._buffers.lease() as buffer_lease:
             body = await read_body(connection.read, buffer_lease)
             await answer.send_whole(
                 reply.status, end_to_end(reply.headers), body
             )
-        trace.outcome = 'answered' if reply.is_success else 'failed'
 
     async def _pass_on_stream(
         self,
@@ -238,3 +246,9 @@
         lines = [b'%b %b HTTP/1.1' % (request.method, request.target)]
         lines += [b'%b: %b' % header for header in headers]
         return b'\r\n'.join((*lines, b'', request.body))
+
+
+def _outcome(reply: ServerReply) -> str:
+    if reply.is_success:
+        return 'answered'
+    return 'refused' if reply.status in NOT_RUN_STATUSES else 'failed'
