--- a/tests/adapter/soakfleet.py
+++ b/tests/adapter/soakfleet.py
@@ -26,7 +26,7 @@
 contracts = {contracts}
 ip = "127.0.0.1"
 zone = "z1"
-portRange = [{peer}, {peer}]
+portRange = [{peer}, {relay}]
 [listen]
 front = "127.0.0.1:{front}"
 ready = "127.0.0.1:{ready}"
@@ -127,6 +127,7 @@
         self.ports = [
             (hold_port(), hold_port(), hold_port()) for _ in range(size)
         ]
+        self.relay_ports = [hold_port() for _ in range(size)]
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.proxies: list[LoopbackProxy] = []
         self.retry_ratio = 0.2
@@ -233,6 +234,7 @@
                 front=front,
                 ready=ready,
                 peer=peer,
+                relay=self.relay_ports[number],
                 store=self._store_port(number),
                 retry_ratio=self.retry_ratio,
                 grace_s=self.grace_s,
@@ -244,7 +246,7 @@
         with self._log_path(number).open('ab') as log:
             self.processes[number] = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT / 'platform' / 'daemon.py'),
+                str(self._program(number)),
                 env={
                     **os.environ,
                     'ORIOLEGAUGE_CONFIG': str(path),
@@ -254,6 +256,9 @@
                 stderr=log,
             )
 
+    def _program(self, number):
+        return ROOT / 'platform' / 'daemon.py'
+
     def _store_port(self, number):
         return self.proxies[0].port
 
