Check the role of a sleeping follower four times a second

Each check passes over the members ranked above the eight watchers. Ten checks a second of two kinds would cost a daemon some hundredths of a slow core where hundreds of lost hosts are still listed. A quarter of a second is well within the 2 s in which a configuration has to be in force. Also states what a check of reach does, and drops a comment that named no reason.

The tests of followers, watchers and the relay pass.

--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -389,7 +389,10 @@
     async def _is_served_by_peer(
         self, context: RequestContext, trace: RequestTrace, answer: Answer
     ) -> bool:
-        """Answer through a peer if this host reaches no server."""
+        """Answer by way of a peer if this host reaches no server.
+
+        Return whether a peer has answered.
+        """
         relay = self._relay
         if relay is None or context.is_relayed:
             return False
--- a/packages/forwarding/src/oriolegauge/forwarding/peerrelay.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/peerrelay.py
@@ -34,8 +34,7 @@
 # Peers answer within some milliseconds; one that does not is passed over.
 CONNECT_TIMEOUT_S = 0.2
 MAX_PEERS_TRIED = 2
-# Requests that one daemon has under way at one peer. Each of many hosts that
-# are cut off sends a part to each host that is not.
+# Bounds what one daemon adds to the load of another.
 MAX_RUNNING_PER_PEER = 64
 _MS_PER_S = 1000
 
@@ -90,7 +89,10 @@
         return self._running.total()
 
     def is_needed(self, service: str) -> bool:
-        """State whether this host reaches no server of the service."""
+        """State whether this host reaches no server of the service.
+
+        Tests a server once a period, since no request would show its return.
+        """
         if not self._reach.is_lost(service):
             return False
         if self._reach.take_test(service):
--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -36,7 +36,7 @@
 NON_WATCHER_POLL_S = (4.0, 8.0)
 # A daemon whose role changes during a pause acts on it within this time. Peers
 # send no changes while all daemons take each other for watchers.
-ROLE_CHECK_PERIOD_S = 0.1
+ROLE_CHECK_PERIOD_S = 0.25
 # Pause after a change, to read several at once. Otherwise each server that
 # registers or leaves would cost one call of each watcher.
 BATCH_CHANGES_S = 0.2
