Keep the ports of refusing test servers from other listeners

Cause: the test's gone server listened once on an ephemeral port and closed it. The log shows the port in use by the peer's listener for callers: each request of the first daemon to its server s0 is followed by a refusal of the peer for a missing caller key. Ruled out: a fault of the relay; no request of that run took it. A trial that puts the peer's listener on the gone server's port gives 401 six times of six. Change: a gone server binds its port without listening until it is stopped.

--- a/packages/forwarding/tests/test_peerrelay.py
+++ b/packages/forwarding/tests/test_peerrelay.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 from contextlib import asynccontextmanager
 
 import pytest
@@ -53,16 +54,16 @@
     return relay
 
 
-def gone_server():
-    """Return a server whose host refuses connections."""
-    server = ScriptedServer()
+class GoneServer(ScriptedServer):
+    """Refuse connections, and keep the port from other listeners."""
 
-    async def listen_briefly():
-        await ScriptedServer.start(server)
-        await server.stop()
+    async def start(self):
+        self._reserving = socket.socket()
+        self._reserving.bind((HOST, 0))
+        self.port = self._reserving.getsockname()[1]
 
-    server.start = listen_briefly
-    return server
+    async def stop(self):
+        self._reserving.close()
 
 
 @asynccontextmanager
@@ -85,7 +86,7 @@
 async def two_daemons(*servers):
     """Run a daemon that reaches no server, and one that reaches all."""
     async with contextlib.AsyncExitStack() as stack:
-        cut = await stack.enter_async_context(World(gone_server()))
+        cut = await stack.enter_async_context(World(GoneServer()))
         peer = await stack.enter_async_context(World(*servers))
         port = await stack.enter_async_context(relay_port(peer))
         relay_of(cut, FoundPeers(port))
@@ -139,7 +140,7 @@
 
     async def test_refusal_of_the_peer_is_passed_on(self):
         """Guards against a refusal without the time to come back."""
-        async with two_daemons(gone_server()) as (cut, _):
+        async with two_daemons(GoneServer()) as (cut, _):
             answer = await cut.call('/once/x')
         assert answer.first_line.startswith('HTTP/1.1 503')
         assert float(answer.headers['retry-after']) > 0
@@ -147,8 +148,8 @@
     async def test_request_is_relayed_only_once(self):
         """Guards against requests that daemons pass round without end."""
         async with (
-            World(gone_server()) as first,
-            World(gone_server()) as second,
+            World(GoneServer()) as first,
+            World(GoneServer()) as second,
             relay_port(first) as first_port,
             relay_port(second) as second_port,
         ):
@@ -186,7 +187,7 @@
         other = ScriptedServer()
         for server in (peer, other):
             await server.start()
-        async with World(gone_server()) as cut:
+        async with World(GoneServer()) as cut:
             relay_of(cut, FoundPeers(peer.port, other.port))
             answers = [await cut.call('/once/x') for _ in range(8)]
         statuses = {answer.first_line.split()[1] for answer in answers}
@@ -195,15 +196,16 @@
 
     async def test_peer_that_takes_no_connection_is_passed_over(self):
         """Guards against callers that are refused for one lost peer."""
-        lost = gone_server()
+        lost = GoneServer()
         await lost.start()
         async with (
-            World(gone_server()) as cut,
+            World(GoneServer()) as cut,
             World(ScriptedServer()) as peer,
             relay_port(peer) as port,
         ):
             relay_of(cut, FoundPeers(lost.port, port))
             answers = [await cut.call('/once/x') for _ in range(6)]
+        await lost.stop()
         assert {answer.first_line.split()[1] for answer in answers} == {'200'}
 
     async def test_stream_that_breaks_off_does_not_look_whole(self):
@@ -216,7 +218,7 @@
 
         peer = ScriptedServer(break_off)
         await peer.start()
-        async with World(gone_server()) as cut:
+        async with World(GoneServer()) as cut:
             relay_of(cut, FoundPeers(peer.port))
             reader, writer = await cut.connect()
             writer.write(request_bytes('/review/x', body=b'{}'))
@@ -237,7 +239,7 @@
 
         peer = ScriptedServer(answer_other)
         await peer.start()
-        async with World(gone_server()) as cut:
+        async with World(GoneServer()) as cut:
             relay_of(cut, FoundPeers(peer.port))
             answer = await cut.call('/once/x', X_Deadline_Ms='400')
         assert answer.first_line.split()[1] in {'502', '504'}
@@ -252,7 +254,7 @@
 
         peer = ScriptedServer(wait)
         await peer.start()
-        async with World(gone_server()) as cut:
+        async with World(GoneServer()) as cut:
             relay = relay_of(cut, FoundPeers(peer.port))
             calls = [
                 asyncio.create_task(
