Divide the slots of brittle servers among the daemons

Seen: a service's servers say Server-Brittle: N in all their answers; one that rejects more than N requests in a second falls over. The header was not read, so daemons filled the slots of such servers and were rejected. Cause: each daemon knows the load of its peers late, so all of them see the same free slot and send to it; and what a server lets wait was relied on. Change: while a service is brittle each daemon keeps its requests at a server to its part of the slots. The parts follow from the names of the daemons and sum up to the slots, so that none is rejected for want of room. A request without a place is refused at once, with the time at which places get free. A reply without the header, to a request sent after the last one with it, ends the bound. Removing any of the three ways in which a place is freed fails a test. Open: in a fleet with more daemons than slots of a service, some daemons have no place at all.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -26,6 +26,10 @@
 from oriolegauge.forwarding.serverconnection import ServerConnection
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
 from oriolegauge.forwarding.serverlimits import ServerLimits
+from oriolegauge.forwarding.serverplaces import (
+    ServerPlaces,
+    lone_daemon_places,
+)
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.forwarding.serversignals import MISDIRECTED
 from oriolegauge.routing.candidate import Candidate
@@ -152,16 +156,21 @@
         self._permits = permits
         self._crashes = crashes
         self._connector = Connector(
-            pool=pool, chooser=chooser, give_back=permits.give_back
+            pool=pool, chooser=chooser, give_back=self._give_back
         )
         self._retry_schedule = RetrySchedule()
         self._connection_limit = connection_limit
         self._clock = asyncio.get_running_loop().time
+        self._places = lone_daemon_places(self._clock)
 
     def report_rejections(self, on_rejected: Callable[[str], None]) -> None:
         """Call `on_rejected` with a service whenever a server of it is full."""
         self._on_rejected = on_rejected
 
+    def share_places(self, places: ServerPlaces) -> None:
+        """Share the slots of brittle servers with the other daemons."""
+        self._places = places
+
     def has_server(
         self,
         service: str,
@@ -308,7 +317,8 @@
                 attempt.server.instance,
                 until=self._clock() + MISDIRECTED_BACKOFF_S,
             )
-        self._note_limit(attempt, reply)
+        else:
+            self._note_limit(attempt, reply)
         return reply
 
     def record_reply(self, attempt: Attempt, reply: ServerReply) -> None:
@@ -357,7 +367,12 @@
         if attempt.connection.is_lost and may_be_crash:
             self._note_lost(attempt)
         self._pool.give_back(attempt.server, attempt.connection)
+        self._places.give_back(attempt.server.server_instance)
         now = self._clock()
+        if attempt.was_answered:
+            self._places.note_ended(
+                attempt.server.service, now - attempt.sent_at
+            )
         self._chooser.ended(
             attempt.server.instance,
             attempt.unread_tokens,
@@ -388,14 +403,27 @@
                 context, excluded, version, is_index_current=is_index_current
             )
             wait_s = await self._permits.acquire(server.server_instance)
-            if wait_s <= 0:
+            if wait_s > 0:
+                self._pauses.hold(server.instance, wait_s, self._clock())
+            elif self._places.take(server):
                 return server
-            self._pauses.hold(server.instance, wait_s, self._clock())
+            else:
+                # Another request took the last place in the meantime.
+                self._permits.give_back(server.server_instance)
+
+    def _give_back(self, server_instance: ServerInstance) -> None:
+        """Return the permit and the place of a request that was not sent."""
+        self._permits.give_back(server_instance)
+        self._places.give_back(server_instance)
 
     def _note_limit(self, attempt: Attempt, reply: ServerReply) -> None:
-        """End the limit of a server that names none any more."""
-        is_named = bool(reply.header(self._names.rate_limit))
-        if not is_named and reply.status != MISDIRECTED:
+        """Record whether the server is brittle; end a limit it doesn't name."""
+        self._places.note_reply(
+            attempt.server.service,
+            reply.header(self._names.brittle),
+            attempt.sent_at,
+        )
+        if not reply.header(self._names.rate_limit):
             self._limits.note_unlimited(
                 attempt.server.server_instance, attempt.limit_mark
             )
@@ -443,6 +471,15 @@
         names = [server.instance for server in servers]
         now = self._clock()
         wait_s = self._pauses.retry_after_s(names, now)
+        if wait_s is None and self._places.is_bounded(context.service):
+            reason = f'{reason}; the slots of brittle servers are shared'
+            wait_s = self._retry_schedule.wait_s(
+                context.service,
+                earliest_s=RETRY_AFTER_REJECTED_S,
+                per_s=self._places.per_s(context.service, servers),
+                left_s=context.caller_deadline - now,
+                now=now,
+            )
         held = [
             one for one in servers if self._pauses.is_held(one.instance, now)
         ]
@@ -464,6 +501,7 @@
         self, service: str, excluded: Collection[str], version: str | None
     ) -> dict[str, BackendServer]:
         limit = self._connection_limit(service)
+        is_bounded = self._places.is_bounded(service)
         now = self._clock()
         return {
             server.instance: server
@@ -472,6 +510,7 @@
             and version in {None, server.version}
             and not self._pauses.is_paused(server.instance, now)
             and self._pool.in_use(server.address) < limit
+            and (not is_bounded or self._places.has_free(server))
         }
 
     async def _start(
@@ -485,6 +524,7 @@
         """Send the request; return the connection to the pool if that fails."""
         with ExitStack() as undo:
             undo.callback(self._pool.give_back, server, connection)
+            undo.callback(self._places.give_back, server.server_instance)
             now = self._clock()
             if now >= context.deadline:
                 self._permits.give_back(server.server_instance)
--- a/packages/forwarding/src/oriolegauge/forwarding/headernames.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/headernames.py
@@ -15,6 +15,8 @@
     `signature` marks a reply that a server itself has made.
     `leaving` is 1 in the replies of a leaving server.
     `rate_limit` holds the requests per second that a server in need takes.
+    `brittle` holds the rejections a second that a server bears, which falls
+    over if it has to reject more.
     `cold_ms` holds how much longer a server takes only a limited rate.
     `resumes` names, in a request for the rest of a stream, the attempt of the
     caller that brought the stream's first event.
@@ -33,6 +35,7 @@
     signature: str = 'X-Server-Signature'
     leaving: str = 'X-Server-Leaving'
     rate_limit: str = 'X-Server-Rate-Limit'
+    brittle: str = 'X-Server-Brittle'
     cold_ms: str = 'X-Cold-Ms'
     resumes: str = 'X-Resumes'
     callers_never_set: frozenset[str] = frozenset()
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -221,14 +221,17 @@
 
     @property
     def share_holders(self) -> int:
-        """Return the number of daemons that own a share of each limit.
+        """Return the number of daemons that own a share of each limit."""
+        return 1 + len(self._other_share_holders())
 
-        A daemon that has announced its shutdown does not use its share.
+    def place_holders(self) -> Collection[str]:
+        """Return the daemons that share the slots of brittle servers.
+
+        None are returned until the members in the store have been listed.
         """
-        oldest = self._clock() - SHARE_RETENTION_S
-        lost = {name for name, at in self._lost_at.items() if at > oldest}
-        owners = lost | set(self._ranked_members.others)
-        return 1 + sum(not self.has_announced_shutdown(name) for name in owners)
+        if not self.is_listed:
+            return ()
+        return self._other_share_holders() | {self._name}
 
     @property
     def is_listed(self) -> bool:
@@ -522,6 +525,18 @@
             if received.received_at > oldest
         }
 
+    def _other_share_holders(self) -> set[str]:
+        """Return the other daemons that own a share of each limit.
+
+        A daemon that has announced its shutdown does not use its share.
+        """
+        oldest = self._clock() - SHARE_RETENTION_S
+        lost = {name for name, at in self._lost_at.items() if at > oldest}
+        owners = lost | set(self._ranked_members.others)
+        return {
+            name for name in owners if not self.has_announced_shutdown(name)
+        }
+
     def _known_periods(self) -> dict[str, int]:
         mesh = self._mesh
         if mesh is None:
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -127,6 +127,7 @@
             # Peers are not told, as they derive the change themselves.
             on_cold=lambda: self._permits.changed(),
             on_reach=lambda: self._links.announce_change(),
+            on_brittle=lambda: self._links.announce_change(),
         )
         self._reach = known.reach
         self._leaving_instances = known.leaving_instances
@@ -278,22 +279,26 @@
             max_credit=self._retry_credit,
         )
         buffers = ByteBudget(int(settings.memory_bytes * REPLY_BUFFER_SHARE))
-        self._forwarder = Forwarder(
+        dispatcher = Dispatcher(
+            directory=self._directory,
+            chooser=self._chooser,
+            pool=self._pool,
             names=names,
-            dispatcher=Dispatcher(
-                directory=self._directory,
-                chooser=self._chooser,
-                pool=self._pool,
-                names=names,
-                loads=self._links.loads,
-                pauses=self._pauses,
-                limits=self._limits,
-                permits=self._permits,
-                crashes=CrashDetector(
-                    probe=self._pool, suspects=self._crash_suspects
-                ),
-                connection_limit=self._connection_limit,
+            loads=self._links.loads,
+            pauses=self._pauses,
+            limits=self._limits,
+            permits=self._permits,
+            crashes=CrashDetector(
+                probe=self._pool, suspects=self._crash_suspects
             ),
+            connection_limit=self._connection_limit,
+        )
+        dispatcher.share_places(
+            known.places(settings.name, self._links.place_holders)
+        )
+        self._forwarder = Forwarder(
+            names=names,
+            dispatcher=dispatcher,
             budget=self._keeper,
             buffers=buffers,
             link=self._link,
--- a/packages/gateway/src/oriolegauge/gateway/knownservers.py
+++ b/packages/gateway/src/oriolegauge/gateway/knownservers.py
@@ -10,9 +10,12 @@
 )
 from oriolegauge.forwarding.serverdirectory import ServerDirectory
 from oriolegauge.forwarding.serverlimits import ServerLimits
+from oriolegauge.forwarding.serverplaces import ServerPlaces
 from oriolegauge.gateway.coldserverlist import ColdServerList
 from oriolegauge.grants import HostClocks
+from oriolegauge.routing.brittleservices import BrittleServices
 from oriolegauge.routing.coldservers import ColdServers
+from oriolegauge.routing.placeshares import PlaceShares
 from oriolegauge.routing.serverpauses import ServerPauses
 from oriolegauge.routing.servicereach import ServiceReach
 
@@ -30,12 +33,15 @@
         on_limit: Callable[[str], None],
         on_cold: Callable[[], None],
         on_reach: Callable[[], None],
+        on_brittle: Callable[[], None],
     ) -> None:
         """Call `on_limit(instance)` when a server names another rate.
 
         Call `on_cold` when a server becomes cold or warm, `on_reach` when a
-        service gets in or out of reach.
+        service gets in or out of reach, `on_brittle` when its servers become
+        brittle or are no longer.
         """
+        self._clock = clock
         self._on_cold = on_cold
         self.leaving_instances = LeavingInstances(clock, on_leaving_instance)
         self.evacuated_zones = EvacuatedZones(self._note_returned)
@@ -52,11 +58,19 @@
             on_change=on_limit,
             cold_servers=cold_servers,
         )
-
+        self.brittle = BrittleServices(clock, on_brittle)
         self.reach = ServiceReach(
             clock=clock, servers_of=self._servers_of, on_change=on_reach
         )
 
+    def places(
+        self, own: str, holders: Callable[[], Collection[str]]
+    ) -> ServerPlaces:
+        """Return the places of the daemon `own` among the `holders`."""
+        return ServerPlaces(
+            self.brittle, PlaceShares(own, holders, self._clock)
+        )
+
     def _servers_of(self, service: str) -> list[str]:
         return [
             server.instance for server in self.directory.of_service(service)
