Tell peers of services whose servers are brittle

Cause: a daemon that has had no answer of a service yet does not know that its servers are brittle, and its first burst of requests may be rejected. Older builds skip the field.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -47,6 +47,10 @@
 from oriolegauge.gateway.versionexchange import VersionExchange
 from oriolegauge.gateway.watchsigns import WatchSigns
 from oriolegauge.mesh import PeerMesh
+from oriolegauge.routing.brittleservices import (
+    BrittleServices,
+    ReportedService,
+)
 from oriolegauge.routing.crashsuspects import CrashSuspects
 from oriolegauge.routing.loadaggregator import LoadAggregator
 from oriolegauge.routing.peerload import PeerLoad
@@ -54,7 +58,9 @@
 from oriolegauge.routing.servicereach import ServiceReach
 from oriolegauge.wire import PeerTimeoutError, PeerUnreachableError, Sender
 from oriolegauge.wire.messages import (
+    NOT_BRITTLE,
     UNLIMITED_PER_S,
+    BrittleService,
     ConfigFetch,
     Heartbeat,
     LeavingServer,
@@ -169,6 +175,7 @@
         self._reaches_store = reaches_store
         self._watches_store: Callable[[], bool] | None = None
         self._reach: ServiceReach | None = None
+        self._brittle: BrittleServices | None = None
         self._relay_port = 0
         self._clock = clock
         self._watch_signs = WatchSigns(clock)
@@ -287,6 +294,10 @@
         self._reach = reach
         self._relay_port = port
 
+    def attach_brittle_services(self, brittle: BrittleServices) -> None:
+        """Share with peers which services' servers are brittle."""
+        self._brittle = brittle
+
     def attach_limits(self, limits: LimitExchange) -> None:
         """Answer requests of peers for permits."""
         self._limits = limits
@@ -332,6 +343,11 @@
                 self._server_limits.learn(
                     _reported_limits(message.server_limits), peer=sender.name
                 )
+                if self._brittle:
+                    self._brittle.learn(
+                        _reported_services(message.brittle_services),
+                        peer=sender.name,
+                    )
                 self._crash_suspects.learn(message.crashes)
                 self._watch_signs.learn(message.watch_signs)
                 if self._versions:
@@ -736,6 +752,7 @@
             watch_signs=self._signs_to_send(),
             lost_services=self._reach.lost_services if self._reach else (),
             relay_port=self._relay_port,
+            brittle_services=_service_rows(self._brittle),
         )
 
     def apply_heartbeats(self) -> None:
@@ -807,3 +824,30 @@
                 None if is_unlimited else row.per_s,
                 max(0, row.age_ms) / _MS_PER_S,
             )
+
+
+def _reported_services(
+    rows: Iterable[BrittleService],
+) -> Iterator[ReportedService]:
+    for row in rows:
+        is_over = row.per_s == NOT_BRITTLE
+        if is_over or (row.per_s >= 0 and math.isfinite(row.per_s)):
+            yield ReportedService(
+                row.service,
+                None if is_over else row.per_s,
+                max(0, row.age_ms) / _MS_PER_S,
+            )
+
+
+def _service_rows(
+    brittle: BrittleServices | None,
+) -> tuple[BrittleService, ...]:
+    reported = brittle.all() if brittle else ()
+    return tuple(
+        BrittleService(
+            report.service,
+            NOT_BRITTLE if report.bears is None else report.bears,
+            int(report.age_s * _MS_PER_S),
+        )
+        for report in reported
+    )
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -247,6 +247,7 @@
         }
         self._links.attach_watch(self._watches_store)
         self._links.attach_relay(self._reach, settings.relay_port)
+        self._links.attach_brittle_services(known.brittle)
         if settings.evacuations_kind:
             self._links.add_later_document(settings.evacuations_kind)
         self._mesh = PeerMesh(
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -78,6 +78,7 @@
   watchSigns @20 :WatchSigns;
   lostServices @21 :List(Text);
   relayPort @22 :Int64;
+  brittleServices @23 :BrittleServices;
 }
 
 struct ConfigVersions {
@@ -103,6 +104,11 @@
   ageMs @3 :List(Int64);
 }
 struct WatchSigns { member @0 :List(Text); ageMs @1 :List(Int64); }
+struct BrittleServices {
+  service @0 :List(Text);
+  perS @1 :List(Float64);
+  ageMs @2 :List(Int64);
+}
 struct VersionShares {
   period @0 :List(Int64);
   service @1 :List(Text);
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -25,6 +25,7 @@
 UNKNOWN_TOKENS = -1
 NO_STAMP_S = -1.0
 UNLIMITED_PER_S = -1.0
+NOT_BRITTLE = -1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +132,19 @@
     ended_age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class BrittleService:
+    """State how many rejections a second a service's servers bear.
+
+    `per_s` is NOT_BRITTLE if they bear any number again. The reply that tells
+    it is `age_ms` old.
+    """
+
+    service: str
+    per_s: float
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class WatchSign:
     """State how long ago (ms) a member was known to watch the store."""
@@ -153,7 +167,8 @@
     not know of periods. `watch_signs` are those of the sender and, in a large
     fleet, of other members that watch the store. `lost_services` are those of
     which the member reaches no server. `relay_port` takes requests of members
-    for which that is so, 0 if there is none.
+    for which that is so, 0 if there is none. `brittle_services` are those whose
+    servers fall over if they reject too many requests.
     """
 
     member: str
@@ -179,6 +194,7 @@
     watch_signs: tuple[WatchSign, ...] = ()
     lost_services: tuple[str, ...] = ()
     relay_port: int = 0
+    brittle_services: tuple[BrittleService, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wire/tests/test_olderbuilds.py
+++ b/packages/wire/tests/test_olderbuilds.py
@@ -39,6 +39,7 @@
     'watchSigns @20',
     'lostServices @21',
     'relayPort @22',
+    'brittleServices @23',
     'streamStarts @42',
     'streamStartQuery @43',
     'loadDetails @5',
@@ -53,10 +54,11 @@
     'watchSigns @20',
     'lostServices @21',
     'relayPort @22',
+    'brittleServices @23',
 )
 PREVIOUS_SCHEMA_ID = '@0xd3a1c6f07b52e94a'
-# One word, of 8 bytes, for each of the six new fields of a heartbeat.
-NEW_FIELDS_BYTES = 48
+# One word, of 8 bytes, for each of the seven new fields of a heartbeat.
+NEW_FIELDS_BYTES = 56
 # All words are zero, and deflate stores them in next to nothing.
 DEFLATED_FIELDS_BYTES = 4
 
