Relay requests of daemons without a place at brittle servers

Cause: parts of slots can't be smaller than one, and a daemon whose part is taken can't use that of another. Ruled out: a place for each daemon whatever the slots (65 daemons would send 65 requests to a server of 6 slots). Permits for requests in flight from one daemon cost two messages for each request, and all places are unknown after its loss; relaying costs a message pair only to requests without a place. Change: a request that finds no place goes to a peer that has a part of the slots, by the relay that serves hosts cut off from all servers. A peer that refuses gets no other request of the service for 0.1 s. Parts are at least 2 slots, since a few places together are free more often.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -171,6 +171,10 @@
         """Share the slots of brittle servers with the other daemons."""
         self._places = places
 
+    def shares_slots(self, service: str) -> bool:
+        """State whether a peer may have a place that this daemon lacks."""
+        return self._places.is_bounded(service)
+
     def has_server(
         self,
         service: str,
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -383,23 +383,36 @@
             # Only what was sent to no server may be sent elsewhere.
             if trace.sends or answer.is_started:
                 raise
-            if not await self._is_served_by_peer(context, trace, answer):
+            if not await self._is_served_by_peer(
+                context,
+                trace,
+                answer,
+                lacks_place=self._dispatcher.shares_slots(context.service),
+            ):
                 raise
 
     async def _is_served_by_peer(
-        self, context: RequestContext, trace: RequestTrace, answer: Answer
+        self,
+        context: RequestContext,
+        trace: RequestTrace,
+        answer: Answer,
+        *,
+        lacks_place: bool = False,
     ) -> bool:
-        """Answer by way of a peer if this host reaches no server.
+        """Answer by way of a peer if this host can't send to a server.
 
-        Return whether a peer has answered.
+        That is if it reaches none, or `lacks_place`. Return whether a peer has
+        answered.
         """
         relay = self._relay
         if relay is None or context.is_relayed:
             return False
-        if not relay.is_needed(context.service):
+        if not (lacks_place or relay.is_needed(context.service)):
             return False
         async with _until_deadline(context, trace):
-            return await relay.serve(context, trace, answer)
+            return await relay.serve(
+                context, trace, answer, lacks_place=lacks_place
+            )
 
     async def _serve_here(
         self, context: RequestContext, trace: RequestTrace, answer: Answer
--- a/packages/forwarding/src/oriolegauge/forwarding/peerrelay.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/peerrelay.py
@@ -1,15 +1,17 @@
-"""Send requests through another daemon while this host reaches no server.
+"""Send requests through another daemon while this host can't send to a server.
 
 Matters when the links from a host to the servers are cut and callers still
-connect to it. The other daemon treats the request as one of its own callers:
-it admits and bills it, keeps the limits of servers, and retries. This one only
-passes on bytes, so a request is sent once, and what its peer promises holds.
+connect to it, and when this daemon has no free part of the servers' slots. The
+other daemon treats the request as one of its own callers: it admits and bills
+it, keeps the limits of servers, and retries. This one only passes on bytes, so
+a request is sent once, and what its peer promises holds.
 """
 
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Protocol
 
 from oriolegauge.core.bytebudget import ByteBudget
@@ -36,6 +38,9 @@
 MAX_PEERS_TRIED = 2
 # Bounds what one daemon adds to the load of another.
 MAX_RUNNING_PER_PEER = 64
+# A peer without a free place gets no other request of the service for this
+# time, so that what the fleet can't serve costs one daemon only.
+REFUSED_PAUSE_S = 0.1
 _MS_PER_S = 1000
 
 
@@ -82,6 +87,8 @@
         self._traffic = traffic
         self._clock = asyncio.get_running_loop().time
         self._running: Counter[str] = Counter()
+        # Loop times until which peers get no request of a service.
+        self._refused_until: dict[tuple[str, str], float] = {}
 
     @property
     def running(self) -> int:
@@ -100,10 +107,16 @@
         return True
 
     async def serve(
-        self, context: RequestContext, trace: RequestTrace, answer: Answer
+        self,
+        context: RequestContext,
+        trace: RequestTrace,
+        answer: Answer,
+        *,
+        lacks_place: bool = False,
     ) -> bool:
         """Answer through a peer; return false if no peer got the request.
 
+        With `lacks_place` a peer that refuses it is passed over for a moment.
         Raise an OriolegaugeError if a peer got it and the answer is lost.
         """
         if not context.request_id:
@@ -117,6 +130,8 @@
             self._running[peer.name] += 1
             try:
                 if await self._serve_at(peer, context, trace, answer):
+                    if lacks_place:
+                        self._note_status(peer, context.service, answer)
                     return True
             finally:
                 self._running[peer.name] -= 1
@@ -125,16 +140,31 @@
     def _next_peer(
         self, service: str, tried: Collection[str]
     ) -> RelayPeer | None:
+        self._end_pauses()
         found = [
             peer
             for peer in self._peers.find(service, tried)
             if self._running[peer.name] < MAX_RUNNING_PER_PEER
+            and (peer.name, service) not in self._refused_until
         ]
         if not found:
             return None
         pair = (self._choose(found), self._choose(found))
         return min(pair, key=lambda peer: self._running[peer.name])
 
+    def _note_status(
+        self, peer: RelayPeer, service: str, answer: Answer
+    ) -> None:
+        if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            until = self._clock() + REFUSED_PAUSE_S
+            self._refused_until[peer.name, service] = until
+
+    def _end_pauses(self) -> None:
+        now = self._clock()
+        for refused, until in list(self._refused_until.items()):
+            if until <= now:
+                del self._refused_until[refused]
+
     async def _serve_at(
         self,
         peer: RelayPeer,
--- a/packages/forwarding/src/oriolegauge/forwarding/serverplaces.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverplaces.py
@@ -76,6 +76,13 @@
         else:
             self._brittle.note(service, bears)
 
+    def has_part(self, holder: str, servers: Sequence[BackendServer]) -> bool:
+        """State whether a daemon may use a slot of any of the servers."""
+        return any(
+            holder in self._shares.holders(server.instance, server.slots)
+            for server in servers
+        )
+
     def per_s(self, service: str, servers: Sequence[BackendServer]) -> float:
         """Return how many requests a second end at this daemon's places."""
         places = sum(
--- a/packages/forwarding/tests/test_peerrelay.py
+++ b/packages/forwarding/tests/test_peerrelay.py
@@ -11,9 +11,13 @@
 from oriolegauge.forwarding.callerlistener import CallerListener
 from oriolegauge.forwarding.peerrelay import (
     MAX_RUNNING_PER_PEER,
+    REFUSED_PAUSE_S,
     PeerRelay,
     RelayPeer,
 )
+from oriolegauge.forwarding.serverplaces import ServerPlaces
+from oriolegauge.routing.brittleservices import BrittleServices
+from oriolegauge.routing.placeshares import PlaceShares
 
 from .world import (
     HOST,
@@ -176,6 +180,65 @@
             assert server.seen[0].is_disconnected
 
 
+async def refuse_all(seen, writer):
+    writer.write(reply(seen, 503, signed=False, Retry_After='1'))
+
+
+class TestDaemonWithoutPlaces:
+    """Requests of a daemon that has no part of the slots of brittle servers."""
+
+    @staticmethod
+    @asynccontextmanager
+    async def world_without_places(*peers):
+        for peer in peers:
+            await peer.start()
+        async with World(ScriptedServer()) as world:
+            brittle = BrittleServices(world.now, on_change=lambda: None)
+            brittle.note('svc', 3)
+            world.forwarder._dispatcher.share_places(
+                ServerPlaces(
+                    brittle, PlaceShares('d0', lambda: {'d1'}, world.now)
+                )
+            )
+            relay_of(world, FoundPeers(*(peer.port for peer in peers)))
+            yield world
+
+    async def test_call_is_served_by_a_peer(self):
+        """Guards against slots that only the callers of some daemons get."""
+        peer = ScriptedServer()
+        async with self.world_without_places(peer) as world:
+            answers = [await world.call('/once/x') for _ in range(3)]
+        assert {one.first_line.split()[1] for one in answers} == {'200'}
+        assert len(peer.seen) == 3
+        assert not world.servers[0].seen
+
+    async def test_peer_that_refuses_is_not_asked_again_at_once(self):
+        """Guards against an overload that each refused request doubles."""
+        peer = ScriptedServer(refuse_all)
+        async with self.world_without_places(peer) as world:
+            answers = [await world.call('/once/x') for _ in range(5)]
+            assert len(peer.seen) == 1
+            await asyncio.sleep(REFUSED_PAUSE_S)
+            await world.call('/once/x')
+            assert len(peer.seen) == 2
+        for answer in answers:
+            assert answer.first_line.split()[1] == '503'
+            assert float(answer.headers['retry-after']) > 0
+
+    async def test_relayed_request_is_not_relayed_again(self):
+        """Guards against requests that daemons pass round without end."""
+        peer = ScriptedServer()
+        async with (
+            self.world_without_places(peer) as world,
+            relay_port(world) as port,
+            World(GoneServer()) as cut,
+        ):
+            relay_of(cut, FoundPeers(port))
+            answer = await cut.call('/once/x')
+        assert answer.first_line.split()[1] == '503'
+        assert not peer.seen
+
+
 class TestPeersThatFail:
     async def test_lost_answer_is_no_refusal(self):
         """Guards against work that is said not to have run, and has."""
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -295,7 +295,7 @@
             connection_limit=self._connection_limit,
         )
         dispatcher.share_places(
-            known.places(settings.name, self._links.place_holders)
+            known.divide_places(settings.name, self._links.place_holders)
         )
         self._forwarder = Forwarder(
             names=names,
@@ -320,6 +320,7 @@
                 links=self._links,
                 documents=self._documents,
                 config_kind=settings.config_kind,
+                may_serve=known.has_place,
             ),
             servers=known,
             pool=self._pool,
--- a/packages/gateway/src/oriolegauge/gateway/knownservers.py
+++ b/packages/gateway/src/oriolegauge/gateway/knownservers.py
@@ -42,6 +42,7 @@
         brittle or are no longer.
         """
         self._clock = clock
+        self._places: ServerPlaces | None = None
         self._on_cold = on_cold
         self.leaving_instances = LeavingInstances(clock, on_leaving_instance)
         self.evacuated_zones = EvacuatedZones(self._note_returned)
@@ -63,13 +64,24 @@
             clock=clock, servers_of=self._servers_of, on_change=on_reach
         )
 
-    def places(
+    def divide_places(
         self, own: str, holders: Callable[[], Collection[str]]
     ) -> ServerPlaces:
         """Return the places of the daemon `own` among the `holders`."""
-        return ServerPlaces(
+        self._places = ServerPlaces(
             self.brittle, PlaceShares(own, holders, self._clock)
         )
+        return self._places
+
+    def has_place(self, holder: str, service: str) -> bool:
+        """State whether a daemon may send requests to the service.
+
+        All may, except that some have no part of the slots of brittle servers.
+        """
+        places = self._places
+        if places is None or not places.is_bounded(service):
+            return True
+        return places.has_part(holder, self.directory.of_service(service))
 
     def _servers_of(self, service: str) -> list[str]:
         return [
--- a/packages/gateway/src/oriolegauge/gateway/relaypeers.py
+++ b/packages/gateway/src/oriolegauge/gateway/relaypeers.py
@@ -1,7 +1,7 @@
 """Daemons that can serve requests for one that reaches no server."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from oriolegauge.admission import HostLink
 from oriolegauge.core.bytebudget import ByteBudget
@@ -25,9 +25,15 @@
         links: FleetLinks,
         documents: SharedDocuments,
         config_kind: str,
+        may_serve: Callable[[str, str], bool],
     ) -> None:
-        """Require the configuration that `documents` holds, or a newer one."""
+        """Require the configuration that `documents` holds, or a newer one.
+
+        `may_serve(peer, service)` tells whether the peer has a place at the
+        servers of a service, if their slots are divided.
+        """
         self._links = links
+        self._may_serve = may_serve
         self._documents = documents
         self._config_kind = config_kind
 
@@ -36,7 +42,9 @@
         return [
             RelayPeer(name, (name.rpartition(':')[0], heartbeat.relay_port))
             for name, heartbeat in self._links.fresh_heartbeats().items()
-            if name not in excluded and self._is_fit(heartbeat, service)
+            if name not in excluded
+            and self._is_fit(heartbeat, service)
+            and self._may_serve(name, service)
         ]
 
     def _is_fit(self, heartbeat: Heartbeat, service: str) -> bool:
--- a/packages/routing/src/oriolegauge/routing/placeshares.py
+++ b/packages/routing/src/oriolegauge/routing/placeshares.py
@@ -4,7 +4,7 @@
 messages, since each derives all of them from the names of the daemons.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 from oriolegauge.core.rendezvous import rank
 
@@ -12,10 +12,13 @@
 READ_PERIOD_S = 0.25
 # A daemon that does not know the others yet sends one request at a time.
 PART_OF_UNKNOWN = 1
+# Requests that arrive at random meet a free place more often where several
+# places are together, but larger parts of many servers add up less evenly.
+MIN_PART = 2
 
 
 class PlaceShares:
-    """Compute this daemon's part of the slots of servers."""
+    """Compute the daemons' parts of the slots of servers."""
 
     def __init__(
         self,
@@ -32,18 +35,26 @@
         self._clock = clock
         self._read_at: float | None = None
         self._known: frozenset[str] = frozenset()
-        self._parts: dict[tuple[str, int], int] = {}
+        self._parts: dict[tuple[str, int], Mapping[str, int]] = {}
 
     def part(self, server: str, slots: int) -> int:
-        """Return the number of requests that may run at the server at once."""
+        """Return how many requests this daemon may run at the server."""
         self._read_holders()
         if not self._known:
             return min(slots, PART_OF_UNKNOWN)
-        part = self._parts.get((server, slots))
-        if part is None:
-            part = part_of(server, slots, self._own, self._known)
-            self._parts[server, slots] = part
-        return part
+        return self._parts_of(server, slots).get(self._own, 0)
+
+    def holders(self, server: str, slots: int) -> Collection[str]:
+        """Return the daemons that may run requests at the server."""
+        self._read_holders()
+        return self._parts_of(server, slots).keys()
+
+    def _parts_of(self, server: str, slots: int) -> Mapping[str, int]:
+        parts = self._parts.get((server, slots))
+        if parts is None:
+            parts = parts_of(server, slots, self._known)
+            self._parts[server, slots] = parts
+        return parts
 
     def _read_holders(self) -> None:
         now = self._clock()
@@ -56,15 +67,20 @@
             self._parts.clear()
 
 
-def part_of(
-    server: str, slots: int, holder: str, holders: Collection[str]
-) -> int:
-    """Return the holder's part of a server's slots.
+def parts_of(
+    server: str, slots: int, holders: Collection[str]
+) -> Mapping[str, int]:
+    """Return the parts of a server's slots by holder, without empty ones.
 
-    Slots that can't be divided evenly go to the holders that the server's name
-    ranks first, so that each holder gets some of a service with many servers.
+    If there are few slots, only the holders that the server's name ranks first
+    have a part. Those hold the slots too that can't be divided evenly.
     """
-    part, rest = divmod(slots, len(holders))
-    if not rest:
-        return part
-    return part + (holder in rank(server, holders)[:rest])
+    ranked = rank(server, holders)[: max(1, slots // MIN_PART)]
+    if not ranked:
+        return {}
+    part, rest = divmod(slots, len(ranked))
+    return {
+        holder: part + (position < rest)
+        for position, holder in enumerate(ranked)
+        if part or position < rest
+    }
