Blame no request for the fall of a server that rejected too much

Cause: a request without an answer at the loss of its server is a suspect, whatever made the server fall. Change: for 2 s after a server of a brittle service has rejected a request of this daemon, losses of the service's servers make no suspects. Remaining: a daemon that got no rejection itself still makes suspects. Measured: the new test fails without the change (rejecting case) and passes with it; a crash without rejections still counts.

--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -332,10 +332,15 @@
         attempt.ok = reply.status < FIRST_SERVER_ERROR or is_full
         if not (is_full or reply.header(self._names.not_run)):
             self.record_first_part(attempt)
-        elif self._on_rejected and not (
+        elif not (
             reply.status == MISDIRECTED or reply.header(self._names.leaving)
         ):
-            self._on_rejected(attempt.context.service)
+            self._note_rejected(attempt.context.service)
+
+    def _note_rejected(self, service: str) -> None:
+        self._places.note_rejected(service)
+        if self._on_rejected:
+            self._on_rejected(service)
 
     def record_first_part(self, attempt: Attempt) -> None:
         """Record the time to the first part of the answer."""
@@ -367,8 +372,7 @@
 
     def close(self, attempt: Attempt) -> None:
         """End the attempt; close its connection if the reply is incomplete."""
-        may_be_crash = not self._directory.is_leaving(attempt.server.instance)
-        if attempt.connection.is_lost and may_be_crash:
+        if attempt.connection.is_lost:
             self._note_lost(attempt)
         self._pool.give_back(attempt.server, attempt.connection)
         self._places.give_back(attempt.server.server_instance)
@@ -390,8 +394,18 @@
         self._loads.changed()
 
     def _note_lost(self, attempt: Attempt) -> None:
-        if not attempt.is_harmless:
-            self._crashes.note_lost(attempt.server, attempt.context)
+        """Note that the request may have crashed its server.
+
+        A server that stops or has rejected too much has another reason.
+        """
+        server = attempt.server
+        has_other_reason = (
+            attempt.is_harmless
+            or self._directory.is_leaving(server.instance)
+            or self._places.may_have_fallen(server.service)
+        )
+        if not has_other_reason:
+            self._crashes.note_lost(server, attempt.context)
 
     async def _choose_permitted(
         self,
--- a/packages/forwarding/src/oriolegauge/forwarding/serverplaces.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverplaces.py
@@ -5,6 +5,7 @@
 their callers want.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable, Sequence
 
@@ -16,6 +17,9 @@
 
 # Weight of a new sample in the mean time for which a place is taken.
 SAMPLE_WEIGHT = 0.05
+# A server falls over at the latest of the rejections of one second, and the
+# connections that it ends are noticed within another.
+FALL_MEMORY_S = 2.0
 
 
 class ServerPlaces:
@@ -25,10 +29,13 @@
         self,
         brittle: BrittleServices,
         shares: PlaceShares,
+        clock: Callable[[], float],
     ) -> None:
         """Keep to `shares` at the servers of the services that are brittle."""
         self._brittle = brittle
         self._shares = shares
+        self._clock = clock
+        self._rejected_at: dict[str, float] = {}
         # Requests run already when a service becomes brittle.
         self._running: Counter[ServerInstance] = Counter()
         self._mean_s: dict[str, float] = {}
@@ -76,6 +83,16 @@
         else:
             self._brittle.note(service, bears)
 
+    def note_rejected(self, service: str) -> None:
+        """Record that a server of the service was full."""
+        if self.is_bounded(service):
+            self._rejected_at[service] = self._clock()
+
+    def may_have_fallen(self, service: str) -> bool:
+        """State whether rejections explain the crash of a server."""
+        rejected_at = self._rejected_at.get(service, -math.inf)
+        return self._clock() - rejected_at < FALL_MEMORY_S
+
     def has_part(self, holder: str, servers: Sequence[BackendServer]) -> bool:
         """State whether a daemon may use a slot of any of the servers."""
         return any(
@@ -98,4 +115,5 @@
     return ServerPlaces(
         BrittleServices(clock, on_change=lambda: None),
         PlaceShares('', holders=lambda: {''}, clock=clock),
+        clock,
     )
--- a/packages/forwarding/tests/test_crashdetector.py
+++ b/packages/forwarding/tests/test_crashdetector.py
@@ -16,6 +16,7 @@
     World,
     chunk,
     event,
+    reply,
     reset_connection,
     stream_head,
 )
@@ -113,6 +114,23 @@
             await asyncio.sleep(0.1)
         assert world.suspects.is_empty
 
+    @pytest.mark.parametrize('is_rejecting', [True, False])
+    async def test_fall_after_rejections_is_no_crash(self, is_rejecting):
+        """Guards against suspects of a server that bears few rejections."""
+
+        async def first(seen, writer):
+            status = 503 if is_rejecting else 200
+            not_run = {'X_Not_Run': '1'} if is_rejecting else {}
+            writer.write(reply(seen, status, X_Server_Brittle='3', **not_run))
+
+        server = CrashingServer(first)
+        async with World(server, credit=0) as world:
+            await world.call('/safe/x')
+            await review(world, 'r1')
+            await asyncio.sleep(0.1)
+        assert len(server.seen) == 2
+        assert world.suspects.is_empty == is_rejecting
+
     async def test_request_that_crashed_two_servers_is_refused_as_not_run(self):
         """Guards against a held request that reaches a further server."""
         servers = [CrashingServer() for _ in range(3)]
--- a/packages/forwarding/tests/test_peerrelay.py
+++ b/packages/forwarding/tests/test_peerrelay.py
@@ -197,7 +197,9 @@
             brittle.note('svc', 3)
             world.forwarder._dispatcher.share_places(
                 ServerPlaces(
-                    brittle, PlaceShares('d0', lambda: {'d1'}, world.now)
+                    brittle,
+                    PlaceShares('d0', lambda: {'d1'}, world.now),
+                    world.now,
                 )
             )
             relay_of(world, FoundPeers(*(peer.port for peer in peers)))
--- a/packages/gateway/src/oriolegauge/gateway/knownservers.py
+++ b/packages/gateway/src/oriolegauge/gateway/knownservers.py
@@ -69,7 +69,9 @@
     ) -> ServerPlaces:
         """Return the places of the daemon `own` among the `holders`."""
         self._places = ServerPlaces(
-            self.brittle, PlaceShares(own, holders, self._clock)
+            self.brittle,
+            PlaceShares(own, holders, self._clock),
+            self._clock,
         )
         return self._places
 
