--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -136,6 +136,7 @@
         self._pauses = known.pauses
         self._cold_servers = known.cold
         self._limits = known.limits
+        self._brittle_services = known.brittle
         self._crash_suspects = CrashSuspects(
             clock=_boot_clock(host_clocks),
             has_turn=lambda number: self._links.has_turn(number),
@@ -247,7 +248,7 @@
         }
         self._links.attach_watch(self._watches_store)
         self._links.attach_relay(self._reach, settings.relay_port)
-        self._links.attach_brittle_services(known.brittle)
+        self._links.attach_brittle_services(self._brittle_services)
         if settings.evacuations_kind:
             self._links.add_later_document(settings.evacuations_kind)
         self._mesh = PeerMesh(
@@ -696,6 +697,7 @@
             'caller_connections': self._ports.caller_connections,
             'relay_connections': self._ports.peer_connections,
             'requests_relayed': self._relay.running,
+            'services_brittle': self._brittle_services.count,
             'services_out_of_reach': len(self._reach.lost_services),
             'peers_linked': self._links.linked,
             'link_congested': float(self._link.is_congested),
--- a/packages/routing/src/oriolegauge/routing/brittleservices.py
+++ b/packages/routing/src/oriolegauge/routing/brittleservices.py
@@ -51,6 +51,11 @@
         self._on_change = on_change
         self._replies: dict[str, _Reply] = {}
 
+    @property
+    def count(self) -> int:
+        """Return the number of brittle services."""
+        return sum(one.bears is not None for one in self._replies.values())
+
     def is_brittle(self, service: str) -> bool:
         """State whether the servers of the service are brittle."""
         found = self._replies.get(service)
--- a/packages/routing/tests/test_brittleservices.py
+++ b/packages/routing/tests/test_brittleservices.py
@@ -33,6 +33,7 @@
         daemon.services.note('svc', 3)
         assert daemon.services.is_brittle('svc')
         assert not daemon.services.is_brittle('other')
+        assert daemon.services.count == 1
         assert daemon.changes == 1
 
     def test_late_reply_does_not_end_it(self, daemon):
@@ -43,6 +44,7 @@
         daemon.now = 102
         daemon.services.note_unnamed('svc', sent_at=101)
         assert not daemon.services.is_brittle('svc')
+        assert daemon.services.count == 0
         assert daemon.changes == 2
 
     def test_repeated_reply_is_no_change(self, daemon):
