Read requests that offer an upgrade by their framing

A body that quotes a request ran as one that no caller sent. Cause: the HTTP parser takes such a request for whole after its header, whatever length it states, and RequestParser returned at that point. CONNECT took the same path. Change: a request that offers an upgrade is read on by a new parser, which is fed the framing headers without the offer. CONNECT is refused with 501 and the connection closed.

--- a/packages/forwarding/src/oriolegauge/forwarding/requestparser.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requestparser.py
@@ -12,6 +12,15 @@
 from oriolegauge.forwarding.errors import CallerError
 from oriolegauge.forwarding.forwardingconfig import CallerLimits
 
+# Headers that decide where a request ends, and whether another may follow.
+_FRAMING_HEADERS = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'proxy-connection',
+        b'transfer-encoding',
+    )
+)
 # Separators around a header's name and value.
 _HEADER_OVERHEAD_BYTES = 4
 # Allows bodies in chunks of a single byte, with their size lines.
@@ -39,6 +48,8 @@
         self._framed_bytes = 0
         self._error: CallerError | None = None
         self._has_ended_in_feed = False
+        # The parser is fed a header that it has read before.
+        self._is_repeating = False
         self._reset()
 
     @property
@@ -57,10 +68,7 @@
         if self._began_at is None:
             self._began_at = self._clock()
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # A server may ignore an upgrade request and stay with HTTP/1.1.
-            return
+            self._parse(data)
         except httptools.HttpParserError as error:
             raise self._error or CallerError(
                 HTTPStatus.BAD_REQUEST, f'malformed request: {error}'
@@ -72,23 +80,30 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self._began_at = self._clock()
+        if not self._is_repeating:
+            self._began_at = self._clock()
 
     def on_url(self, part: bytes) -> None:
         """Add a part of the request target."""
+        if self._is_repeating:
+            return
         self._target += part
         self._add_head_bytes(len(part))
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Add a header; trailers are dropped."""
-        if self._is_header_complete:
+        if self._is_header_complete or self._is_repeating:
             return
         self._headers.append((name, content))
         self._add_head_bytes(len(name) + len(content) + _HEADER_OVERHEAD_BYTES)
 
     def on_headers_complete(self) -> None:
         """Check the header."""
+        if self._is_repeating:
+            return
         self._is_header_complete = True
+        if self._parser.get_method() == b'CONNECT':
+            self._refuse(HTTPStatus.NOT_IMPLEMENTED, 'CONNECT is not supported')
         hosts = [1 for name, _ in self._headers if name.lower() == b'host']
         if len(hosts) != 1:
             self._refuse(HTTPStatus.BAD_REQUEST, 'one Host header is needed')
@@ -108,7 +123,8 @@
     def on_message_complete(self) -> None:
         """Pass on the request."""
         began_at = self._began_at
-        if self._error or began_at is None:
+        # The parser ends a request that offers an upgrade after its header.
+        if self._error or began_at is None or self._parser.should_upgrade():
             return
         request = CallerRequest(
             method=self._parser.get_method(),
@@ -122,6 +138,39 @@
         self._has_ended_in_feed = True
         self._on_request(request)
 
+    def _parse(self, data: bytes) -> None:
+        """Parse requests; read one that offers an upgrade without the offer.
+
+        A server may ignore the offer and stay with HTTP/1.1.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                if self._error:
+                    return
+                data = data[upgrade.args[0] :]
+                self._repeat_header()
+            else:
+                return
+
+    def _repeat_header(self) -> None:
+        """Let a new parser read the body as the header frames it."""
+        method = self._parser.get_method()
+        version = self._parser.get_http_version().encode()
+        lines = [b'%b / HTTP/%b' % (method, version)]
+        lines += [
+            b'%b: %b' % header
+            for header in self._headers
+            if header[0].lower() in _FRAMING_HEADERS
+        ]
+        self._parser = httptools.HttpRequestParser(self)
+        self._is_repeating = True
+        try:
+            self._parser.feed_data(b'\r\n'.join((*lines, b'', b'')))
+        finally:
+            self._is_repeating = False
+
     def _reset(self) -> None:
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
