Answer HEAD with the header alone

A server's answer to HEAD that states a length became a 504 at the deadline. Cause: an answer did not know the method of its request, and the parser of replies expects a body where the header states one. Change: answers to HEAD send their header only, with the length that GET would have. A server's reply to HEAD is whole with its header; its connection is not used again, since the parser still expects a body. HEAD on a route of streams is answered by the header, too. Answers 204 and 304 state no length.

--- a/packages/forwarding/src/oriolegauge/forwarding/answer.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/answer.py
@@ -11,6 +11,8 @@
 Header = tuple[bytes, bytes]
 
 _LAST_CHUNK = b'0\r\n\r\n'
+# Answers that end with their header (RFC 9110, section 6.4.1).
+_BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
 class CallerWriter(Protocol):
@@ -32,9 +34,14 @@
         *,
         may_keep_open: Callable[[], bool],
         can_chunk: bool = True,
+        is_to_head: bool = False,
     ) -> None:
-        """Without `can_chunk`, streamed answers end with the connection."""
+        """Without `can_chunk`, streamed answers end with the connection.
+
+        The answer to a HEAD request, `is_to_head`, consists of the header.
+        """
         self._writer = writer
+        self._is_to_head = is_to_head
         self._may_keep_open = may_keep_open
         self._can_chunk = can_chunk
         self.status: int | None = None
@@ -49,13 +56,22 @@
     async def send_whole(
         self, status: int, headers: Iterable[Header], body: bytes
     ) -> None:
-        """Send an answer with its complete body."""
-        length = (b'Content-Length', b'%d' % len(body))
-        head = self._head(status, [*headers, length])
+        """Send an answer with its complete body.
+
+        An answer without a body may state the length of the one for GET.
+        """
+        entries = list(headers)
+        if status in _BODILESS or (self._is_to_head and not body):
+            body = b''
+        else:
+            entries.append((b'Content-Length', b'%d' % len(body)))
+        head = self._head(status, entries)
         # The connection holds the whole answer while this waits for the caller
         # to read it.
         self.is_finished = True
-        await self._writer.write(b''.join((head, body)))
+        await self._writer.write(
+            head if self._is_to_head else b''.join((head, body))
+        )
 
     async def begin(
         self, status: int, headers: Iterable[Header], first: bytes
@@ -76,7 +92,7 @@
     async def end(self) -> None:
         """Mark a streamed answer as complete."""
         self.is_finished = True
-        if self._can_chunk:
+        if self._can_chunk and not self._is_to_head:
             await self._writer.write(_LAST_CHUNK)
 
     def abort(self) -> None:
@@ -85,6 +101,8 @@
         self._writer.abort()
 
     def _chunk(self, data: bytes) -> bytes:
+        if self._is_to_head:
+            return b''
         if not data or not self._can_chunk:
             return data
         return b'%x\r\n%b\r\n' % (len(data), data)
--- a/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
@@ -191,7 +191,9 @@
         if request is None:
             return False
         answer = Answer(
-            self, may_keep_open=lambda: self._may_keep_open(request)
+            self,
+            may_keep_open=lambda: self._may_keep_open(request),
+            is_to_head=request.is_head,
         )
         self._is_answering = True
         try:
--- a/packages/forwarding/src/oriolegauge/forwarding/callerrequest.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerrequest.py
@@ -20,6 +20,11 @@
     received_at: float
     wants_close: bool = False
 
+    @property
+    def is_head(self) -> bool:
+        """State whether only the header of the answer is wanted."""
+        return self.method == b'HEAD'
+
     def header(self, name: str) -> str:
         """Return the first value of the header, or an empty string."""
         wanted = name.lower().encode()
--- a/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/forwarder.py
@@ -47,7 +47,7 @@
     parse_work,
 )
 from oriolegauge.forwarding.requestretries import RequestRetries
-from oriolegauge.forwarding.route import RequestKind, Route
+from oriolegauge.forwarding.route import Route
 from oriolegauge.forwarding.routetable import RouteTable
 from oriolegauge.forwarding.streamexchange import StreamExchange
 from oriolegauge.forwarding.streamversions import StreamVersions
@@ -426,8 +426,7 @@
             reservation = await self._budget.reserve(
                 context.workspace, tokens, context.deadline
             )
-        is_stream = context.route.kind is RequestKind.STREAM
-        exchange = self._streams if is_stream else self._whole
+        exchange = self._streams if context.is_stream else self._whole
         try:
             async with _until_deadline(context, trace):
                 await exchange.serve(context, trace, answer)
--- a/packages/forwarding/src/oriolegauge/forwarding/headers.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/headers.py
@@ -38,3 +38,16 @@
             listed = {token.strip().lower() for token in content.split(b',')}
             dropped_names |= listed - kept_names
     return [entry for entry in headers if entry[0].lower() not in dropped_names]
+
+
+def answer_headers(
+    headers: Headers, *, is_to_head: bool
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a server's reply to pass on to a caller.
+
+    An answer to HEAD keeps the length of the body that GET would bring.
+    """
+    lengths = [
+        entry for entry in headers if entry[0].lower() == b'content-length'
+    ]
+    return end_to_end(headers) + (lengths if is_to_head else [])
--- a/packages/forwarding/src/oriolegauge/forwarding/peerrelay.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/peerrelay.py
@@ -22,9 +22,8 @@
     ServerUnreachableError,
 )
 from oriolegauge.forwarding.headernames import HeaderNames
-from oriolegauge.forwarding.headers import end_to_end
+from oriolegauge.forwarding.headers import answer_headers, end_to_end
 from oriolegauge.forwarding.requestcontext import RequestContext, RequestTrace
-from oriolegauge.forwarding.route import RequestKind
 from oriolegauge.forwarding.serverconnection import ServerConnection
 from oriolegauge.forwarding.serverreply import ServerReply
 from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
@@ -224,7 +223,7 @@
     ) -> None:
         reply = await connection.head()
         trace.outcome = _outcome(reply)
-        is_stream = context.route.kind is RequestKind.STREAM
+        is_stream = context.is_stream
         if is_stream and reply.is_success:
             await self._pass_on_stream(
                 connection, reply, context, trace, answer
@@ -232,9 +231,10 @@
             return
         with self._buffers.lease() as buffer_lease:
             body = await read_body(connection.read, buffer_lease)
-            await answer.send_whole(
-                reply.status, end_to_end(reply.headers), body
+            headers = answer_headers(
+                reply.headers, is_to_head=context.request.is_head
             )
+            await answer.send_whole(reply.status, headers, body)
 
     async def _pass_on_stream(
         self,
--- a/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requestcontext.py
@@ -4,7 +4,7 @@
 
 from oriolegauge.core.errors import InvalidRequestError
 from oriolegauge.forwarding.callerrequest import CallerRequest
-from oriolegauge.forwarding.route import Route
+from oriolegauge.forwarding.route import RequestKind, Route
 from oriolegauge.routing.work import PromptPart, Work
 
 MAX_PROMPT_PARTS = 64
@@ -31,6 +31,12 @@
     tokens_per_event: int
     is_relayed: bool = False
 
+    @property
+    def is_stream(self) -> bool:
+        """State whether the caller may get a stream of events."""
+        is_stream_route = self.route.kind is RequestKind.STREAM
+        return is_stream_route and not self.request.is_head
+
 
 @dataclass(slots=True)
 class RequestTrace:
--- a/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
@@ -285,6 +285,8 @@
             return
         self._note_keep_alive(reply)
         self._reply = reply
+        # The parser would wait for a body whose length the header states.
+        self._is_complete = self._is_head_request
         self._counts.framing = 0
         self._counts.body = 0
 
@@ -369,6 +371,7 @@
             reply.ends_with_connection
             or reply.header('Connection').lower() == 'close'
             or self._has_unexpected_bytes
+            or self._is_head_request
         )
         if closes:
             self.abort()
--- a/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/wholeexchange.py
@@ -21,7 +21,7 @@
 from oriolegauge.forwarding.errors import ReplyBrokenError
 from oriolegauge.forwarding.exchange import ExchangeDependencies
 from oriolegauge.forwarding.headernames import HeaderNames
-from oriolegauge.forwarding.headers import end_to_end
+from oriolegauge.forwarding.headers import answer_headers
 from oriolegauge.forwarding.requestcontext import RequestContext, RequestTrace
 from oriolegauge.forwarding.requeststate import RequestState
 from oriolegauge.forwarding.serverreply import ServerReply
@@ -215,7 +215,10 @@
     state.trace.outcome = outcome
     await state.answer.send_whole(
         whole_reply.reply.status,
-        end_to_end(whole_reply.reply.headers),
+        answer_headers(
+            whole_reply.reply.headers,
+            is_to_head=state.context.request.is_head,
+        ),
         whole_reply.body,
     )
 
