Bound the memory of request bodies

Cause: nothing counted the bodies of requests; the share of memory meant for them was not used. Change: all connections of a daemon lease the bytes of bodies from one budget of 12% of its memory, from the header that states them (or as chunks arrive) until the request is answered. A body is held twice while it waits to be sent, so a quarter of the memory is used at most. Open: reading isn't slowed near the limit, one caller can take all of the room, and what the account costs a small request was not measured.

--- a/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.forwarding.answer import Answer
 from oriolegauge.forwarding.callerrequest import CallerRequest
 from oriolegauge.forwarding.errors import CallerDisconnectedError, CallerError
@@ -52,10 +53,12 @@
         is_draining: Callable[[], bool],
         may_keep_open: Callable[[], bool] = keep_always_open,
         on_closed: Callable[['CallerConnection'], None],
+        buffers: ByteBudget,
         traffic: Traffic = UNCOUNTED,
     ) -> None:
         """Answer with `handler`; `limits` returns the limits in force.
 
+        `buffers` bounds the bodies of requests until they are answered.
         `traffic` counts the bytes of this connection.
         """
         self._traffic = traffic
@@ -77,7 +80,10 @@
         self._has_answered = False
         self._last_byte_at = self._loop.time()
         self._parser = RequestParser(
-            limits=limits, clock=self._loop.time, on_request=self._accept
+            limits=limits,
+            clock=self._loop.time,
+            on_request=self._accept,
+            buffers=buffers,
         )
 
     @property
@@ -115,6 +121,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
         self._writable.set()
+        self._parser.release()
+        for request in self._requests:
+            request.release()
         if self._task:
             self._task.cancel()
         self._on_closed(self)
@@ -199,6 +208,7 @@
         try:
             await self._handler(request, answer)
         finally:
+            request.release()
             self._is_answering = False
             self._has_answered = True
         if not answer.is_finished:
@@ -282,6 +292,7 @@
 
     async def _refuse(self, error: CallerError) -> None:
         self._is_refusing = True
+        self._parser.release()
         answer = Answer(self, may_keep_open=bool)
         log.info('request refused', status=error.status, reason=error.message)
         headers = []
--- a/packages/forwarding/src/oriolegauge/forwarding/callerlistener.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerlistener.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.core.taskset import TaskSet
 from oriolegauge.forwarding.callerconnection import (
     CallerConnection,
@@ -35,11 +36,14 @@
         handler: Handler,
         limits: Callable[[], CallerLimits],
         max_connections: int,
+        buffers: ByteBudget,
         may_keep_open: Callable[[], bool] = keep_always_open,
         traffic: Traffic = UNCOUNTED,
     ) -> None:
         """Close connections beyond the maximum at once.
 
+        `buffers` bounds the bodies of the requests of all connections.
+
         While `may_keep_open` returns false, connections close after their
         answer, so that the balancer can send the caller to another daemon.
         """
@@ -48,6 +52,7 @@
         self._max_connections = max_connections
         self._may_keep_open = may_keep_open
         self._traffic = traffic
+        self._buffers = buffers
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._is_draining = False
@@ -126,6 +131,7 @@
             limits=self._limits,
             is_draining=lambda: self._is_draining,
             may_keep_open=self._may_keep_open,
+            buffers=self._buffers,
             traffic=self._traffic,
             on_closed=self._connections.discard,
         )
--- a/packages/forwarding/src/oriolegauge/forwarding/callerrequest.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerrequest.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from oriolegauge.core.bytebudget import ByteLease
+
 Headers = Sequence[tuple[bytes, bytes]]
 
 
@@ -10,7 +12,8 @@
 class CallerRequest:
     """Hold a complete request.
 
-    `received_at` is the loop time in seconds of its first byte.
+    `received_at` is the loop time in seconds of its first byte. `buffer_lease`
+    holds the bytes of the body until the request is answered.
     """
 
     method: bytes
@@ -19,12 +22,18 @@
     body: bytes
     received_at: float
     wants_close: bool = False
+    buffer_lease: ByteLease | None = None
 
     @property
     def is_head(self) -> bool:
         """State whether only the header of the answer is wanted."""
         return self.method == b'HEAD'
 
+    def release(self) -> None:
+        """Free the bytes of the body for other requests."""
+        if self.buffer_lease:
+            self.buffer_lease.release()
+
     def header(self, name: str) -> str:
         """Return the first value of the header, or an empty string."""
         wanted = name.lower().encode()
--- a/packages/forwarding/src/oriolegauge/forwarding/requestparser.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/requestparser.py
@@ -1,6 +1,7 @@
 """Incremental parser of the requests on one caller connection.
 
-Bounds the memory that an endless header, chunk extension or trailer can take.
+Bounds the memory that an endless header, chunk extension or trailer can take,
+and that the bodies of many callers take together.
 """
 
 from collections.abc import Callable
@@ -8,6 +9,7 @@
 
 import httptools
 
+from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.forwarding.callerrequest import CallerRequest
 from oriolegauge.forwarding.errors import CallerError
 from oriolegauge.forwarding.forwardingconfig import CallerLimits
@@ -21,6 +23,8 @@
         b'transfer-encoding',
     )
 )
+# Bodies that are held for servers are sent, or given up, within seconds.
+RETRY_AFTER_FULL_S = 1.0
 # Separators around a header's name and value.
 _HEADER_OVERHEAD_BYTES = 4
 # Allows bodies in chunks of a single byte, with their size lines.
@@ -36,8 +40,15 @@
         limits: Callable[[], CallerLimits],
         clock: Callable[[], float],
         on_request: Callable[[CallerRequest], None],
+        buffers: ByteBudget,
     ) -> None:
-        """Pass each complete request to `on_request`."""
+        """Pass each complete request to `on_request`.
+
+        Refuse a body, as not run, for which `buffers` have no room.
+        """
+        self._buffers = buffers
+        self._lease = buffers.lease()
+        self._leased_bytes = 0
         self._limits = limits
         self._clock = clock
         self._on_request = on_request
@@ -78,6 +89,10 @@
         self._check_unfinished(len(data))
         self._check_framing(len(data))
 
+    def release(self) -> None:
+        """Free the bytes of an unfinished request."""
+        self._lease.release()
+
     def on_message_begin(self) -> None:
         """Start a request."""
         if not self._is_repeating:
@@ -133,7 +148,10 @@
             body=bytes(self._body),
             received_at=began_at,
             wants_close=not self._parser.should_keep_alive(),
+            buffer_lease=self._lease,
         )
+        self._lease = self._buffers.lease()
+        self._leased_bytes = 0
         self._reset()
         self._has_ended_in_feed = True
         self._on_request(request)
@@ -220,7 +238,23 @@
             self._refuse(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'the body is too large'
             )
+        elif count > self._leased_bytes:
+            self._lease_bytes(count - self._leased_bytes)
+
+    def _lease_bytes(self, count: int) -> None:
+        if self._lease.add(count):
+            self._leased_bytes += count
+        else:
+            self._refuse(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'other bodies take the memory for them',
+                retry_after_s=RETRY_AFTER_FULL_S,
+            )
 
-    def _refuse(self, status: int, message: str) -> None:
+    def _refuse(
+        self, status: int, message: str, retry_after_s: float | None = None
+    ) -> None:
         # Raised later by `feed`: the parser replaces errors of its callbacks.
-        self._error = self._error or CallerError(status, message)
+        self._error = self._error or CallerError(
+            status, message, retry_after_s=retry_after_s
+        )
--- a/packages/forwarding/tests/test_callerlistener.py
+++ b/packages/forwarding/tests/test_callerlistener.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.forwarding.callerlistener import CallerListener
 from oriolegauge.forwarding.forwardingconfig import CallerLimits
 
@@ -29,6 +30,7 @@
             handler=answer_ok,
             limits=CallerLimits,
             max_connections=10,
+            buffers=ByteBudget(0),
             **options,
         )
         return listener, await listener.listen(HOST, 0)
--- a/packages/forwarding/tests/test_peerrelay.py
+++ b/packages/forwarding/tests/test_peerrelay.py
@@ -77,6 +77,7 @@
         handler=world.forwarder.handle_relayed,
         limits=lambda: world.limits,
         max_connections=100,
+        buffers=world.body_buffers,
     )
     port = await listener.listen(HOST, 0)
     try:
--- a/packages/forwarding/tests/test_requestparser.py
+++ b/packages/forwarding/tests/test_requestparser.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.forwarding.callerrequest import CallerRequest
 from oriolegauge.forwarding.errors import CallerError
 from oriolegauge.forwarding.forwardingconfig import CallerLimits
@@ -25,6 +26,7 @@
             limits=CallerLimits,
             clock=lambda: 1.0,
             on_request=self.requests.append,
+            buffers=ByteBudget(1_000_000),
         )
 
     def read(self, data, step):
--- a/packages/forwarding/tests/world.py
+++ b/packages/forwarding/tests/world.py
@@ -300,6 +300,7 @@
         cold_servers=None,
         adapts_to_load=False,
         is_gated=False,
+        body_bytes=12 * 1024 * 1024,
     ):
         self.servers = servers
         self.adapts_to_load = adapts_to_load
@@ -310,6 +311,7 @@
         self.workspace = workspace
         self.cold_servers = cold_servers
         self.is_gated = is_gated
+        self.body_bytes = body_bytes
         self.versions = FakeVersions()
         # Of each server, if they differ.
         self.server_versions = {}
@@ -368,6 +370,7 @@
         self.loads = NoOtherDaemons()
         self.permits = LoneDaemonPermits(self.limits_named, clock)
         self.buffers = ByteBudget(12 * 1024 * 1024)
+        self.body_buffers = ByteBudget(self.body_bytes)
         self.retries = RetryBudgets(
             rng=random.Random(1),
             share=0.2,
@@ -427,6 +430,7 @@
             handler=self.forwarder.handle,
             limits=lambda: self.limits,
             max_connections=100,
+            buffers=self.body_buffers,
             traffic=self.link,
         )
         self.port = await self.listener.listen(HOST, 0)
--- a/packages/gateway/src/oriolegauge/gateway/callerports.py
+++ b/packages/gateway/src/oriolegauge/gateway/callerports.py
@@ -4,12 +4,17 @@
 from collections.abc import Callable
 
 from oriolegauge.admission import HostLink
+from oriolegauge.core.bytebudget import ByteBudget
 from oriolegauge.forwarding import CallerLimits, Forwarder
 from oriolegauge.forwarding.callerlistener import CallerListener
 from oriolegauge.gateway.gatewaysettings import GatewaySettings
 
 # Connections of peers that reach no server, as a share of those of callers.
 RELAY_CONNECTION_SHARE = 0.25
+# Share of the host's memory for the bodies of requests. A body is held twice
+# while a server reads it slowly, and the daemon itself needs a third of the
+# smallest host's memory.
+REQUEST_BUFFER_SHARE = 0.12
 DRAIN_POLL_S = 0.05
 
 
@@ -27,10 +32,14 @@
         """Pass the requests to the forwarder."""
         self._settings = settings
         self._clock = asyncio.get_running_loop().time
+        self._buffers = ByteBudget(
+            int(settings.memory_bytes * REQUEST_BUFFER_SHARE)
+        )
         self._callers = CallerListener(
             handler=forwarder.handle,
             limits=limits,
             max_connections=settings.max_caller_connections,
+            buffers=self._buffers,
             may_keep_open=lambda: not link.is_congested,
             traffic=link,
         )
@@ -40,6 +49,7 @@
             max_connections=int(
                 settings.max_caller_connections * RELAY_CONNECTION_SHARE
             ),
+            buffers=self._buffers,
             traffic=link,
         )
         self._listeners = (self._callers, self._peers)
@@ -54,6 +64,11 @@
         """Return the number of open connections of peers."""
         return self._peers.connections
 
+    @property
+    def body_bytes(self) -> int:
+        """Return the bytes of bodies that are held."""
+        return self._buffers.held
+
     @property
     def connections(self) -> int:
         """Return the number of all open connections."""
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -66,11 +66,8 @@
 MIN_CONNECTIONS = 8
 # Part of the fleet's retry slack that is divided among the daemons.
 RETRY_SLACK_SHARE = 0.8
-# Shares of the host's memory for buffered replies of servers and for incomplete
-# requests of callers. The daemon itself needs a third of the smallest host's
-# memory.
+# Share of the host's memory for buffered replies of servers.
 REPLY_BUFFER_SHARE = 0.06
-REQUEST_BUFFER_SHARE = 0.12
 # A daemon whose store does not answer waits this long for a peer that knows
 # the evacuations: heartbeats of a large fleet come every 0.75 s, and a fetch
 # takes up to 2 s.
@@ -695,6 +692,7 @@
             'requests_running': self._forwarder.running,
             'requests_waiting': self._forwarder.waiting,
             'caller_connections': self._ports.caller_connections,
+            'request_body_bytes': self._ports.body_bytes,
             'relay_connections': self._ports.peer_connections,
             'requests_relayed': self._relay.running,
             'services_brittle': self._brittle_services.count,
