Cut an answer only if its caller takes nothing

Cause: TCP_USER_TIMEOUT, set to 3 s to find unreachable callers, also ends a connection whose window stays closed for so long. The bound for slow readers ended answers that moved, since it asked for an empty buffer in that time. Change: from the first byte of an answer until the caller's next byte the kernel waits for idleTimeoutMs. The write gives up only if the caller's host has acknowledged nothing in that time, by the bytes that the process and the kernel hold. While a caller waits for its answer, 3 s hold as before. Of the 3 new tests, the two for readers that pause or are slow failed before.

--- a/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import select
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -17,7 +18,12 @@
 from oriolegauge.forwarding.errors import CallerDisconnectedError, CallerError
 from oriolegauge.forwarding.forwardingconfig import CallerLimits
 from oriolegauge.forwarding.requestparser import RequestParser
-from oriolegauge.forwarding.sockets import detect_unreachable_peer
+from oriolegauge.forwarding.sockets import (
+    allow_pauses,
+    detect_unreachable_peer,
+    forbid_pauses,
+    unread_bytes,
+)
 from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
 
 # Pipelined requests held in memory; further ones stay in the kernel's buffer.
@@ -78,6 +84,7 @@
         self._is_answering = False
         self._is_refusing = False
         self._has_answered = False
+        self._may_caller_pause = False
         self._last_byte_at = self._loop.time()
         self._parser = RequestParser(
             limits=limits,
@@ -106,6 +113,7 @@
         """Parse what the caller sent."""
         self._last_byte_at = self._loop.time()
         self._traffic.received(len(data))
+        self._forbid_pauses()
         if self._is_refusing or self._error:
             return
         try:
@@ -141,18 +149,19 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             raise CallerDisconnectedError('the caller has disconnected')
+        self._allow_pauses(transport)
         transport.write(data)
         self._traffic.sent(len(data))
-        if self._writable.is_set():
-            return
-        try:
-            async with asyncio.timeout(self._limits().idle_timeout_s):
-                await self._writable.wait()
-        except TimeoutError:
-            self.abort()
-            raise CallerDisconnectedError(
-                'the caller stopped reading'
-            ) from None
+        while not self._writable.is_set():
+            unread = unread_bytes(transport)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._limits().idle_timeout_s):
+                    await self._writable.wait()
+            if self._writable.is_set():
+                return
+            if unread_bytes(transport) >= unread:
+                self.abort()
+                raise CallerDisconnectedError('the caller stopped reading')
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -176,6 +185,21 @@
             )
             self._changed.set()
 
+    def _allow_pauses(self, transport: asyncio.Transport) -> None:
+        """Keep the connection open while the caller reads nothing.
+
+        Its kernel may hold the answer long after this one has written it.
+        """
+        if not self._may_caller_pause:
+            self._may_caller_pause = True
+            allow_pauses(transport, self._limits().idle_timeout_s)
+
+    def _forbid_pauses(self) -> None:
+        """Notice soon that a caller that waits for an answer is gone."""
+        if self._may_caller_pause and self._transport:
+            self._may_caller_pause = False
+            forbid_pauses(self._transport)
+
     async def _serve(self) -> None:
         try:
             while await self._serve_next():
--- a/packages/forwarding/tests/test_callerconnection.py
+++ b/packages/forwarding/tests/test_callerconnection.py
@@ -1,14 +1,17 @@
 """Callers that send malformed, slow or oversized requests, or read slowly."""
 
 import asyncio
+import contextlib
 import socket
+from dataclasses import replace
 
 import pytest
 
-from oriolegauge.forwarding import CallerLimits
+from oriolegauge.forwarding import CallerLimits, sockets
 
 from .world import (
     HOST,
+    ROUTES,
     ScriptedServer,
     World,
     chunk,
@@ -239,3 +242,73 @@
             writer.transport.abort()
             await asyncio.sleep(0.1)
             assert not world.forwarder.running
+
+
+class TestSlowReaders:
+    """Callers that read an answer with pauses, through a small window."""
+
+    # More than the kernel holds for a connection.
+    ANSWER = b'x' * 8_000_000
+
+    @pytest.fixture(autouse=True)
+    def _short_times(self, monkeypatch):
+        monkeypatch.setattr(sockets, 'UNACKED_TIMEOUT_MS', 400)
+
+    @contextlib.asynccontextmanager
+    async def asked(self, idle_timeout_s):
+        """Ask for the answer on a connection with a small window."""
+
+        async def long_answer(seen, writer):
+            writer.write(reply(seen, body=self.ANSWER))
+
+        limits = CallerLimits(idle_timeout_s=idle_timeout_s)
+        routes = tuple(replace(route, timeout_s=9.0) for route in ROUTES)
+        async with World(
+            ScriptedServer(long_answer), limits=limits, routes=routes
+        ) as world:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(
+                sock, (HOST, world.port)
+            )
+            reader, writer = await asyncio.open_connection(
+                sock=sock, limit=4_096
+            )
+            writer.write(request_bytes('/once/x'))
+            yield reader
+            writer.close()
+
+    @staticmethod
+    async def read_rest(reader, most=10**9):
+        """Return the number of bytes read until the connection ends."""
+        count = 0
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            while count < most:
+                async with asyncio.timeout(1):
+                    part = await reader.read(65_536)
+                if not part:
+                    break
+                count += len(part)
+        return count
+
+    async def test_answer_outlasts_a_pause(self):
+        """Guards against a cut of callers that pause and read on."""
+        async with self.asked(idle_timeout_s=5) as reader:
+            await asyncio.sleep(1.5)
+            assert await self.read_rest(reader) > len(self.ANSWER)
+
+    async def test_answer_is_not_cut_while_it_moves(self):
+        """Guards against a time limit for callers that read slowly."""
+        async with self.asked(idle_timeout_s=0.6) as reader:
+            count = 0
+            for _ in range(8):
+                count += await self.read_rest(reader, 400_000)
+                await asyncio.sleep(0.3)
+            assert count + await self.read_rest(reader) > len(self.ANSWER)
+
+    async def test_answer_is_cut_if_nothing_is_read(self):
+        """Guards against callers that hold an answer for ever."""
+        async with self.asked(idle_timeout_s=0.6) as reader:
+            await asyncio.sleep(2)
+            assert await self.read_rest(reader) < len(self.ANSWER)
