Suspect streams of a crash until they are whole

Cause: from its second event on a stream counted as harmless: it was no suspect of a crash, and cleared the request of the crashes before. Change: only a whole answer clears a request. Prompt parts are read at the start of an answer, so a stream that goes on still clears its parts, and adds none as suspects; callers that share a part with it are not held for it. The 3 new tests failed before.

--- a/packages/forwarding/src/oriolegauge/forwarding/crashdetector.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/crashdetector.py
@@ -1,12 +1,12 @@
 """Detection of backend servers that crash while they run requests.
 
 Matters when a request crashes each server that runs it: the requests that a
-crashed server had not begun to answer are suspects, and are held after further
-crashes.
+crashed server had not answered whole are suspects, and are held after further
+crashes. Prompt parts are read at the start of an answer, so those of a stream
+that goes on are none.
 """
 
 import asyncio
-from collections.abc import Iterable
 from typing import Protocol
 
 import structlog
@@ -14,11 +14,14 @@
 from oriolegauge.core.taskset import TaskSet
 from oriolegauge.forwarding.backendserver import BackendServer
 from oriolegauge.forwarding.errors import ServerUnreachableError
-from oriolegauge.forwarding.fingerprints import fingerprints
+from oriolegauge.forwarding.fingerprints import (
+    fingerprints,
+    request_fingerprints,
+)
 from oriolegauge.forwarding.leavinginstances import ServerInstance
 from oriolegauge.forwarding.requestcontext import RequestContext
 from oriolegauge.routing.crashquarantine import QuarantinedError
-from oriolegauge.routing.crashsuspects import REQUEST_PREFIX, CrashSuspects
+from oriolegauge.routing.crashsuspects import CrashSuspects
 
 # In this time all connections of a crashed server have ended, and it has
 # stopped to listen.
@@ -68,18 +71,36 @@
                 retry_after_s=held.wait_s,
             )
 
-    def note_harmless(self, context: RequestContext) -> None:
-        """Record that a server has answered the request."""
-        if not self._suspects.is_empty:
-            self._suspects.note_harmless(fingerprints(context))
-
-    def note_lost(self, server: BackendServer, context: RequestContext) -> None:
-        """Check a server that has closed the connection of a request."""
+    def note_harmless(
+        self, context: RequestContext, *, is_whole: bool = True
+    ) -> None:
+        """Record that a server has answered the request, or begun to."""
+        if self._suspects.is_empty:
+            return
+        answered = fingerprints(context)
+        if not is_whole:
+            answered -= request_fingerprints(answered)
+        self._suspects.note_harmless(answered)
+
+    def note_lost(
+        self,
+        server: BackendServer,
+        context: RequestContext,
+        *,
+        has_started: bool = False,
+    ) -> None:
+        """Check a server that has closed the connection of a request.
+
+        `has_started` states that its answer had begun and gone on.
+        """
+        lost = fingerprints(context)
+        if has_started:
+            lost = request_fingerprints(lost)
         known = self._unchecked.get(server.server_instance)
         if known is not None:
-            known |= fingerprints(context)
+            known |= lost
             return
-        self._unchecked[server.server_instance] = set(fingerprints(context))
+        self._unchecked[server.server_instance] = set(lost)
         check = self._tasks.spawn(self._check(server))
         self._checks[server.server_instance] = check
 
@@ -87,7 +108,7 @@
         checks = [
             self._checks[instance]
             for instance, lost in self._unchecked.items()
-            if _whole_requests(lost & sent)
+            if request_fingerprints(lost & sent)
         ]
         if checks:
             await asyncio.wait(checks, timeout=MAX_CHECK_WAIT_S)
@@ -112,7 +133,3 @@
         )
         if is_refused:
             self._suspects.note((server.instance, server.started_ms), suspects)
-
-
-def _whole_requests(names: Iterable[str]) -> list[str]:
-    return [name for name in names if name.startswith(REQUEST_PREFIX)]
--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -56,7 +56,7 @@
 FIRST_SERVER_ERROR = 500
 # A server that has sent this many parts of a stream has not crashed by
 # beginning to write it.
-HARMLESS_PARTS = 2
+STARTED_PARTS = 2
 
 
 class FleetLoads(Protocol):
@@ -95,7 +95,8 @@
 
     `waiting_tokens` are those that the server had to read before it.
     `limit_mark` tells what was known of the server's limit when it was sent.
-    `is_harmless` states that the server has survived the start of its answer.
+    `has_started` states that the server has survived the start of its answer,
+    `is_harmless` that it has survived all of it.
     """
 
     context: RequestContext
@@ -107,6 +108,7 @@
     limit_mark: int = 0
     was_answered: bool = False
     parts: int = 0
+    has_started: bool = False
     is_harmless: bool = False
     ok: bool = True
 
@@ -361,11 +363,12 @@
         """Record a part of a stream with at least one event."""
         self.record_first_part(attempt)
         attempt.parts += 1
-        if attempt.parts >= HARMLESS_PARTS:
-            self.record_harmless(attempt)
+        if attempt.parts >= STARTED_PARTS and not attempt.has_started:
+            attempt.has_started = True
+            self._crashes.note_harmless(attempt.context, is_whole=False)
 
     def record_harmless(self, attempt: Attempt) -> None:
-        """Record that the server has survived the start of the answer."""
+        """Record that the server has survived the whole answer."""
         if not attempt.is_harmless:
             attempt.is_harmless = True
             self._crashes.note_harmless(attempt.context)
@@ -405,7 +408,9 @@
             or self._places.may_have_fallen(server.service)
         )
         if not has_other_reason:
-            self._crashes.note_lost(server, attempt.context)
+            self._crashes.note_lost(
+                server, attempt.context, has_started=attempt.has_started
+            )
 
     async def _choose_permitted(
         self,
--- a/packages/forwarding/src/oriolegauge/forwarding/fingerprints.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/fingerprints.py
@@ -1,5 +1,7 @@
 """Fingerprints of a request by which it is recognized when it comes again."""
 
+from collections.abc import Iterable
+
 import xxhash
 
 from oriolegauge.forwarding.requestcontext import RequestContext
@@ -26,6 +28,11 @@
     return frozenset((f'{REQUEST_PREFIX}{content.hexdigest()}', *parts))
 
 
+def request_fingerprints(names: Iterable[str]) -> frozenset[str]:
+    """Return those that are of whole requests."""
+    return frozenset(name for name in names if name.startswith(REQUEST_PREFIX))
+
+
 def _part_fingerprint(part: PromptPart) -> str:
     if len(part.name) <= MAX_PART_NAME_CHARS:
         return f'part:{part.name}'
--- a/packages/forwarding/tests/test_crashdetector.py
+++ b/packages/forwarding/tests/test_crashdetector.py
@@ -12,6 +12,7 @@
 from oriolegauge.routing.crashsuspects import SAME_CAUSE_S, CrashSuspects
 
 from .world import (
+    HOST,
     ScriptedServer,
     World,
     chunk,
@@ -29,6 +30,13 @@
     reset_connection(writer)
 
 
+async def whole_stream(seen, writer):
+    writer.write(stream_head(seen))
+    for number in (1, 2, 3):
+        writer.write(chunk(event(number)))
+    writer.write(b'0\r\n\r\n')
+
+
 class CrashingServer(ScriptedServer):
     """Stop listening and reset all connections when a request starts."""
 
@@ -41,6 +49,14 @@
         for one in (*self.writers, writer):
             reset_connection(one)
 
+    async def crash_after_events(self, seen, writer):
+        writer.write(stream_head(seen))
+        for number in (1, 2, 3):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        await self.crash(seen, writer)
+
     async def two_events(self, seen, writer):
         self.writers.append(writer)
         writer.write(stream_head(seen) + chunk(event(1)))
@@ -57,6 +73,12 @@
     )
 
 
+async def review_broken(world, request_id):
+    """Ask for a stream that breaks off."""
+    with pytest.raises(ValueError, match='invalid literal'):
+        await review(world, request_id)
+
+
 async def wait_for_crash(world):
     async with asyncio.timeout(2):
         while world.suspects.is_empty:
@@ -114,6 +136,47 @@
             await asyncio.sleep(0.1)
         assert world.suspects.is_empty
 
+    async def test_stream_lost_in_the_middle_is_suspect_itself(self):
+        """Guards against a request that crashes servers after some events."""
+        server = CrashingServer()
+        server.script = [server.crash_after_events]
+        async with World(server) as world:
+            await review_broken(world, 'r1')
+            await wait_for_crash(world)
+        [crash] = world.suspects.all()
+        [only] = crash.suspects
+        assert only.startswith('request:')
+
+    async def test_stream_that_crashes_servers_after_events_is_held(self):
+        """Guards against a request that crashes server after server."""
+        servers = [CrashingServer() for _ in range(4)]
+        for server in servers:
+            server.script = [server.crash_after_events]
+        async with World(*servers, credit=0) as world:
+            for number in range(2):
+                await review_broken(world, f'r{number}')
+                await asyncio.sleep(SAME_CAUSE_S + 0.1)
+            answer = await review(world, 'r3')
+        assert ' 503 ' in answer.first_line
+        assert b'"run_state":"not_run"' in answer.body
+        assert sum(len(server.seen) for server in servers) == 2
+
+    async def test_whole_stream_is_no_suspect_any_more(self):
+        """Guards against sound streams that are held for one crash."""
+        server = CrashingServer()
+        server.script = [server.crash_after_events, whole_stream]
+        async with World(server) as world:
+            await review_broken(world, 'r1')
+            await wait_for_crash(world)
+            server._server = await asyncio.start_server(
+                server._serve, HOST, server.port
+            )
+            answer = await review(world, 'r2')
+            assert ' 200 ' in answer.first_line
+            await asyncio.sleep(0.05)
+        [crash] = world.suspects.all()
+        assert crash.suspects <= crash.cleared
+
     @pytest.mark.parametrize('is_rejecting', [True, False])
     async def test_fall_after_rejections_is_no_crash(self, is_rejecting):
         """Guards against suspects of a server that bears few rejections."""
