--- a/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/dispatcher.py
@@ -324,7 +324,7 @@
                 until=self._clock() + MISDIRECTED_BACKOFF_S,
             )
         else:
-            self._note_limit(attempt, reply)
+            self._note_terms(attempt, reply)
         return reply
 
     def record_reply(self, attempt: Attempt, reply: ServerReply) -> None:
@@ -439,7 +439,7 @@
         self._permits.give_back(server_instance)
         self._places.give_back(server_instance)
 
-    def _note_limit(self, attempt: Attempt, reply: ServerReply) -> None:
+    def _note_terms(self, attempt: Attempt, reply: ServerReply) -> None:
         """Record whether the server is brittle; end a limit it doesn't name."""
         self._places.note_reply(
             attempt.server.service,
