Ask the next peer for a document as soon as one fails

What callers saw: a host served a configuration that others had replaced 3 s before, until it read the store itself.

Cause: newer documents were fetched from the first peer in a fixed order, that in which first heartbeats had arrived, and one round of heartbeats allowed one try. A peer that sends heartbeats but to which there is no link failed at once, was first again in the next round, and hid all others. A peer whose link is silent cost a round of heartbeats besides its timeout.

Three new tests fail on the code before (document never held, or asked in a later round).

Change: DocumentSources remembers who told of which version and who failed. The next peer is asked as soon as one fails, or after 0.5 s without an answer. Those that failed come last, and one that failed pauses for 0.5 s.

Ruled out: asking only peers with an open link. It leaves the order as it is for links that are open and silent.

--- a/packages/gateway/src/oriolegauge/gateway/documentexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/documentexchange.py
@@ -13,6 +13,7 @@
 
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.core.taskset import TaskSet
+from oriolegauge.gateway.documentsources import SLOW_FETCH_S, DocumentSources
 from oriolegauge.gateway.shareddocuments import (
     DamagedDocumentError,
     Document,
@@ -31,11 +32,6 @@
 # Enough for a host with a link of 5 Mbit/s to send a compressed configuration
 # of a thousand routes to ten peers.
 FETCH_TIMEOUT_S = 2.0
-# Another peer is asked for a document that has not come after this time: the
-# link to the first may be silent. Two more copies at most delay each other on
-# the smallest links.
-SLOW_FETCH_S = 0.5
-MAX_FETCHES = 3
 
 PeerCall = Callable[[str, Message, float], Awaitable[Message]]
 
@@ -50,8 +46,7 @@
         self._documents = documents
         self._call = call
         self._providers: dict[str, Callable[[], Document | None]] = {}
-        # Loop times at which fetches under way began, by key and peer.
-        self._fetching: dict[str, dict[str, float]] = {}
+        self._sources = DocumentSources(documents.is_wanted)
         # Keys of documents that earlier builds do not know. They would fail on
         # one, so they must not hear of it.
         self._later_keys: set[str] = set()
@@ -100,12 +95,8 @@
         )
         for row in (*versions, *later):
             self._documents.advance_revision(row.key, row.version, row.digest)
-            if self._may_fetch(peer, row.key) and self._documents.is_wanted(
-                row.key, row.version, row.digest
-            ):
-                under_way = self._fetching.setdefault(row.key, {})
-                under_way[peer] = asyncio.get_running_loop().time()
-                self._tasks.spawn(self._fetch(peer, row.key))
+            self._sources.note_told(peer, row, _now())
+            self._fetch_next(row.key)
 
     def answer(self, request: ConfigFetch) -> ConfigObjects:
         """Return the requested documents that this daemon has, compressed."""
@@ -125,18 +116,6 @@
             )
         return ConfigObjects(objects=objects, has_eras=request.knows_eras)
 
-    def _may_fetch(self, peer: str, key: str) -> bool:
-        """State whether no fetch of the document is soon to be answered."""
-        under_way = self._fetching.get(key)
-        if not under_way:
-            return True
-        waited_s = asyncio.get_running_loop().time() - max(under_way.values())
-        return (
-            waited_s >= SLOW_FETCH_S
-            and peer not in under_way
-            and len(under_way) < MAX_FETCHES
-        )
-
     def _all(self) -> Iterator[ConfigVersion]:
         for key, revision in self._documents.revisions.items():
             yield ConfigVersion(key, revision, self._documents.digest(key))
@@ -149,21 +128,44 @@
         held = self._documents.revisions.get(key, 0)
         return store_version(era_of(held), revision_of(revision))
 
+    def _fetch_next(self, key: str) -> None:
+        """Ask the next peer that has a newer version, if it is time to."""
+        peer = self._sources.next_peer(key, _now())
+        if peer is None:
+            return
+        self._sources.note_asked(peer, key, _now())
+        self._tasks.spawn(self._fetch(peer, key))
+        asyncio.get_running_loop().call_later(
+            SLOW_FETCH_S, self._fetch_next, key
+        )
+
     async def _fetch(self, peer: str, key: str) -> None:
+        answer = None
         try:
-            request = ConfigFetch(keys=(key,), knows_eras=True)
-            answer = await self._call(peer, request, FETCH_TIMEOUT_S)
+            answer = await self._call(
+                peer, ConfigFetch(keys=(key,), knows_eras=True), FETCH_TIMEOUT_S
+            )
         except OriolegaugeError as error:
-            log.info('document fetch failed', peer=peer, error=error.message)
-            return
+            log.info(
+                'document fetch failed',
+                key=key,
+                peer=peer,
+                error=error.message,
+            )
         finally:
-            del self._fetching[key][peer]
+            self._sources.note_ended(
+                peer, key, _now(), is_answered=answer is not None
+            )
         if isinstance(answer, ConfigObjects):
-            for row in answer.objects:
-                version = row.version
-                if not answer.has_eras:
-                    version = self._with_era(row.key, version)
-                self._accept_object(peer, replace(row, version=version))
+            self._accept(peer, answer)
+        self._fetch_next(key)
+
+    def _accept(self, peer: str, answer: ConfigObjects) -> None:
+        for row in answer.objects:
+            version = row.version
+            if not answer.has_eras:
+                version = self._with_era(row.key, version)
+            self._accept_object(peer, replace(row, version=version))
 
     def _accept_object(self, peer: str, row: ConfigObject) -> None:
         try:
@@ -172,3 +174,7 @@
             log.warning('damaged document', peer=peer, error=str(error))
             return
         self._documents.offer(row.key, document)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/gateway/tests/test_documentexchange.py
+++ b/packages/gateway/tests/test_documentexchange.py
@@ -6,13 +6,16 @@
 
 from oriolegauge.gateway.documentexchange import (
     FETCH_TIMEOUT_S,
+    DocumentExchange,
+)
+from oriolegauge.gateway.documentsources import (
+    FAILED_PAUSE_S,
     MAX_FETCHES,
     SLOW_FETCH_S,
-    DocumentExchange,
 )
 from oriolegauge.gateway.shareddocuments import Document, SharedDocuments
 from oriolegauge.objectstore import store_version
-from oriolegauge.wire import PeerTimeoutError
+from oriolegauge.wire import PeerTimeoutError, PeerUnreachableError
 from oriolegauge.wire.messages import (
     ConfigFetch,
     ConfigObject,
@@ -161,3 +164,71 @@
             peers, FETCH_TIMEOUT_S - 0.1, hung=set(peers)
         )
         assert asked == peers[:MAX_FETCHES]
+
+    async def test_all_of_many_are_asked(self):
+        """Guards against the same few that are asked again and again."""
+        hung = [f'd{number}' for number in range(6)]
+        daemon, asked = await self.learn_from(
+            [*hung, 'p'], 2 * FETCH_TIMEOUT_S + SLOW_FETCH_S, hung=set(hung)
+        )
+        assert asked == [*hung, 'p']
+        assert daemon.documents.get(KEY).payload == b'newer'
+
+
+@pytest.mark.looptime
+class TestPeersThatCannotBeReached:
+    """Such a peer sends heartbeats, and calls to it fail or hang."""
+
+    async def hear_once(self, peers, seconds, *, unreachable=(), hung=()):
+        """Return the time (s) at which the document came, or None."""
+        came_at = []
+
+        async def call(peer, message, timeout_s):
+            if peer in hung:
+                await asyncio.sleep(timeout_s)
+            if peer in unreachable:
+                raise PeerUnreachableError('no link')
+            if peer in hung:
+                raise PeerTimeoutError('no answer')
+            row = ConfigObject(KEY, 20, NEWER.packed)
+            return ConfigObjects(objects=(row,), has_eras=True)
+
+        clock = asyncio.get_running_loop().time
+        daemon = Daemon(era=0, revision=12, call=call)
+        daemon.documents._on_change = lambda *_: came_at.append(clock())
+        row = ConfigVersion(KEY, 20, NEWER.digest)
+        for peer in peers:
+            daemon.exchange.learn(peer, heartbeat(document_versions=(row,)))
+        await asyncio.sleep(seconds)
+        return next(iter(came_at), None)
+
+    async def test_first_one_without_a_link_hides_no_other(self):
+        """Guards against a configuration that a host never gets from peers.
+
+        The peer whose heartbeat came first was asked in each round, in vain.
+        """
+        assert (
+            await self.hear_once(['d0', 'd1'], 0.1, unreachable={'d0'})
+        ) == pytest.approx(0, abs=0.01)
+
+    async def test_silent_ones_cost_no_round_of_heartbeats_each(self):
+        """Guards against a document that waits for a heartbeat to be asked."""
+        came_at = await self.hear_once(['d0', 'd1', 'd2'], 2, hung={'d0', 'd1'})
+        assert came_at <= 2 * SLOW_FETCH_S + 0.01
+
+    async def test_ones_that_all_fail_are_not_asked_in_a_busy_loop(self):
+        """Guards against a daemon that does nothing but fail to ask."""
+        asked = []
+
+        async def call(peer, message, timeout_s):
+            asked.append(peer)
+            raise PeerUnreachableError('no link')
+
+        daemon = Daemon(era=0, revision=12, call=call)
+        row = ConfigVersion(KEY, 20, NEWER.digest)
+        for _ in range(20):
+            for peer in ('d0', 'd1'):
+                daemon.exchange.learn(peer, heartbeat(document_versions=(row,)))
+            await asyncio.sleep(0.1)
+        assert asked.count('d0') <= 1 + 2 / FAILED_PAUSE_S
+        assert asked.count('d1') <= 1 + 2 / FAILED_PAUSE_S
