Test which hosts of a simulated fleet get a configuration in time

The fleet runs the real links, documents and followers of 85 hosts on simulated time. The store refuses half of the hosts and changes the configuration three times.

--- /dev/null
+++ b/packages/gateway/tests/test_documentfleet.py
@@ -0,0 +1,39 @@
+"""Configurations that reach each host of a simulated fleet in time."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from .documentfleet import DocumentFleet
+
+# The shortest time after its confirmation in which a configuration has to be
+# in force on a host of a large fleet.
+IN_FORCE_WITHIN_S = 3.0
+STARTED_S = 6.0
+SIZE = 85
+
+
+@contextlib.asynccontextmanager
+async def started_fleet(size, seed):
+    fleet = DocumentFleet(size, seed)
+    fleet.start()
+    try:
+        await asyncio.sleep(STARTED_S)
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+@pytest.mark.looptime
+class TestConfigurationsOfAFleet:
+    @pytest.mark.parametrize('seed', range(4))
+    async def test_hosts_that_the_store_refuses_get_them_from_peers(self, seed):
+        """Guards against a refused host that asks one peer without a link."""
+        async with started_fleet(SIZE, seed) as fleet:
+            fleet.store.refused = set(fleet.sample(0.5))
+            for _ in range(3):
+                changed_at = fleet.clock()
+                version = fleet.store.change()
+                await asyncio.sleep(IN_FORCE_WITHIN_S)
+                assert not fleet.late(version, IN_FORCE_WITHIN_S, changed_at)
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -119,6 +119,8 @@
     reaches_store=True,
     capacity_classes=None,
     zones=None,
+    documents=None,
+    mesh=None,
 ):
     def member(called):
         return FleetMember(
@@ -131,7 +133,7 @@
     links = FleetLinks(
         own=own,
         incarnation='1',
-        documents=SharedDocuments(lambda *_: None),
+        documents=documents or SharedDocuments(lambda *_: None),
         leaving_instances=LeavingInstances(
             clock, on_leaving_instance=lambda: None
         ),
@@ -141,10 +143,12 @@
         ),
         chooser=ServerChooser(zone='z', rng=random.Random(1)),
         state=lambda: 'serving',
-        reaches_store=lambda: reaches_store,
+        reaches_store=(
+            reaches_store if callable(reaches_store) else lambda: reaches_store
+        ),
         clock=clock,
     )
-    links.attach(StubMesh(), None)
+    links.attach(mesh or StubMesh(), None)
     for other in others:
         links.add_member(member(other))
     return links, GrantLinks(name=name, links=links)
