Fetch a newer document as soon as a peer tells of it

Cause: what a heartbeat told of documents was acted upon after the next own heartbeat, up to 0.75 s later in a large fleet, at each hop. A change reached the last of 85 hosts about a second after the first, which is a third of the shortest time in which it has to be in force (3 s), and left little for a peer that fails.

Change: documents are learnt when the heartbeat arrives.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -330,6 +330,9 @@
                         capacity_class=message.strength,
                     )
                 )
+                # At once: after the next own heartbeat it would be later by a
+                # period at each hop.
+                self._documents.learn(sender.name, message)
                 self._leaving_instances.learn(
                     [
                         LeavingInstance(
@@ -756,7 +759,7 @@
         )
 
     def apply_heartbeats(self) -> None:
-        """Apply documents and loads of the latest heartbeats of the peers."""
+        """Apply the loads in the latest heartbeats of the peers."""
         mesh = self._mesh
         if mesh is None:
             return
@@ -769,7 +772,6 @@
             reporting_peers += 1
             loads = in_flight_loads(received.heartbeat.in_flight)
             peer_loads.note(name, loads, now)
-            self._documents.learn(name, received.heartbeat)
         self._forget_unlinked_peers(mesh, now)
         if self.loads.is_fresh:
             return
--- a/packages/gateway/tests/test_documentfleet.py
+++ b/packages/gateway/tests/test_documentfleet.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from oriolegauge.gateway.fleetlayout import RING_BEAT_PERIOD_S
+
 from .documentfleet import DocumentFleet
 
 # The shortest time after its confirmation in which a configuration has to be
@@ -37,3 +39,12 @@
                 version = fleet.store.change()
                 await asyncio.sleep(IN_FORCE_WITHIN_S)
                 assert not fleet.late(version, IN_FORCE_WITHIN_S, changed_at)
+
+    async def test_no_hop_waits_for_a_period_of_heartbeats(self):
+        """Guards against changes that take a second to reach all hosts."""
+        async with started_fleet(SIZE, 0) as fleet:
+            for _ in range(4):
+                changed_at = fleet.clock()
+                version = fleet.store.change()
+                await asyncio.sleep(IN_FORCE_WITHIN_S)
+                assert not fleet.late(version, RING_BEAT_PERIOD_S, changed_at)
