Link the daemons that send heartbeats while they do so

Cause: links are opened by each side for itself, and the two sides may differ. Leaders send heartbeats to all leaders that they have a link to, also to those that have none to them, and daemons that know other members have other neighbours. Such a peer tells of documents and can't be asked for them.

The new test fails on the code before, which opens none.

Change: a daemon links whoever it hears without a link, sends no heartbeats over that link, and drops it three periods after the last heartbeat. Heartbeats in return would make both sides keep such a link for good.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -189,8 +189,12 @@
         self._mesh: PeerMesh | None = None
         self._answer_other: MessageHandler | None = None
         self._ranked_members = RankedMembers(own)
+        self._neighbours: set[str] = set()
         # Peers that are linked for calls although they are no ring neighbours.
         self._extra_links: set[str] = set()
+        # Peers that send heartbeats although they are neither. They are linked
+        # meanwhile, since only linked peers can be asked.
+        self._unlinked_senders: set[str] = set()
         self._times: dict[str, _LinkTimes] = {}
         # Loop times at which peers were forgotten that own a share.
         self._lost_at: dict[str, float] = {}
@@ -694,10 +698,12 @@
     def _update_links(self) -> None:
         if self._mesh is None:
             return
-        neighbours = ring_neighbours(self._name, self._ranked_members.others)
-        wanted = neighbours | self._extra_links
+        self._neighbours = ring_neighbours(
+            self._name, self._ranked_members.others
+        )
+        wanted = self._neighbours | self._extra_links | self._unlinked_senders
         self._mesh.suppress_heartbeats(
-            self._extra_links - neighbours - self._fellow_leaders()
+            wanted - self._neighbours - self._fellow_leaders()
         )
         for name in wanted - set(self._mesh.names):
             now = self._clock()
@@ -707,6 +713,19 @@
             del self._times[name]
             self._mesh.remove_peer(name)
 
+    def _link_senders(self) -> None:
+        """Link the daemons that send heartbeats while they do so.
+
+        Daemons that know other members have other neighbours, and leaders send
+        heartbeats to all leaders that they have a link to.
+        """
+        senders = self.fresh_heartbeats().keys() - (
+            self._neighbours | self._extra_links
+        )
+        if senders != self._unlinked_senders:
+            self._unlinked_senders = senders
+            self._update_links()
+
     def _fellow_leaders(self) -> set[str]:
         """Return all leaders if this daemon is one, else an empty set.
 
@@ -773,6 +792,7 @@
             loads = in_flight_loads(received.heartbeat.in_flight)
             peer_loads.note(name, loads, now)
         self._forget_unlinked_peers(mesh, now)
+        self._link_senders()
         if self.loads.is_fresh:
             return
         # Assumes that unlinked daemons run as much as linked ones.
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -15,6 +15,7 @@
 )
 from oriolegauge.gateway.fleetlinks import (
     FORGET_PEER_S,
+    FRESH_PERIODS,
     MAX_WATCHERS,
     STORE_UNAVAILABLE_PAUSE_S,
     UNRESPONSIVE_PAUSE_S,
@@ -102,7 +103,7 @@
         self.names.pop(name)
 
     def suppress_heartbeats(self, names):
-        """Do nothing; tests set the heartbeats."""
+        self.suppressed = names
 
     def peers(self):
         return [
@@ -332,6 +333,26 @@
         assert capacity_class(cores=1.1, link_mbps=900) == usual
 
 
+class TestSendersWithoutALink:
+    @pytest.mark.looptime
+    async def test_is_linked_while_it_sends(self):
+        """Guards against a peer that tells of documents and can't be asked."""
+        names = [f'd{number:02}' for number in range(68)]
+        clock = asyncio.get_running_loop().time
+        links, _ = links_of('d00', names, clock)
+        [stranger, *_] = sorted(set(names) - {'d00', *links._mesh.names})
+        before = set(links._mesh.names)
+        links._mesh.heartbeats[stranger] = ReceivedHeartbeat(
+            heartbeat(stranger, reaches_store=True).heartbeat, clock()
+        )
+        links.apply_heartbeats()
+        assert set(links._mesh.names) == before | {stranger}
+        assert stranger in links._mesh.suppressed
+        await asyncio.sleep(FRESH_PERIODS * heartbeat_period_s(68) + 0.1)
+        links.apply_heartbeats()
+        assert set(links._mesh.names) == before
+
+
 class TestForgottenPeers:
     @pytest.mark.looptime
     async def test_many_replaced_hosts_are_removed(self):
