Move the options of sockets to the core package

Links between daemons need the same options as connections of callers and servers, and the packages of both may only share what is in core. The time that sent bytes may stay unacknowledged becomes a parameter; no caller passes it yet.

--- a/packages/forwarding/src/oriolegauge/forwarding/sockets.py
+++ b/packages/core/src/oriolegauge/core/sockets.py
@@ -46,7 +46,10 @@
     return waiting + queued[0]
 
 
-def detect_unreachable_peer(transport: asyncio.BaseTransport) -> None:
+def detect_unreachable_peer(
+    transport: asyncio.BaseTransport,
+    unacked_timeout_ms: int = UNACKED_TIMEOUT_MS,
+) -> None:
     """Let the kernel close the connection if the peer is unreachable."""
     sock = transport.get_extra_info('socket')
     if sock is None or sock.family not in {socket.AF_INET, socket.AF_INET6}:
@@ -56,7 +59,7 @@
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_PERIOD_S),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS),
+        (socket.TCP_USER_TIMEOUT, unacked_timeout_ms),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, number)
 
--- a/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/callerconnection.py
@@ -13,17 +13,17 @@
 import structlog
 
 from oriolegauge.core.bytebudget import ByteBudget
-from oriolegauge.forwarding.answer import Answer
-from oriolegauge.forwarding.callerrequest import CallerRequest
-from oriolegauge.forwarding.errors import CallerDisconnectedError, CallerError
-from oriolegauge.forwarding.forwardingconfig import CallerLimits
-from oriolegauge.forwarding.requestparser import RequestParser
-from oriolegauge.forwarding.sockets import (
+from oriolegauge.core.sockets import (
     allow_pauses,
     detect_unreachable_peer,
     forbid_pauses,
     unread_bytes,
 )
+from oriolegauge.forwarding.answer import Answer
+from oriolegauge.forwarding.callerrequest import CallerRequest
+from oriolegauge.forwarding.errors import CallerDisconnectedError, CallerError
+from oriolegauge.forwarding.forwardingconfig import CallerLimits
+from oriolegauge.forwarding.requestparser import RequestParser
 from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
 
 # Pipelined requests held in memory; further ones stay in the kernel's buffer.
--- a/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
+++ b/packages/forwarding/src/oriolegauge/forwarding/serverconnection.py
@@ -15,13 +15,13 @@
 import httptools
 import structlog
 
+from oriolegauge.core.sockets import detect_unreachable_peer
 from oriolegauge.forwarding.errors import (
     ReplyBrokenError,
     ServerUnreachableError,
 )
 from oriolegauge.forwarding.replybounds import ReplyBounds
 from oriolegauge.forwarding.serverreply import ServerReply
-from oriolegauge.forwarding.sockets import detect_unreachable_peer
 from oriolegauge.forwarding.traffic import UNCOUNTED, Traffic
 from oriolegauge.routing.connectfailure import ConnectFailure
 
--- a/packages/forwarding/tests/test_callerconnection.py
+++ b/packages/forwarding/tests/test_callerconnection.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from oriolegauge.forwarding import CallerLimits, sockets
+from oriolegauge.core import sockets
+from oriolegauge.forwarding import CallerLimits
 
 from .world import (
     HOST,
