Close links between daemons on which bytes stay unacknowledged for 2 s

What callers see: a route that was added during a fault of the links is not served by some hosts.

Cause: a link that falls silent for good counted as open until a ping failed, 4 to 6 s later. A host goes on to hear peers over other links, fetches over the silent ones hang for 2 s each, and it relies on watchers that it can't ask. Links to callers and servers had options of the kernel against this, links between daemons had none.

The new test of the model fails with the time that pings take (6 s), the test of both ends fails without the options.

Change: TCP_USER_TIMEOUT of 2 s and keep-alive on both ends of each link, so that heartbeats, each 0.75 s at most, find silence within 2.75 s. Ruled out: pings each second, which wake both processes for each link.

--- a/packages/core/src/oriolegauge/core/sockets.py
+++ b/packages/core/src/oriolegauge/core/sockets.py
@@ -5,6 +5,7 @@
 import fcntl
 import socket
 import termios
+from typing import Any, Protocol
 
 # An unreachable peer answers neither data nor keep-alive probes. Two probes a
 # second apart close its connection within 3 s, which leaves time for a second
@@ -46,8 +47,15 @@
     return waiting + queued[0]
 
 
+class Connection(Protocol):
+    """Transport, or a WebSocket above one."""
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return information on the transport, such as its `socket`."""
+
+
 def detect_unreachable_peer(
-    transport: asyncio.BaseTransport,
+    transport: Connection,
     unacked_timeout_ms: int = UNACKED_TIMEOUT_MS,
 ) -> None:
     """Let the kernel close the connection if the peer is unreachable."""
--- a/packages/gateway/tests/test_documentfleet.py
+++ b/packages/gateway/tests/test_documentfleet.py
@@ -6,12 +6,15 @@
 import pytest
 
 from oriolegauge.gateway.fleetlayout import RING_BEAT_PERIOD_S
+from oriolegauge.wire import LinkLimits
 
 from .documentfleet import DocumentFleet
 
 # The shortest time after its confirmation in which a configuration has to be
 # in force on a host of a large fleet.
 IN_FORCE_WITHIN_S = 3.0
+# A disturbance of a host's links excuses lateness for this time after it.
+CONTACT_S = 4.0
 STARTED_S = 6.0
 SIZE = 85
 
@@ -48,3 +51,24 @@
                 version = fleet.store.change()
                 await asyncio.sleep(IN_FORCE_WITHIN_S)
                 assert not fleet.late(version, RING_BEAT_PERIOD_S, changed_at)
+
+    @pytest.mark.parametrize('seed', range(2))
+    async def test_links_that_fall_silent_are_replaced_in_time(self, seed):
+        """Guards against a host whose fetches hang on silent links."""
+        noticed_after_s = (
+            RING_BEAT_PERIOD_S + LinkLimits().unacked_timeout_ms / 1_000
+        )
+        async with started_fleet(SIZE, seed) as fleet:
+            silent_at = fleet.clock()
+            fleet.silence_links(0.7, noticed_after_s)
+            changes = []
+            for _ in range(8):
+                await asyncio.sleep(0.45)
+                changes.append((fleet.store.change(), fleet.clock()))
+            await asyncio.sleep(IN_FORCE_WITHIN_S)
+            for version, changed_at in changes:
+                # Hosts count as disturbed until CONTACT_S after the fault.
+                within_s = max(
+                    IN_FORCE_WITHIN_S, silent_at + CONTACT_S - changed_at
+                )
+                assert not fleet.late(version, within_s, changed_at)
--- a/packages/wire/src/oriolegauge/wire/linklimits.py
+++ b/packages/wire/src/oriolegauge/wire/linklimits.py
@@ -24,6 +24,10 @@
     stream_buffer_messages: int = 4096
     connect_timeout_s: float = 1.0
     close_timeout_s: float = 0.5
+    # A link that is open and silent hides a peer that could be reached over a
+    # new one. With heartbeats each 0.75 s it is closed within 2.75 s, so that a
+    # change still reaches the other side within 3 s.
+    unacked_timeout_ms: int = 2_000
     # Missing heartbeats detect an unresponsive member; pings only close links
     # whose other side disappeared without closing them.
     ping_period_s: float = 4.0
--- a/packages/wire/src/oriolegauge/wire/peerlink.py
+++ b/packages/wire/src/oriolegauge/wire/peerlink.py
@@ -22,6 +22,7 @@
 
 from oriolegauge.core.errors import OriolegaugeError
 from oriolegauge.core.runstate import RunState
+from oriolegauge.core.sockets import detect_unreachable_peer
 from oriolegauge.wire.answerstream import AnswerStream
 from oriolegauge.wire.codec import decode, encode
 from oriolegauge.wire.envelope import Envelope, Sender
@@ -127,6 +128,7 @@
         loop = asyncio.get_running_loop()
         while True:
             socket = await self._connect()
+            detect_unreachable_peer(socket, self._limits.unacked_timeout_ms)
             opened_at = loop.time()
             frames = FrameSender(
                 socket, max_bytes=self._limits.max_unsent_bytes
--- a/packages/wire/src/oriolegauge/wire/peerserver.py
+++ b/packages/wire/src/oriolegauge/wire/peerserver.py
@@ -7,6 +7,7 @@
 import structlog
 from aiohttp import WSCloseCode, web
 
+from oriolegauge.core.sockets import detect_unreachable_peer
 from oriolegauge.wire.envelope import Sender
 from oriolegauge.wire.linklimits import LinkLimits
 from oriolegauge.wire.peerconnection import Handler, PeerConnection
@@ -95,6 +96,10 @@
             # The peer closed the connection during the handshake, for example
             # because this process was paused.
             return socket
+        if request.transport:
+            detect_unreachable_peer(
+                request.transport, self._limits.unacked_timeout_ms
+            )
         connection = PeerConnection(
             member=member,
             socket=socket,
--- a/packages/wire/tests/test_peerlink.py
+++ b/packages/wire/tests/test_peerlink.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import socket
 import zlib
 from collections.abc import Callable
 
@@ -16,6 +17,7 @@
     MessageTooLargeError,
     PeerFailedError,
     PeerLink,
+    PeerServer,
     PeerTimeoutError,
     PeerUnreachableError,
     Sender,
@@ -47,6 +49,28 @@
 )
 
 
+class TestSilentLinks:
+    async def test_both_ends_notice_bytes_that_nobody_acknowledges(self):
+        """Guards against a link that loses all, and counts as open for 6 s."""
+        server = PeerServer(
+            sender=lambda: SERVER,
+            handler=Peer().handle,
+            is_member=lambda _: True,
+        )
+        port = await server.listen('127.0.0.1', 0)
+        async with open_link(port) as link:
+            await link.call(reserve(1), 5)
+            [connection] = server._connections.values()
+            for end in (link._frames, connection._frames):
+                raw = end._socket.get_extra_info('socket')
+                timeout_ms = raw.getsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+                )
+                assert 0 < timeout_ms <= 2_000
+                assert raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        await server.close()
+
+
 class TestCalls:
     async def test_calls_return_answers_and_raise_failures(self):
         """Guards against losing the code or run state of a peer's error."""
