Read the store once no reading of it was heard of in time

What callers see: a route that was added, or a key that was withdrawn, is not in force on a host whose peers are behind or silent.

Cause: a host did not know how old its configuration was. One that leaves the store to its peers trusted any open link, and read the store itself only each 4 to 8 s, by reads that may be seconds old, whereas a change has to be in force within 3 s (2 s in small fleets). The class: knowledge that is used without its age, on paths that can end without a sign.

Change: heartbeats tell how long ago the store confirmed the sender's documents (StoreReadings). A host whose newest reading, over any path, is older than 1.2 to 2 s of 3 reads the store. Then it need not poll otherwise, and a daemon that is no leader begins to watch only if it hears of no reading. The first poll of a watch is of random length, so that the readings of watchers are not equally old. Builds without the field tell no readings, so later ones read beside them.

--- a/packages/gateway/src/oriolegauge/gateway/documentexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/documentexchange.py
@@ -27,6 +27,7 @@
     ConfigVersion,
     Heartbeat,
     Message,
+    StoreReading,
 )
 
 # Enough for a host with a link of 5 Mbit/s to send a compressed configuration
@@ -82,6 +83,10 @@
             for row in self.versions()
         )
 
+    def readings(self) -> tuple[StoreReading, ...]:
+        """Return how old the documents of this daemon may be."""
+        return tuple(self._documents.readings.rows(self._documents.revisions))
+
     def learn(self, peer: str, heartbeat: Heartbeat) -> None:
         """Fetch documents of which the peer has a newer, different version."""
         versions = heartbeat.document_versions or tuple(
@@ -93,7 +98,9 @@
             for row in heartbeat.later_versions
             if row.key in self._later_keys
         )
-        for row in (*versions, *later):
+        rows = (*versions, *later)
+        self._documents.readings.learn(heartbeat.store_readings, rows)
+        for row in rows:
             self._documents.advance_revision(row.key, row.version, row.digest)
             self._sources.note_told(peer, row, _now())
             self._fetch_next(row.key)
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -163,7 +163,9 @@
             idle_limit=self._idle_limit,
         )
         self._documents = SharedDocuments(
-            self._apply_document, rank=self._document_rank
+            self._apply_document,
+            rank=self._document_rank,
+            clock=_boot_clock(host_clocks),
         )
         own = FleetMember(
             name=settings.name,
@@ -230,6 +232,7 @@
                 store=store,
                 kind=kind,
                 documents=self._documents,
+                max_reading_age_s=settings.max_reading_age_s,
                 clock=self._clock,
                 is_watcher=self._links.is_watcher,
                 is_leader=self._links.is_leader,
@@ -501,14 +504,11 @@
         objects: list[Mapping[str, Any]],
         document: Document,
     ) -> None:
-        reached_at = self._followers[kind].reached_at
         if self._evacuated_zones.apply(
             zones_of(kind, objects),
             revision=document.revision,
             source=document.source,
-            age_s=(
-                math.inf if reached_at is None else self._clock() - reached_at
-            ),
+            age_s=self._documents.readings.age_s(kind),
         ):
             self._versions.servers_changed()
         self._note_evacuations_known()
@@ -671,22 +671,14 @@
     def _state_versions(self) -> StateVersions:
         route_table = self._forwarder.route_table
         revisions = self._documents.revisions
-        reached = [
-            follower.reached_at
-            for follower in self._followers.values()
-            if follower.reached_at is not None
-        ]
-        age_s = self._clock() - max(reached) if reached else math.inf
         return StateVersions(
             config_version=route_table.config.version if route_table else 0,
             servers_revision=revisions.get(self._settings.server_kind, 0),
-            store_age_s=age_s,
+            store_age_s=max(
+                map(self._documents.readings.age_s, self._followers)
+            ),
         )
 
-    def _config_read_age_s(self) -> float:
-        reached_at = self._followers[self._settings.config_kind].reached_at
-        return math.inf if reached_at is None else self._clock() - reached_at
-
     def _gauges(self) -> Mapping[str, float]:
         return {
             'requests_running': self._forwarder.running,
@@ -703,7 +695,9 @@
             'servers_cold': self._cold_servers.count,
             'zones_evacuated': len(self._evacuated_zones),
             'store_age_seconds': self._state_versions().store_age_s,
-            'config_read_age_seconds': self._config_read_age_s(),
+            'config_read_age_seconds': self._documents.readings.age_s(
+                self._settings.config_kind
+            ),
             'kinds_watched': sum(
                 one.watches_store for one in self._followers.values()
             ),
--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -4,6 +4,9 @@
 
 from oriolegauge.forwarding.drainplan import DrainPlan
 
+# Share of the time in which a change has to be in force.
+READING_AGE_SHARE = 2 / 3
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ListenAddress:
@@ -23,6 +26,8 @@
     to a service.
     `cores` and `link_mbps` are the capacity of the host.
     `memory_bytes` is the memory that the process may use.
+    `config_apply_s` is the time after its confirmation within which a change of
+    the configuration has to be in force.
     `grace_s` is the time between SIGTERM and the exit of the process.
     `evacuations_kind` is the kind of the objects that request evacuations of
     availability zones; None if none are followed.
@@ -52,6 +57,7 @@
     max_caller_connections: int
     cores: float
     link_mbps: float
+    config_apply_s: float = 2.0
     is_first_start: bool = True
     relay_port: int = 0
     evacuations_kind: str | None = None
@@ -62,6 +68,14 @@
     max_peer_message_bytes: int = 8 * 1024 * 1024
     connect_timeout_s: float = 0.3
 
+    @property
+    def max_reading_age_s(self) -> float:
+        """Return the age of knowledge of the store at which it is read again.
+
+        The rest of `config_apply_s` is for the call.
+        """
+        return self.config_apply_s * READING_AGE_SHARE
+
     def drain_plan(self, began_at: float) -> DrainPlan:
         """Return the plan of a stop that began at the loop time (s)."""
         return DrainPlan.for_grace(began_at, self.grace_s)
--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -1,7 +1,8 @@
 """Follower of all objects of one kind in the store.
 
 Only some daemons watch the store and send its changes to their peers; the
-others read it rarely. Matters for the store's load and for its outages.
+others read it when no reading of it was heard of lately. Matters for the
+store's load and for its outages.
 """
 
 import asyncio
@@ -29,11 +30,10 @@
 # A watcher that has had no answer for this time does not count as one: a long
 # poll, and a slow store.
 WATCH_OVERDUE_S = 3.0
-# Other daemons get changes from the watchers. This poll limits how stale a
-# daemon gets that no peer reaches. The interval is random since all daemons
-# start at the same time, and each that polls just after a change reads from the
-# store what a peer would have sent.
-NON_WATCHER_POLL_S = (4.0, 8.0)
+# A daemon that leaves the store to its peers reads it once the newest reading
+# that it heard of is older than a random part, in this range, of the tolerated
+# age. The first to read tells the others, so that most of them need not.
+READING_AGE_SHARE = (0.6, 1.0)
 # A daemon whose role changes during a pause acts on it within this time. Peers
 # send no changes while all daemons take each other for watchers.
 ROLE_CHECK_PERIOD_S = 0.25
@@ -63,6 +63,7 @@
         store: KindStore,
         kind: str,
         documents: SharedDocuments,
+        max_reading_age_s: float,
         clock: Callable[[], float],
         is_watcher: Callable[[], bool],
         is_leader: Callable[[], bool],
@@ -75,12 +76,15 @@
         it succeeded or failed.
 
         While `is_watcher` is false, changes come from peers, and the store is
-        only polled rarely, by reads that may be stale. While `is_leader` is
-        true, failed calls are retried with a shorter backoff.
+        only read if no reading younger than `max_reading_age_s` was heard of.
+        While `is_leader` is true, failed calls are retried with a shorter
+        backoff.
         """
         self._store = store
         self._kind = kind
         self._documents = documents
+        self._readings = documents.readings
+        self._max_reading_age_s = max_reading_age_s
         self._clock = clock
         self._is_watcher = is_watcher
         self._is_leader = is_leader
@@ -91,11 +95,13 @@
         # Last versions of deleted objects, by key.
         self._deleted: dict[str, int] = {}
         self._revision: int | None = None
-        self._reached_at: float | None = None
+        # Time of the last answer by the clock of the readings.
+        self._answered_at = -math.inf
         self._failed_at = -math.inf
         self._regained_at = clock()
         self._is_store_unavailable = False
         self._has_watched: bool | None = None
+        self._is_poll_spread = False
 
     @property
     def has_tried_store(self) -> bool:
@@ -106,11 +112,6 @@
         """
         return self._has_tried_store
 
-    @property
-    def reached_at(self) -> float | None:
-        """Return the loop time of the store's last answer."""
-        return self._reached_at
-
     @property
     def is_store_unavailable(self) -> bool:
         """State whether the last call failed."""
@@ -137,8 +138,7 @@
         return (
             self.watches_store
             and not self._is_store_unavailable
-            and self._reached_at is not None
-            and self._clock() - self._reached_at < WATCH_OVERDUE_S
+            and self._answer_age_s() < WATCH_OVERDUE_S
         )
 
     async def run(self) -> None:
@@ -167,44 +167,76 @@
         if is_leader:
             await asyncio.sleep(pause_s)
         else:
-            await self._sleep_unless(pause_s, self._is_leader)
+            await self._sleep_unless_leader(pause_s)
 
-    async def _sleep_unless(
-        self, seconds: float, has_role: Callable[[], bool]
-    ) -> None:
-        """Sleep, but return soon once this daemon has the role."""
+    async def _sleep_unless_leader(self, seconds: float) -> None:
+        """Sleep, but return soon once this daemon is a leader."""
         left_s = seconds
-        while left_s > 0 and not has_role():
+        while left_s > 0 and not self._is_leader():
             step_s = min(ROLE_CHECK_PERIOD_S, left_s)
             await asyncio.sleep(step_s)
             left_s -= step_s
 
+    async def _wait_until_due(self) -> None:
+        """Return if this daemon watches or leads, or hears of no reading.
+
+        While readings are young, others watch. Without them as a sign, all
+        daemons that miss lost watchers would begin to watch at once.
+        """
+        max_age_s = self._max_reading_age_s * random.uniform(*READING_AGE_SHARE)
+        while not self._is_due(max_age_s):
+            await asyncio.sleep(ROLE_CHECK_PERIOD_S)
+
+    def _is_due(self, max_age_s: float) -> bool:
+        if not self._is_watcher():
+            self._note_role()
+        elif self._has_watched or self._is_leader():
+            return True
+        # An answer that shows an older state than the held one is no reading of
+        # it, and the next would not be another.
+        age_s = min(self._readings.age_s(self._kind), self._answer_age_s())
+        if age_s < max_age_s:
+            return False
+        log.info(
+            'store read, as no reading was heard of',
+            kind=self._kind,
+            revision=self._revision,
+            age_s=round(age_s, 3),
+        )
+        return True
+
     async def _step(self) -> None:
-        is_watcher = self._note_role()
-        self._adopt_peer_document()
         if self._revision is None:
             await self._read_all()
             return
         was_unavailable = self._is_store_unavailable
-        changes = await self._store.changes(
-            self._kind,
-            self._revision,
-            # After a failure the call returns at once, to notice a recovery.
-            LONG_POLL_S if is_watcher and not was_unavailable else 0,
-            allow_stale=not is_watcher and not was_unavailable,
-        )
-        self._apply_changes(changes)
-        if was_unavailable:
-            # Watch again without a pause: if all daemons lost the store, none
-            # of them watches it, and no peer would send the next change.
-            return
-        if not is_watcher:
-            await self._sleep_unless(
-                random.uniform(*NON_WATCHER_POLL_S), self._is_watcher
-            )
-        elif changes.changed or changes.deleted:
+        if not was_unavailable:
+            await self._wait_until_due()
+        is_watcher = self._note_role()
+        self._adopt_peer_document()
+        # After a failure the call returns at once, to notice a recovery.
+        is_long = is_watcher and not was_unavailable
+        wait_s = self._poll_s() if is_long else 0
+        began_at = self._readings.now()
+        changes = await self._store.changes(self._kind, self._revision, wait_s)
+        self._apply_changes(changes, began_at + wait_s)
+        has_changed = bool(changes.changed or changes.deleted)
+        self._is_poll_spread = is_long and not has_changed
+        # If all daemons lost the store, none of them watches it, so the watch
+        # begins again without a pause.
+        if is_watcher and has_changed and not was_unavailable:
             await asyncio.sleep(BATCH_CHANGES_S)
 
+    def _poll_s(self) -> float:
+        """Return how long to wait for a change.
+
+        The first poll of a watch, and after a change, is of random length: many
+        watchers begin then, and their readings would stay equally old.
+        """
+        if self._is_poll_spread:
+            return LONG_POLL_S
+        return random.uniform(0, LONG_POLL_S)
+
     def _note_role(self) -> bool:
         """Return whether this daemon watches the store; log each change."""
         is_watcher = self._is_watcher()
@@ -214,14 +246,17 @@
                 'store watched' if is_watcher else 'store left to peers',
                 kind=self._kind,
                 revision=self._revision,
-                age_s=self._age_s(),
+                age_s=self._known_age_s(),
             )
         return is_watcher
 
-    def _age_s(self) -> float | None:
-        if self._reached_at is None:
-            return None
-        return round(self._clock() - self._reached_at, 3)
+    def _known_age_s(self) -> float | None:
+        """Return the age of the newest reading, over any path, for logs."""
+        age_s = self._readings.age_s(self._kind)
+        return round(age_s, 3) if math.isfinite(age_s) else None
+
+    def _answer_age_s(self) -> float:
+        return self._readings.now() - self._answered_at
 
     def _adopt_peer_document(self) -> None:
         """Continue from a peer's newer document instead of reading it again."""
@@ -237,7 +272,7 @@
             for row in orjson.loads(held.payload)
         }
 
-    def _apply_changes(self, changes: Changes) -> None:
+    def _apply_changes(self, changes: Changes, wait_ended_at: float) -> None:
         assert self._revision is not None
         # A slow reply, or one of a stale replica, may hold an older state.
         if changes.revision < self._revision:
@@ -247,11 +282,16 @@
         for key in changes.deleted:
             self._forget(key)
         self._revision = changes.revision
+        read_at = min(wait_ended_at, self._readings.now())
         if changes.changed or changes.deleted:
             self._note_success()
             self._offer()
+            # A change ends the wait when it is made.
+            read_at = self._readings.now()
+        self._readings.note(self._kind, read_at)
 
     async def _read_all(self) -> None:
+        began_at = self._readings.now()
         found = await self._store.snapshot(self._kind)
         listed = {entry.key: entry for entry in found.objects}
         for key in self._objects.keys() - listed.keys():
@@ -265,6 +305,7 @@
         self._revision = found.revision
         self._note_success()
         self._offer()
+        self._readings.note(self._kind, began_at)
 
     def _forget(self, key: str) -> None:
         entry = self._objects.pop(key, None)
@@ -295,7 +336,7 @@
         self._note_attempt()
         was_unavailable = self._is_store_unavailable
         self._is_store_unavailable = False
-        self._reached_at = self._clock()
+        self._answered_at = self._readings.now()
         if was_unavailable:
             log.info('store regained', kind=self._kind)
             self._regained_at = self._clock()
--- a/packages/gateway/src/oriolegauge/gateway/shareddocuments.py
+++ b/packages/gateway/src/oriolegauge/gateway/shareddocuments.py
@@ -5,6 +5,7 @@
 revision, so the rank that the content itself states goes before the revision.
 """
 
+import time
 import zlib
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -14,6 +15,8 @@
 import structlog
 import xxhash
 
+from oriolegauge.gateway.storereadings import StoreReadings
+
 # Limit for a decompressed document: ten times the largest object of the store.
 MAX_DOCUMENT_BYTES = 10 * 1024 * 1024
 # Digests are sent as signed 64-bit numbers.
@@ -80,12 +83,14 @@
         self,
         on_change: Callable[[str, Document], None],
         rank: Callable[[str, Document], int | None] = unranked,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Call `on_change(key, document)` for each new content.
 
         `rank(key, document)` rises with the versions of the content; None if
-        it is invalid.
+        it is invalid. `clock` counts seconds, pauses of the host included.
         """
+        self.readings = StoreReadings(self, clock)
         self._on_change = on_change
         self._rank = rank
         self._ranks: dict[str, int] = {}
@@ -108,6 +113,11 @@
         """Return the digest of a document that is present."""
         return self._documents[key].digest
 
+    def is_held(self, key: str, digest: int) -> bool:
+        """State whether the document is held with that digest."""
+        held = self._documents.get(key)
+        return held is not None and held.digest == digest
+
     def is_newer(self, key: str, revision: int) -> bool:
         """State whether the revision is newer than the latest known one."""
         return revision > self._revisions.get(key, -1)
@@ -128,8 +138,7 @@
 
         Revisions count all changes in the store, also those of other documents.
         """
-        held = self._documents.get(key)
-        if held and held.digest == digest and self.is_newer(key, revision):
+        if self.is_held(key, digest) and self.is_newer(key, revision):
             self._revisions[key] = revision
 
     def offer(self, key: str, document: Document) -> bool:
--- a/packages/gateway/tests/test_documentfleet.py
+++ b/packages/gateway/tests/test_documentfleet.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import contextlib
+import math
 
 import pytest
 
 from oriolegauge.gateway.fleetlayout import RING_BEAT_PERIOD_S
+from oriolegauge.gateway.fleetlinks import MAX_WATCHERS
+from oriolegauge.gateway.kindfollower import LONG_POLL_S
 from oriolegauge.wire import LinkLimits
 
 from .documentfleet import DocumentFleet
@@ -72,3 +75,41 @@
                     IN_FORCE_WITHIN_S, silent_at + CONTACT_S - changed_at
                 )
                 assert not fleet.late(version, within_s, changed_at)
+
+    @pytest.mark.parametrize('seed', range(2))
+    @pytest.mark.parametrize('share', [0.3, 0.9])
+    async def test_links_that_stay_silent_delay_no_host_for_long(
+        self, share, seed
+    ):
+        """Guards against a host whose remaining peers are behind."""
+        async with started_fleet(SIZE, seed) as fleet:
+            fleet.silence_links(share, noticed_after_s=math.inf)
+            for _ in range(4):
+                changed_at = fleet.clock()
+                version = fleet.store.change()
+                await asyncio.sleep(IN_FORCE_WITHIN_S)
+                assert not fleet.late(version, IN_FORCE_WITHIN_S, changed_at)
+
+    @pytest.mark.parametrize('seed', range(2))
+    async def test_lost_watchers_are_replaced_by_few_daemons(self, seed):
+        """Guards against a fleet of which all daemons watch for seconds."""
+        async with started_fleet(SIZE, seed) as fleet:
+            fleet.lose(fleet.watchers())
+            calls = fleet.store.calls
+            for _ in range(4):
+                changed_at = fleet.clock()
+                version = fleet.store.change()
+                await asyncio.sleep(2)
+                assert not fleet.late(version, IN_FORCE_WITHIN_S, changed_at)
+            assert fleet.store.calls - calls <= 3 * len(fleet.hosts)
+            assert len(fleet.watchers()) <= 2 * MAX_WATCHERS
+
+    async def test_few_daemons_of_a_quiet_fleet_call_the_store(self):
+        """Guards against calls that grow with the number of daemons."""
+        async with started_fleet(SIZE, 0) as fleet:
+            calls = fleet.store.calls
+            await asyncio.sleep(20)
+            assert len(fleet.watchers()) == MAX_WATCHERS
+            # A tenth more than the long polls of the watchers.
+            most = 1.1 * MAX_WATCHERS * 20 / LONG_POLL_S
+            assert fleet.store.calls - calls <= most
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -79,6 +79,7 @@
   lostServices @21 :List(Text);
   relayPort @22 :Int64;
   brittleServices @23 :BrittleServices;
+  storeReadings @24 :StoreReadings;
 }
 
 struct ConfigVersions {
@@ -109,6 +110,7 @@
   perS @1 :List(Float64);
   ageMs @2 :List(Int64);
 }
+struct StoreReadings { kind @0 :List(Text); ageMs @1 :List(Int64); }
 struct VersionShares {
   period @0 :List(Int64);
   service @1 :List(Text);
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -153,6 +153,14 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreReading:
+    """State how long ago (ms) the store confirmed a member's document."""
+
+    kind: str
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Heartbeat:
     """Tell peers that a member is alive, and what it holds and runs.
@@ -168,7 +176,8 @@
     fleet, of other members that watch the store. `lost_services` are those of
     which the member reaches no server. `relay_port` takes requests of members
     for which that is so, 0 if there is none. `brittle_services` are those whose
-    servers fall over if they reject too many requests.
+    servers fall over if they reject too many requests. `store_readings` tell
+    how old the documents of the sender may be.
     """
 
     member: str
@@ -195,6 +204,7 @@
     lost_services: tuple[str, ...] = ()
     relay_port: int = 0
     brittle_services: tuple[BrittleService, ...] = ()
+    store_readings: tuple[StoreReading, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
