Follow the members of the fleet as a shared document

What callers see: hosts with configurations that are seconds old, and limits, permits and retries that are divided among too few daemons.

Cause: a daemon listed the members at its start and 0.6 s later, and never again. Hosts with more processor time start 0.6 to 0.8 s before the others, so they had listed twice before those registered. They lead the fleet. A short list gives other neighbours on the ring, so their heartbeats went to hosts without a link to them (the peers that fetches failed at), and those hosts heard of new versions from a peer that they could not ask. The class: a list that is read once and taken for complete.

Change: members are read, watched and told to peers as configuration and servers are. A daemon that restarts while the store refuses it gets them from a peer. Until the first list came it takes itself for no leader. Members that were forgotten are added again by a heartbeat only, not by their entry. Builds without this document are not told of it.

Ruled out: a third listing, which a host that starts later or joins would miss as well, and listing again on a sign, which costs a call of each daemon for each that joins.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -189,6 +189,8 @@
         self._mesh: PeerMesh | None = None
         self._answer_other: MessageHandler | None = None
         self._ranked_members = RankedMembers(own)
+        # Peers that were unreachable for too long; their entries stay listed.
+        self._forgotten: set[str] = set()
         self._neighbours: set[str] = set()
         # Peers that are linked for calls although they are no ring neighbours.
         self._extra_links: set[str] = set()
@@ -310,18 +312,33 @@
         """Tell peers the versions of new streams, and answer theirs."""
         self._versions = versions
 
-    def add_member(self, member: FleetMember) -> None:
-        """Add a daemon, or update what is known of it."""
-        if not member.name or not self._ranked_members.add(member):
-            return
-        self._known_since.setdefault(member.name, self._clock())
-        log.info(
-            'peer found',
-            peer=member.name,
-            zone=member.zone,
-            strength=member.capacity_class,
+    def list_members(self, members: Iterable[FleetMember]) -> None:
+        """Add the daemons that the store lists."""
+        self._add_members(
+            member for member in members if member.name not in self._forgotten
         )
-        self._update_links()
+        self.note_listed()
+
+    def add_member(self, member: FleetMember) -> None:
+        """Add a daemon that has sent a heartbeat."""
+        self._forgotten.discard(member.name)
+        self._add_members([member])
+
+    def _add_members(self, members: Iterable[FleetMember]) -> None:
+        is_changed = False
+        for member in members:
+            if not member.name or not self._ranked_members.add(member):
+                continue
+            is_changed = True
+            self._known_since.setdefault(member.name, self._clock())
+            log.info(
+                'peer found',
+                peer=member.name,
+                zone=member.zone,
+                strength=member.capacity_class,
+            )
+        if is_changed:
+            self._update_links()
 
     async def answer(self, sender: Sender, message: Message) -> Message | None:
         """Answer a message of a peer."""
@@ -381,6 +398,8 @@
         end its watch: calls of one kind fail without those of others, and if
         all daemons gave up at once, nobody would notice the next change.
         """
+        if not self._knows_members():
+            return False
         if not self.linked_peers():
             return True
         watchers = islice(
@@ -390,7 +409,16 @@
 
     def is_leader(self) -> bool:
         """State whether this daemon is one of the leaders."""
-        return self._name in islice(self._leaders(), MAX_WATCHERS)
+        return self._knows_members() and self._name in islice(
+            self._leaders(), MAX_WATCHERS
+        )
+
+    def _knows_members(self) -> bool:
+        """State whether the members were listed, or can't be at the start.
+
+        A daemon that knows no members yet would take itself for a leader.
+        """
+        return self.is_listed or self._clock() >= self._listing_deadline
 
     def aggregator_host(self) -> str | None:
         """Return the peer with the load aggregator, None if it is this one."""
@@ -831,6 +859,7 @@
             ):
                 self._lost_at[name] = now
         self._ranked_members.remove(forgotten)
+        self._forgotten |= forgotten
         self._watch_signs.keep_only((self._name, *self._ranked_members.others))
         for name in forgotten:
             self._known_since.pop(name, None)
--- a/packages/gateway/src/oriolegauge/gateway/gateway.py
+++ b/packages/gateway/src/oriolegauge/gateway/gateway.py
@@ -72,6 +72,10 @@
 # the evacuations: heartbeats of a large fleet come every 0.75 s, and a fetch
 # takes up to 2 s.
 EVACUATIONS_WAIT_S = 3.0
+# Members change rarely, and daemons that don't know a new one yet still link it
+# while it sends them heartbeats.
+MEMBERS_POLL_S = 10.0
+MEMBERS_MAX_AGE_S = 30.0
 # Share for the bodies of requests that wait for a slot of a server.
 WAITING_BUFFER_SHARE = 0.04
 RELOADABLE = ('grace_s', 'retry_share', 'retry_slack')
@@ -269,12 +273,21 @@
             explain=lambda *query: self._forwarder.explain(*query),
         )
         self._registration = MemberRegistration(
+            store=store, kind=settings.member_kind, own=own
+        )
+        self._members = KindFollower(
             store=store,
             kind=settings.member_kind,
-            own=own,
-            on_member=self._links.add_member,
-            on_listed=self._links.note_listed,
+            documents=self._documents,
+            max_reading_age_s=MEMBERS_MAX_AGE_S,
+            long_poll_s=MEMBERS_POLL_S,
+            clock=self._clock,
+            is_watcher=self._links.is_watcher,
+            is_leader=self._links.is_leader,
+            on_store_regained=lambda: None,
+            on_first_attempt=lambda: None,
         )
+        self._links.add_later_document(settings.member_kind)
         self._retries = RetryBudgets(
             rng=self._rng,
             share=settings.retry_share,
@@ -382,6 +395,7 @@
         return [
             self._run_links,
             self._registration.run,
+            self._members.run,
             self._keeper.run,
             self._keeper.run_reserve,
             self._links.loads.run,
@@ -459,6 +473,12 @@
             )
 
     def _apply_document(self, key: str, document: Document) -> None:
+        if key == self._settings.member_kind:
+            self._links.list_members(
+                self._registration.listed(orjson.loads(document.payload))
+            )
+            self._links.announce_change()
+            return
         follower = self._followers.get(key)
         # Later builds may exchange documents that this one does not know.
         if follower is None or not follower.has_tried_store:
--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -64,6 +64,7 @@
         kind: str,
         documents: SharedDocuments,
         max_reading_age_s: float,
+        long_poll_s: float = LONG_POLL_S,
         clock: Callable[[], float],
         is_watcher: Callable[[], bool],
         is_leader: Callable[[], bool],
@@ -77,6 +78,7 @@
 
         While `is_watcher` is false, changes come from peers, and the store is
         only read if no reading younger than `max_reading_age_s` was heard of.
+        Watchers wait for `long_poll_s` at a time.
         While `is_leader` is true, failed calls are retried with a shorter
         backoff.
         """
@@ -85,6 +87,7 @@
         self._documents = documents
         self._readings = documents.readings
         self._max_reading_age_s = max_reading_age_s
+        self._long_poll_s = long_poll_s
         self._clock = clock
         self._is_watcher = is_watcher
         self._is_leader = is_leader
@@ -234,8 +237,8 @@
         watchers begin then, and their readings would stay equally old.
         """
         if self._is_poll_spread:
-            return LONG_POLL_S
-        return random.uniform(0, LONG_POLL_S)
+            return self._long_poll_s
+        return random.uniform(0, self._long_poll_s)
 
     def _note_role(self) -> bool:
         """Return whether this daemon watches the store; log each change."""
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -247,6 +247,16 @@
 
 
 class TestWatchers:
+    async def test_daemon_that_knows_no_members_yet_leaves_it_to_others(self):
+        """Guards against a start of the fleet at which all daemons watch."""
+        clock = asyncio.get_running_loop().time
+        links, _ = links_of('d0', [], clock)
+        assert not links.is_watcher()
+        assert not links.is_leader()
+        links.note_listed()
+        assert links.is_watcher()
+        assert links.is_leader()
+
     @pytest.mark.parametrize('size', [8, 68])
     async def test_store_is_watched_when_it_refuses_grants_to_all(self, size):
         """Guards against a configuration that all daemons leave to others."""
@@ -255,6 +265,7 @@
         watching = 0
         for name in names:
             links, _ = links_of(name, names, clock, reaches_store=False)
+            links.note_listed()
             for peer in links._mesh.names:
                 links._mesh.heartbeats[peer] = heartbeat(peer, False)
             watching += links.is_watcher()
@@ -321,6 +332,7 @@
         watching = []
         for name in names:
             links, _ = links_of(name, names, clock)
+            links.note_listed()
             watching.append(links.is_watcher())
             for link in links._mesh.names.values():
                 link.connected = False
@@ -354,6 +366,21 @@
 
 
 class TestForgottenPeers:
+    @pytest.mark.looptime
+    async def test_entry_of_a_forgotten_one_is_no_member_again(self):
+        """Guards against hosts that are gone and lead whenever one joins."""
+        names = [f'd{number:02}' for number in range(68)]
+        links, _ = links_of('d00', names, asyncio.get_running_loop().time)
+        listed = [FleetMember(name=name, zone='z') for name in names]
+        [gone, *_] = sorted(links._mesh.names)
+        links._mesh.names[gone].connected = False
+        await asyncio.sleep(FORGET_PEER_S + 1)
+        links.apply_heartbeats()
+        links.list_members(listed)
+        assert links.members == len(names) - 1
+        links.add_member(FleetMember(name=gone, zone='z'))
+        assert links.members == len(names)
+
     @pytest.mark.looptime
     async def test_many_replaced_hosts_are_removed(self):
         """Guards against an error in the heartbeat task.
