--- a/packages/gateway/src/oriolegauge/gateway/documentexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/documentexchange.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
+from itertools import chain, repeat
 
 import structlog
 
@@ -21,13 +22,13 @@
 )
 from oriolegauge.objectstore import era_of, revision_of, store_version
 from oriolegauge.wire.messages import (
+    NEVER_MS,
     ConfigFetch,
     ConfigObject,
     ConfigObjects,
     ConfigVersion,
     Heartbeat,
     Message,
-    StoreReading,
 )
 
 # Enough for a host with a link of 5 Mbit/s to send a compressed configuration
@@ -83,9 +84,13 @@
             for row in self.versions()
         )
 
-    def readings(self) -> tuple[StoreReading, ...]:
-        """Return how old the documents of this daemon may be."""
-        return tuple(self._documents.readings.rows(self._documents.revisions))
+    def read_ages_ms(self) -> tuple[int, ...]:
+        """Return how old the documents of this daemon may be.
+
+        The order is that of `versions` and, after them, `later_versions`.
+        """
+        rows = (*self.versions(), *self.later_versions())
+        return tuple(self._documents.readings.ages_ms(row.key for row in rows))
 
     def learn(self, peer: str, heartbeat: Heartbeat) -> None:
         """Fetch documents of which the peer has a newer, different version."""
@@ -93,17 +98,13 @@
             replace(row, version=self._with_era(row.key, row.version))
             for row in heartbeat.config_versions
         )
-        later = (
-            row
-            for row in heartbeat.later_versions
-            if row.key in self._later_keys
+        known_ms = chain(heartbeat.read_ages_ms, repeat(NEVER_MS))
+        told = zip(
+            (*versions, *heartbeat.later_versions), known_ms, strict=False
         )
-        rows = (*versions, *later)
-        self._documents.readings.learn(heartbeat.store_readings, rows)
-        for row in rows:
-            self._documents.advance_revision(row.key, row.version, row.digest)
-            self._sources.note_told(peer, row, _now())
-            self._fetch_next(row.key)
+        for row, age_ms in told:
+            if row in versions or row.key in self._later_keys:
+                self._learn(peer, row, age_ms)
 
     def answer(self, request: ConfigFetch) -> ConfigObjects:
         """Return the requested documents that this daemon has, compressed."""
@@ -123,6 +124,12 @@
             )
         return ConfigObjects(objects=objects, has_eras=request.knows_eras)
 
+    def _learn(self, peer: str, row: ConfigVersion, age_ms: int) -> None:
+        self._documents.advance_revision(row.key, row.version, row.digest)
+        self._documents.readings.learn(row, age_ms)
+        self._sources.note_told(peer, row, _now())
+        self._fetch_next(row.key)
+
     def _all(self) -> Iterator[ConfigVersion]:
         for key, revision in self._documents.revisions.items():
             yield ConfigVersion(key, revision, self._documents.digest(key))
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -803,7 +803,7 @@
             lost_services=self._reach.lost_services if self._reach else (),
             relay_port=self._relay_port,
             brittle_services=_service_rows(self._brittle),
-            store_readings=self._documents.readings(),
+            read_ages_ms=self._documents.read_ages_ms(),
         )
 
     def apply_heartbeats(self) -> None:
--- a/packages/gateway/src/oriolegauge/gateway/storereadings.py
+++ b/packages/gateway/src/oriolegauge/gateway/storereadings.py
@@ -9,10 +9,12 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
-from oriolegauge.wire.messages import ConfigVersion, StoreReading
+from oriolegauge.wire.messages import NEVER_MS, ConfigVersion
 
 # Readings of versions that have not been fetched yet, kept for each kind.
 MAX_AHEAD = 16
+# Older readings are no reason to trust a document.
+MAX_TOLD_S = 3600.0
 _MS_PER_S = 1000
 
 
@@ -47,34 +49,15 @@
         """Note that the store confirmed the held document at that time."""
         self._read_at[kind] = max(read_at, self._read_at.get(kind, -math.inf))
 
-    def learn(
-        self, rows: Iterable[StoreReading], versions: Iterable[ConfigVersion]
-    ) -> None:
-        """Use the readings in a heartbeat that has just arrived.
+    def learn(self, told: ConfigVersion, age_ms: int) -> None:
+        """Use what a heartbeat that has just arrived tells of a document.
 
-        `versions` are those of the documents that the readings account for.
+        `age_ms` is the age of the sender's reading, NEVER_MS if it has none. A
+        reading can't be of the future, so other ages below zero don't count.
         """
-        now = self._clock()
-        told = {row.key: row for row in versions}
-        for row in rows:
-            if row.kind in told:
-                # A reading can't be of the future, whatever a peer sends.
-                read_at = now - max(0, row.age_ms) / _MS_PER_S
-                self._learn(told[row.kind], read_at)
-
-    def age_s(self, kind: str) -> float:
-        """Return the seconds since the newest reading, infinite if none."""
-        self._use_readings_ahead(kind)
-        return self._clock() - self._read_at.get(kind, -math.inf)
-
-    def rows(self, kinds: Iterable[str]) -> Iterator[StoreReading]:
-        """Yield the readings to tell peers."""
-        for kind in kinds:
-            age_s = self.age_s(kind)
-            if math.isfinite(age_s):
-                yield StoreReading(kind, int(age_s * _MS_PER_S))
-
-    def _learn(self, told: ConfigVersion, read_at: float) -> None:
+        if age_ms < 0:
+            return
+        read_at = self._clock() - age_ms / _MS_PER_S
         kind = told.key
         if self._documents.is_held(kind, told.digest):
             self.note(kind, read_at)
@@ -86,6 +69,17 @@
             if len(ahead) > MAX_AHEAD:
                 del ahead[min(ahead)]
 
+    def age_s(self, kind: str) -> float:
+        """Return the seconds since the newest reading, infinite if none."""
+        self._use_readings_ahead(kind)
+        return self._clock() - self._read_at.get(kind, -math.inf)
+
+    def ages_ms(self, kinds: Iterable[str]) -> Iterator[int]:
+        """Yield the ages to tell peers."""
+        for kind in kinds:
+            age_s = min(self.age_s(kind), MAX_TOLD_S)
+            yield NEVER_MS if age_s == MAX_TOLD_S else int(age_s * _MS_PER_S)
+
     def _use_readings_ahead(self, kind: str) -> None:
         ahead = self._ahead.get(kind, {})
         reached = [
--- a/packages/gateway/tests/test_documentexchange.py
+++ b/packages/gateway/tests/test_documentexchange.py
@@ -1,6 +1,7 @@
 """Documents between daemons, also of builds that know no eras."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -17,6 +18,7 @@
 from oriolegauge.objectstore import store_version
 from oriolegauge.wire import PeerTimeoutError, PeerUnreachableError
 from oriolegauge.wire.messages import (
+    NEVER_MS,
     ConfigFetch,
     ConfigObject,
     ConfigObjects,
@@ -126,6 +128,30 @@
         assert peer.calls == 1
 
 
+class TestReadings:
+    async def test_ages_belong_to_the_documents_in_their_order(self):
+        """Guards against the age of one document that counts for another."""
+        sender, daemon = Daemon(era=0, revision=12), Daemon(era=0, revision=12)
+        for one in (sender, daemon):
+            one.exchange.add_later_key('later')
+            one.documents.offer('later', Document(3, b'[]', 'store'))
+        sender.exchange.add_later_key('unknown')
+        sender.documents.offer('unknown', Document(5, b'[]', 'store'))
+        readings = sender.documents.readings
+        readings.note('later', readings.now() - 7)
+        readings.note('unknown', readings.now())
+        message = heartbeat(
+            document_versions=sender.exchange.versions(),
+            later_versions=tuple(reversed(sender.exchange.later_versions())),
+            read_ages_ms=(NEVER_MS, 0, 7_000),
+        )
+        daemon.exchange.learn('p', message)
+        assert daemon.documents.readings.age_s(KEY) == math.inf
+        assert 7 <= daemon.documents.readings.age_s('later') < 8
+        assert sender.exchange.read_ages_ms()[0] == NEVER_MS
+        assert sender.exchange.read_ages_ms()[1] >= 7_000
+
+
 @pytest.mark.looptime
 class TestPeersThatHang:
     """A peer hangs if its link went silent after its last heartbeat."""
--- a/packages/wire/src/oriolegauge/wire/messages.capnp
+++ b/packages/wire/src/oriolegauge/wire/messages.capnp
@@ -79,7 +79,7 @@
   lostServices @21 :List(Text);
   relayPort @22 :Int64;
   brittleServices @23 :BrittleServices;
-  storeReadings @24 :StoreReadings;
+  readAgesMs @24 :List(Int32);
 }
 
 struct ConfigVersions {
@@ -110,7 +110,6 @@
   perS @1 :List(Float64);
   ageMs @2 :List(Int64);
 }
-struct StoreReadings { kind @0 :List(Text); ageMs @1 :List(Int64); }
 struct VersionShares {
   period @0 :List(Int64);
   service @1 :List(Text);
--- a/packages/wire/src/oriolegauge/wire/messages.py
+++ b/packages/wire/src/oriolegauge/wire/messages.py
@@ -153,14 +153,6 @@
     age_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class StoreReading:
-    """State how long ago (ms) the store confirmed a member's document."""
-
-    kind: str
-    age_ms: int
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Heartbeat:
     """Tell peers that a member is alive, and what it holds and runs.
@@ -176,8 +168,9 @@
     fleet, of other members that watch the store. `lost_services` are those of
     which the member reaches no server. `relay_port` takes requests of members
     for which that is so, 0 if there is none. `brittle_services` are those whose
-    servers fall over if they reject too many requests. `store_readings` tell
-    how old the documents of the sender may be.
+    servers fall over if they reject too many requests. `read_ages_ms` tell
+    how long ago the store confirmed each of `document_versions` and
+    `later_versions`, in their order; NEVER_MS if it never did.
     """
 
     member: str
@@ -204,7 +197,7 @@
     lost_services: tuple[str, ...] = ()
     relay_port: int = 0
     brittle_services: tuple[BrittleService, ...] = ()
-    store_readings: tuple[StoreReading, ...] = ()
+    read_ages_ms: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
