Send heartbeats to others while restarted peers are asked

Cause: a peer of which several processes may be alive gets its heartbeat as a call, and these calls were awaited in turn, up to 0.5 s each. After restarts of many neighbours a daemon's heartbeats, and with them what they tell of new configurations, came seconds late to all others.

Change: the calls run in the background, one for each peer at a time. A peer that is being asked gets further heartbeats without a call.

--- a/packages/mesh/src/oriolegauge/mesh/peermesh.py
+++ b/packages/mesh/src/oriolegauge/mesh/peermesh.py
@@ -22,6 +22,7 @@
 import structlog
 
 from oriolegauge.core.errors import OriolegaugeError
+from oriolegauge.core.taskset import TaskSet
 from oriolegauge.membership import AliveMember, FailureProof, MemberTable, View
 from oriolegauge.wire import (
     LINK_PATH,
@@ -139,6 +140,9 @@
         self._tasks: dict[str, asyncio.Task] = {}
         self._links: dict[str, PeerLink] = {}
         self._without_heartbeats: Collection[str] = ()
+        # Calls under way to peers of which several processes may be alive.
+        self._calls = TaskSet()
+        self._asked: set[str] = set()
         for peer in settings.peers:
             self.add_peer(peer.name, peer.address)
         self._server = PeerServer(
@@ -260,16 +264,7 @@
             self.table.set_own(
                 incarnation=self._incarnation, state=message.state
             )
-            ambiguous = self.table.members_to_ask()
-            # Encoded once for all links: in a large fleet a daemon has a dozen
-            # neighbours.
-            frame = one_way_frame(self._sender(), message)
-            for name, link in list(self._links.items()):
-                if link.connected and name not in self._without_heartbeats:
-                    if name in ambiguous:
-                        await self._call_with_heartbeat(link, message)
-                    else:
-                        self._send_heartbeat(link, frame)
+            self._send_to_peers(message)
             after_heartbeat()
             await asyncio.sleep(MIN_HEARTBEAT_PAUSE_S)
             rest_s = self._period_s() - MIN_HEARTBEAT_PAUSE_S
@@ -278,11 +273,32 @@
                     await self._heartbeat_requested.wait()
             self._heartbeat_requested.clear()
 
+    def _send_to_peers(self, message: Heartbeat) -> None:
+        ambiguous = self.table.members_to_ask()
+        # Encoded once for all links: in a large fleet a daemon has a dozen
+        # neighbours.
+        frame = one_way_frame(self._sender(), message)
+        for name, link in self._links.items():
+            if not link.connected or name in self._without_heartbeats:
+                continue
+            if name in ambiguous and name not in self._asked:
+                self._ask_with_heartbeat(name, link, message)
+            else:
+                self._send_heartbeat(link, frame)
+
     def _period_s(self) -> float:
         if self._heartbeat_period_s is None:
             return HEARTBEAT_PERIOD_S
         return self._heartbeat_period_s()
 
+    def _ask_with_heartbeat(
+        self, name: str, link: PeerLink, message: Heartbeat
+    ) -> None:
+        """Call the peer in the background: it may not answer for a while."""
+        self._asked.add(name)
+        task = self._calls.spawn(self._call_with_heartbeat(link, message))
+        task.add_done_callback(lambda _: self._asked.discard(name))
+
     async def _call_with_heartbeat(
         self, link: PeerLink, message: Heartbeat
     ) -> None:
