Check with the stored ledger what a host believes to hold

What callers saw: prompts refused for lack of tokens while the store was away, although all leaders held reserves before.

Cause: an allocator that knows a ledger without the host's reserve answered a renewal at once that the host holds nothing. Its ledger may be as old as its last write. In a cut of all hosts the choice of the allocator moves over the leaders, and one that had written the ledger at the start, before there were reserves, took them from each host that asked it.

The new test fails without the change.

Change: a renewal of a host that believes to hold tokens goes through a write, which reads the stored ledger if it is newer, and is not confirmed while the store is away.

--- a/packages/grants/src/oriolegauge/grants/grantallocator.py
+++ b/packages/grants/src/oriolegauge/grants/grantallocator.py
@@ -290,7 +290,13 @@
         """
         self._note_start(renewal)
         is_report = renewal.number == START_REPORT
-        is_held = renewal.host in self.ledger.reserves or renewal.opened
+        # The ledger known here may be outdated, so what the host believes to
+        # hold is checked against the stored one.
+        is_held = (
+            renewal.host in self.ledger.reserves
+            or renewal.opened
+            or renewal.believed
+        )
         is_due = is_held or (not is_report and bool(self._reserve_targets()))
         if self.is_known and not is_due:
             return Renewed(renewal.number, {}, {})
--- a/packages/grants/tests/test_grantkeeper.py
+++ b/packages/grants/tests/test_grantkeeper.py
@@ -393,6 +393,28 @@
         low, high = outagetimes.OUTAGE_RETRY_AFTER_S
         assert low <= min(waits) < max(waits) <= high
 
+    async def test_outdated_allocator_takes_no_reserve_from_its_host(self):
+        """Guards against an outage without reserves.
+
+        A daemon that wrote the ledger long ago told hosts that they hold none.
+        """
+        fleet = make_fleet(400_000, size=4)
+        fleet.reserve_hosts = ['d0', 'd1', 'd2']
+        fleet.allocator = 'd3'
+        fleet.run()
+        await asyncio.sleep(3)
+        fleet.allocator = 'd0'
+        for _ in range(30):
+            await fleet.request('d0', 2_000, 2_000)
+        held = [fleet.keepers[name]._reserve for name in fleet.reserve_hosts]
+        assert all(reserve.held(TEAM) for reserve in held)
+        fleet.store.fault = StoreFault.OUTAGE
+        fleet.reaches_store = False
+        fleet.allocator = 'd3'
+        await asyncio.sleep(2)
+        assert all(reserve.held(TEAM) for reserve in held)
+        fleet.stop()
+
     async def test_returns_unspent_tokens_at_shutdown(self):
         """Guards against tokens that a planned restart strands."""
         fleet = make_fleet(10_000, size=2)
