Count a list of members only if it names this daemon

The members are now read beside the registration and not after it, so the first list of a daemon could lack those that registered in the same milliseconds, and itself. The new test fails without the change.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -313,11 +313,17 @@
         self._versions = versions
 
     def list_members(self, members: Iterable[FleetMember]) -> None:
-        """Add the daemons that the store lists."""
+        """Add the daemons that the store lists.
+
+        A list that was read before this daemon was registered may lack others
+        that start at the same time.
+        """
+        listed = list(members)
         self._add_members(
-            member for member in members if member.name not in self._forgotten
+            member for member in listed if member.name not in self._forgotten
         )
-        self.note_listed()
+        if any(member.name == self._name for member in listed):
+            self.note_listed()
 
     def add_member(self, member: FleetMember) -> None:
         """Add a daemon that has sent a heartbeat."""
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -400,6 +400,20 @@
         assert not set(lost) & set(links._mesh.names)
 
 
+class TestListedMembers:
+    async def test_list_without_this_daemon_is_not_complete(self):
+        """Guards against a daemon that starts first and leads alone."""
+        clock = asyncio.get_running_loop().time
+        links, grants = links_of('d0', [], clock)
+        links.list_members([])
+        assert grants.is_cut_off()
+        listed = [FleetMember(name=name, zone='z') for name in ('d0', 'd1')]
+        links.list_members(listed[1:])
+        assert grants.is_cut_off()
+        links.list_members(listed)
+        assert not grants.is_cut_off()
+
+
 class TestCutOff:
     async def test_daemon_without_a_link_is_cut_off_if_others_exist(self):
         """Guards against hosts that lead alone and draw for the whole fleet."""
