Choose neighbours once for members that become known together

Members now become known as they register, within a second of each other at the start of a fleet, and each new one changes about half of a host's neighbours on the ring.

In a large fleet neighbours are now chosen once in a second. Links that calls need are still opened at once. The new test, 48 members within half a second, fails without the change.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -91,6 +91,9 @@
 # They also hold reserves of prepaid tokens, so they have to notice a recovery
 # of the store soon.
 MAX_WATCHERS = 8
+# A new member changes half of the neighbours on the ring, and hosts of a fleet
+# register within a second of each other.
+NEIGHBOURS_PAUSE_S = 1.0
 # A daemon that can't list the members within this time starts without peers.
 LISTING_TIMEOUT_S = 1.0
 # A new link counts as usable for this time while it connects. A draw of tokens
@@ -192,6 +195,8 @@
         # Peers that were unreachable for too long; their entries stay listed.
         self._forgotten: set[str] = set()
         self._neighbours: set[str] = set()
+        self._neighbours_chosen_at = -math.inf
+        self._neighbours_update: asyncio.TimerHandle | None = None
         # Peers that are linked for calls although they are no ring neighbours.
         self._extra_links: set[str] = set()
         # Peers that send heartbeats although they are neither. They are linked
@@ -344,7 +349,7 @@
                 strength=member.capacity_class,
             )
         if is_changed:
-            self._update_links()
+            self._update_neighbours_soon()
 
     async def answer(self, sender: Sender, message: Message) -> Message | None:
         """Answer a message of a peer."""
@@ -729,12 +734,29 @@
         signs = self._watch_signs.fresh(names, watch_sign_age_s(self.members))
         return tuple(islice(signs, MAX_WATCHERS))
 
-    def _update_links(self) -> None:
-        if self._mesh is None:
-            return
+    def _update_neighbours_soon(self) -> None:
+        """Choose the neighbours again, once for members that come together."""
+        wait_s = self._neighbours_chosen_at + NEIGHBOURS_PAUSE_S - self._clock()
+        if wait_s <= 0 or self.members <= FULL_MESH_MEMBERS:
+            self._update_neighbours()
+        elif self._neighbours_update is None:
+            self._neighbours_update = asyncio.get_running_loop().call_later(
+                wait_s, self._update_neighbours
+            )
+
+    def _update_neighbours(self) -> None:
+        self._neighbours_chosen_at = self._clock()
+        if self._neighbours_update:
+            self._neighbours_update.cancel()
+            self._neighbours_update = None
         self._neighbours = ring_neighbours(
             self._name, self._ranked_members.others
         )
+        self._update_links()
+
+    def _update_links(self) -> None:
+        if self._mesh is None:
+            return
         wanted = self._neighbours | self._extra_links | self._unlinked_senders
         self._mesh.suppress_heartbeats(
             wanted - self._neighbours - self._fellow_leaders()
@@ -870,7 +892,7 @@
         for name in forgotten:
             self._known_since.pop(name, None)
         self._extra_links -= forgotten
-        self._update_links()
+        self._update_neighbours()
 
 
 def _reported_limits(rows: Iterable[ServerLimit]) -> Iterator[ReportedLimit]:
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -17,6 +17,7 @@
     FORGET_PEER_S,
     FRESH_PERIODS,
     MAX_WATCHERS,
+    NEIGHBOURS_PAUSE_S,
     STORE_UNAVAILABLE_PAUSE_S,
     UNRESPONSIVE_PAUSE_S,
     FleetLinks,
@@ -150,8 +151,7 @@
         clock=clock,
     )
     links.attach(mesh or StubMesh(), None)
-    for other in others:
-        links.add_member(member(other))
+    links.list_members([member(other) for other in others if other != name])
     return links, GrantLinks(name=name, links=links)
 
 
@@ -381,6 +381,23 @@
         links.add_member(FleetMember(name=gone, zone='z'))
         assert links.members == len(names)
 
+    @pytest.mark.looptime
+    async def test_members_that_register_together_change_links_once(self):
+        """Guards against links that are opened and dropped at each start."""
+        names = [f'd{number:02}' for number in range(68)]
+        clock = asyncio.get_running_loop().time
+        links, _ = links_of('d00', names[:20], clock)
+        opened = []
+        add_peer = links._mesh.add_peer
+        links._mesh.add_peer = lambda *peer: (opened.append(1), add_peer(*peer))
+        for number in range(20, 68):
+            links.list_members([FleetMember(name=names[number], zone='z')])
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(NEIGHBOURS_PAUSE_S)
+        expected = ring_neighbours('d00', set(names) - {'d00'})
+        assert set(links._mesh.names) == expected
+        assert len(opened) <= len(expected)
+
     @pytest.mark.looptime
     async def test_many_replaced_hosts_are_removed(self):
         """Guards against an error in the heartbeat task.
