Ask only linked peers for documents, and nobody for what is not wanted

Such a peer is asked after its next heartbeat, when it is linked. Heartbeats that tell of nothing newer, nearly all, end before the choice of a peer. The new test fails without the change.

--- a/packages/gateway/src/oriolegauge/gateway/documentexchange.py
+++ b/packages/gateway/src/oriolegauge/gateway/documentexchange.py
@@ -43,12 +43,17 @@
 class DocumentExchange:
     """Fetch newer documents from peers, and serve those of this daemon."""
 
-    def __init__(self, documents: SharedDocuments, call: PeerCall) -> None:
-        """Fetch by `call(peer, message, timeout_s)`."""
+    def __init__(
+        self,
+        documents: SharedDocuments,
+        call: PeerCall,
+        is_linked: Callable[[str], bool],
+    ) -> None:
+        """Fetch by `call(peer, message, timeout_s)` from linked peers."""
         self._documents = documents
         self._call = call
         self._providers: dict[str, Callable[[], Document | None]] = {}
-        self._sources = DocumentSources(documents.is_wanted)
+        self._sources = DocumentSources(documents.is_wanted, is_linked)
         # Keys of documents that earlier builds do not know. They would fail on
         # one, so they must not hear of it.
         self._later_keys: set[str] = set()
@@ -127,8 +132,8 @@
     def _learn(self, peer: str, row: ConfigVersion, age_ms: int) -> None:
         self._documents.advance_revision(row.key, row.version, row.digest)
         self._documents.readings.learn(row, age_ms)
-        self._sources.note_told(peer, row, _now())
-        self._fetch_next(row.key)
+        if self._sources.note_told(peer, row, _now()):
+            self._fetch_next(row.key)
 
     def _all(self) -> Iterator[ConfigVersion]:
         for key, revision in self._documents.revisions.items():
--- a/packages/gateway/src/oriolegauge/gateway/documentsources.py
+++ b/packages/gateway/src/oriolegauge/gateway/documentsources.py
@@ -25,6 +25,7 @@
 FAILURE_MEMORY_S = 60.0
 
 IsWanted = Callable[[str, int, int], bool]
+IsLinked = Callable[[str], bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,26 +48,29 @@
     Times are seconds of any steady clock.
     """
 
-    def __init__(self, is_wanted: IsWanted) -> None:
-        """Ask only for what `is_wanted(key, version, digest)`."""
+    def __init__(self, is_wanted: IsWanted, is_linked: IsLinked) -> None:
+        """Ask for what `is_wanted(key, version, digest)`, and linked peers."""
         self._is_wanted = is_wanted
+        self._is_linked = is_linked
         self._keys: dict[str, _Key] = {}
         self._failed_at: dict[str, float] = {}
 
-    def note_told(self, peer: str, row: ConfigVersion, now: float) -> None:
-        """Note which version of a document a peer has."""
+    def note_told(self, peer: str, row: ConfigVersion, now: float) -> bool:
+        """Note which version a peer has; return whether it is wanted."""
+        if not self._is_wanted(row.key, row.version, row.digest):
+            return False
         told = self._keys.setdefault(row.key, _Key()).told
         told_at = {name: entry.told_at for name, entry in told.items()}
         for earlier in _older(told_at, now - TOLD_MAX_AGE_S):
             del told[earlier]
-        if self._is_wanted(row.key, row.version, row.digest):
-            told[peer] = _Told(row, now)
-        else:
-            told.pop(peer, None)
+        told[peer] = _Told(row, now)
+        return True
 
     def next_peer(self, key: str, now: float) -> str | None:
         """Return whom to ask now, or None to wait for a fetch or a heartbeat.
 
+        A peer without a link is asked after a later heartbeat of it.
+
         Peers that never failed come first, then those that failed longest ago.
         """
         found = self._keys.get(key)
@@ -117,6 +121,7 @@
     ) -> bool:
         return (
             peer not in found.fetching
+            and self._is_linked(peer)
             and now - told.told_at <= TOLD_MAX_AGE_S
             and now - self._failed_at.get(peer, -math.inf) >= FAILED_PAUSE_S
             and self._is_wanted(told.row.key, told.row.version, told.row.digest)
--- a/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlinks.py
@@ -168,7 +168,7 @@
         self._name = own.name
         self._incarnation = incarnation
         self._documents = DocumentExchange(
-            documents, self._call_without_penalty
+            documents, self._call_without_penalty, self._is_linked
         )
         self._leaving_instances = leaving_instances
         self._server_limits = server_limits
@@ -648,6 +648,14 @@
             self._extra_links.add(name)
             self._update_links()
 
+    def _is_linked(self, peer: str) -> bool:
+        mesh = self._mesh
+        return (
+            mesh is not None
+            and peer in mesh.names
+            and mesh.link(peer).connected
+        )
+
     async def _call_without_penalty(
         self, peer: str, message: Message, timeout_s: float
     ) -> Message:
--- a/packages/gateway/tests/test_documentexchange.py
+++ b/packages/gateway/tests/test_documentexchange.py
@@ -53,12 +53,14 @@
 
 
 class Daemon:
-    def __init__(self, era, revision, call=None):
+    def __init__(self, era, revision, call=None, unlinked=()):
         self.documents = SharedDocuments(lambda *_: None)
         self.documents.offer(
             KEY, Document(store_version(era, revision), b'held', 'store')
         )
-        self.exchange = DocumentExchange(self.documents, call)
+        self.exchange = DocumentExchange(
+            self.documents, call, lambda peer: peer not in unlinked
+        )
 
 
 class TestEras:
@@ -242,6 +244,21 @@
         came_at = await self.hear_once(['d0', 'd1', 'd2'], 2, hung={'d0', 'd1'})
         assert came_at <= 2 * SLOW_FETCH_S + 0.01
 
+    async def test_one_without_a_link_is_not_asked(self):
+        """Guards against log lines about peers that are just being linked."""
+        asked = []
+
+        async def call(peer, message, timeout_s):
+            asked.append(peer)
+            raise PeerUnreachableError('no link')
+
+        daemon = Daemon(era=0, revision=12, call=call, unlinked={'d0'})
+        row = ConfigVersion(KEY, 20, NEWER.digest)
+        for peer in ('d0', 'd1'):
+            daemon.exchange.learn(peer, heartbeat(document_versions=(row,)))
+        await asyncio.sleep(0.1)
+        assert asked == ['d1']
+
     async def test_ones_that_all_fail_are_not_asked_in_a_busy_loop(self):
         """Guards against a daemon that does nothing but fail to ask."""
         asked = []
