Remove reads of the store that may be stale

Nobody asks for them since daemons that leave the store to their peers read it only when what they hear is too old, and a stale answer would not help then.

--- a/packages/gateway/tests/documentfleet.py
+++ b/packages/gateway/tests/documentfleet.py
@@ -104,7 +104,7 @@
         await self._call()
         return Snapshot(self.store.objects(kind), self.store.revision)
 
-    async def changes(self, kind, after, wait_s, *, allow_stale=False):
+    async def changes(self, kind, after, wait_s):
         await self._call(wait_s)
         await self.store.wait_for_change(kind, after, wait_s)
         await self._call(counted=0)
--- a/packages/objectstore/src/oriolegauge/objectstore/kindstore.py
+++ b/packages/objectstore/src/oriolegauge/objectstore/kindstore.py
@@ -38,12 +38,9 @@
         kind: str,
         after: int,
         wait_s: float,
-        *,
-        allow_stale: bool = False,
     ) -> Changes:
         """Return the changes after a revision; wait up to `wait_s` seconds.
 
         Raise HistoryLostError if the store no longer has them, or another
-        StoreError. With `allow_stale` the call is cheaper and may miss recent
-        changes.
+        StoreError.
         """
