Name the waiting of a follower by what it waits for

Splits the condition that ends the wait from its side effects, and gives the two constants of the same name, shares of different times, names of their own.

--- a/packages/gateway/src/oriolegauge/gateway/documentsources.py
+++ b/packages/gateway/src/oriolegauge/gateway/documentsources.py
@@ -69,9 +69,8 @@
     def next_peer(self, key: str, now: float) -> str | None:
         """Return whom to ask now, or None to wait for a fetch or a heartbeat.
 
-        A peer without a link is asked after a later heartbeat of it.
-
         Peers that never failed come first, then those that failed longest ago.
+        A peer without a link is asked after a later heartbeat of it.
         """
         found = self._keys.get(key)
         if found is None or not self._may_fetch(found, now):
--- a/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
+++ b/packages/gateway/src/oriolegauge/gateway/gatewaysettings.py
@@ -4,8 +4,8 @@
 
 from oriolegauge.forwarding.drainplan import DrainPlan
 
-# Share of the time in which a change has to be in force.
-READING_AGE_SHARE = 2 / 3
+# Part of the time in which a change has to be in force; the rest is for a call.
+MAX_READING_AGE_SHARE = 2 / 3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,11 +70,8 @@
 
     @property
     def max_reading_age_s(self) -> float:
-        """Return the age of knowledge of the store at which it is read again.
-
-        The rest of `config_apply_s` is for the call.
-        """
-        return self.config_apply_s * READING_AGE_SHARE
+        """Return the age at which what is known of the store is too old."""
+        return self.config_apply_s * MAX_READING_AGE_SHARE
 
     def drain_plan(self, began_at: float) -> DrainPlan:
         """Return the plan of a stop that began at the loop time (s)."""
--- a/packages/gateway/src/oriolegauge/gateway/kindfollower.py
+++ b/packages/gateway/src/oriolegauge/gateway/kindfollower.py
@@ -33,7 +33,7 @@
 # A daemon that leaves the store to its peers reads it once the newest reading
 # that it heard of is older than a random part, in this range, of the tolerated
 # age. The first to read tells the others, so that most of them need not.
-READING_AGE_SHARE = (0.6, 1.0)
+READING_AGE_SPREAD = (0.6, 1.0)
 # A daemon whose role changes during a pause acts on it within this time. Peers
 # send no changes while all daemons take each other for watchers.
 ROLE_CHECK_PERIOD_S = 0.25
@@ -186,27 +186,34 @@
         While readings are young, others watch. Without them as a sign, all
         daemons that miss lost watchers would begin to watch at once.
         """
-        max_age_s = self._max_reading_age_s * random.uniform(*READING_AGE_SHARE)
-        while not self._is_due(max_age_s):
+        max_age_s = self._max_reading_age_s * random.uniform(
+            *READING_AGE_SPREAD
+        )
+        while not self._watches_now() and self._known_age_s() < max_age_s:
+            if not self._is_watcher():
+                self._note_role()
             await asyncio.sleep(ROLE_CHECK_PERIOD_S)
+        if not self._watches_now():
+            log.info(
+                'store read, as no reading was heard of',
+                kind=self._kind,
+                revision=self._revision,
+                age_s=_rounded(self._known_age_s()),
+            )
 
-    def _is_due(self, max_age_s: float) -> bool:
-        if not self._is_watcher():
-            self._note_role()
-        elif self._has_watched or self._is_leader():
-            return True
-        # An answer that shows an older state than the held one is no reading of
-        # it, and the next would not be another.
-        age_s = min(self._readings.age_s(self._kind), self._answer_age_s())
-        if age_s < max_age_s:
-            return False
-        log.info(
-            'store read, as no reading was heard of',
-            kind=self._kind,
-            revision=self._revision,
-            age_s=round(age_s, 3),
+    def _watches_now(self) -> bool:
+        """State whether this daemon goes on to watch, or begins at once."""
+        return self._is_watcher() and (
+            bool(self._has_watched) or self._is_leader()
         )
-        return True
+
+    def _known_age_s(self) -> float:
+        """Return the seconds since the newest reading, or own answer.
+
+        An answer that shows an older state than the held one is no reading of
+        it, and the next would not be another.
+        """
+        return min(self._readings.age_s(self._kind), self._answer_age_s())
 
     async def _step(self) -> None:
         if self._revision is None:
@@ -249,15 +256,10 @@
                 'store watched' if is_watcher else 'store left to peers',
                 kind=self._kind,
                 revision=self._revision,
-                age_s=self._known_age_s(),
+                age_s=_rounded(self._readings.age_s(self._kind)),
             )
         return is_watcher
 
-    def _known_age_s(self) -> float | None:
-        """Return the age of the newest reading, over any path, for logs."""
-        age_s = self._readings.age_s(self._kind)
-        return round(age_s, 3) if math.isfinite(age_s) else None
-
     def _answer_age_s(self) -> float:
         return self._readings.now() - self._answered_at
 
@@ -351,3 +353,7 @@
         self._is_store_unavailable = True
         self._failed_at = self._clock()
         self._note_attempt()
+
+
+def _rounded(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/packages/gateway/tests/test_kindfollower.py
+++ b/packages/gateway/tests/test_kindfollower.py
@@ -11,7 +11,7 @@
     BATCH_CHANGES_S,
     LEADER_RETRY_MAX_S,
     LONG_POLL_S,
-    READING_AGE_SHARE,
+    READING_AGE_SPREAD,
     ROLE_CHECK_PERIOD_S,
     KindFollower,
 )
@@ -42,10 +42,9 @@
     async def snapshot(self, kind):
         return await self._next('snapshot')
 
-    async def changes(self, kind, after, wait_s, *, allow_stale=False):
-        assert not (allow_stale and wait_s)
+    async def changes(self, kind, after, wait_s):
         self.waits.append(wait_s)
-        return await self._next(f'old {after}' if allow_stale else after)
+        return await self._next(after)
 
     async def _next(self, call):
         self.calls.append(call)
@@ -203,7 +202,7 @@
         documents.offer('servers', Document(7, b'[]', 'peer'))
         await asyncio.sleep(10 * MAX_READING_AGE_S)
         task.cancel()
-        assert len(store.calls) <= 2 + 10 / READING_AGE_SHARE[0]
+        assert len(store.calls) <= 2 + 10 / READING_AGE_SPREAD[0]
 
     async def test_non_watcher_that_hears_of_none_reads_the_store(self):
         """Guards against a host whose peers are behind or silent."""
@@ -220,7 +219,7 @@
         assert documents.revisions['servers'] >= 6
         await asyncio.sleep(10 * MAX_READING_AGE_S)
         task.cancel()
-        shortest_s = MAX_READING_AGE_S * READING_AGE_SHARE[0]
+        shortest_s = MAX_READING_AGE_S * READING_AGE_SPREAD[0]
         assert len(store.calls) <= 2 + 11 * MAX_READING_AGE_S / shortest_s
 
     @pytest.mark.parametrize(('is_leader', 'most'), [(True, 30), (False, 8)])
