Split the links of a daemon by what they decide

The decisions are now in FleetMembers, PeerStates, LinkSelection and FleetRoles, which need no network or tasks; FleetLinks sends and answers, with the interface it had.

--- a/packages/gateway/src/oriolegauge/gateway/fleetlayout.py
+++ b/packages/gateway/src/oriolegauge/gateway/fleetlayout.py
@@ -15,6 +15,10 @@
 # cost. Two heartbeats fit into the time after which a silent peer becomes
 # suspect.
 RING_BEAT_PERIOD_S = 0.75
+# Number of leaders. They watch the store, and the others get changes from them.
+# They also hold reserves of prepaid tokens, so they have to notice a recovery
+# of the store soon.
+MAX_LEADERS = 8
 # Time for which a daemon lends its share in the limits of servers. No permits
 # are handed out for so long after the loss of the daemon that does it; in a
 # large fleet it gets a renewal from each daemon.
--- a/packages/gateway/tests/test_brittlereports.py
+++ b/packages/gateway/tests/test_brittlereports.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from oriolegauge.gateway.fleetlinks import FORGET_PEER_S, SHARE_RETENTION_S
+from oriolegauge.gateway.fleetmembers import SHARE_RETENTION_S
+from oriolegauge.gateway.peerstates import FORGET_PEER_S
 from oriolegauge.mesh import ReceivedHeartbeat
 from oriolegauge.routing.brittleservices import BrittleServices
 from oriolegauge.wire import Sender
--- a/packages/gateway/tests/test_documentfleet.py
+++ b/packages/gateway/tests/test_documentfleet.py
@@ -6,8 +6,7 @@
 
 import pytest
 
-from oriolegauge.gateway.fleetlayout import RING_BEAT_PERIOD_S
-from oriolegauge.gateway.fleetlinks import MAX_WATCHERS
+from oriolegauge.gateway.fleetlayout import MAX_LEADERS, RING_BEAT_PERIOD_S
 from oriolegauge.gateway.gateway import MEMBERS_POLL_S
 from oriolegauge.gateway.kindfollower import LONG_POLL_S
 from oriolegauge.wire import LinkLimits
@@ -127,14 +126,14 @@
                 await asyncio.sleep(2)
                 assert not fleet.late(version, IN_FORCE_WITHIN_S, changed_at)
             assert fleet.store.calls - calls <= 3 * len(fleet.hosts)
-            assert len(fleet.watchers()) <= 2 * MAX_WATCHERS
+            assert len(fleet.watchers()) <= 2 * MAX_LEADERS
 
     async def test_few_daemons_of_a_quiet_fleet_call_the_store(self):
         """Guards against calls that grow with the number of daemons."""
         async with started_fleet(SIZE, 0) as fleet:
             calls = fleet.store.calls
             await asyncio.sleep(20)
-            assert len(fleet.watchers()) == MAX_WATCHERS
+            assert len(fleet.watchers()) == MAX_LEADERS
             # A tenth more than the long polls of the watchers.
-            most = 1.1 * MAX_WATCHERS * (20 / LONG_POLL_S + 20 / MEMBERS_POLL_S)
+            most = 1.1 * MAX_LEADERS * (20 / LONG_POLL_S + 20 / MEMBERS_POLL_S)
             assert fleet.store.calls - calls <= most
--- a/packages/gateway/tests/test_fleetlinks.py
+++ b/packages/gateway/tests/test_fleetlinks.py
@@ -10,20 +10,19 @@
 from oriolegauge.forwarding.serverlimits import ServerLimits
 from oriolegauge.gateway.fleetlayout import (
     FULL_MESH_MEMBERS,
+    MAX_LEADERS,
     heartbeat_period_s,
     ring_neighbours,
 )
-from oriolegauge.gateway.fleetlinks import (
+from oriolegauge.gateway.fleetlinks import FRESH_PERIODS, FleetLinks
+from oriolegauge.gateway.grantlinks import GrantLinks
+from oriolegauge.gateway.linkselection import NEIGHBOURS_PAUSE_S
+from oriolegauge.gateway.loadexchange import AGGREGATOR_TIMEOUT_S
+from oriolegauge.gateway.peerstates import (
     FORGET_PEER_S,
-    FRESH_PERIODS,
-    MAX_WATCHERS,
-    NEIGHBOURS_PAUSE_S,
     STORE_UNAVAILABLE_PAUSE_S,
     UNRESPONSIVE_PAUSE_S,
-    FleetLinks,
 )
-from oriolegauge.gateway.grantlinks import GrantLinks
-from oriolegauge.gateway.loadexchange import AGGREGATOR_TIMEOUT_S
 from oriolegauge.gateway.rankedmembers import (
     FleetMember,
     RankedMembers,
@@ -269,7 +268,7 @@
             for peer in links._mesh.names:
                 links._mesh.heartbeats[peer] = heartbeat(peer, False)
             watching += links.is_watcher()
-        assert watching >= MAX_WATCHERS
+        assert watching >= MAX_LEADERS
 
 
 class TestRankedMembers:
@@ -337,7 +336,7 @@
             for link in links._mesh.names.values():
                 link.connected = False
             assert links.is_watcher()
-        assert sum(watching) == MAX_WATCHERS
+        assert sum(watching) == MAX_LEADERS
 
     def test_similar_hosts_are_of_one_class(self):
         """Guards against a ranking by tiny differences of capacity."""
--- a/packages/gateway/tests/test_watchers.py
+++ b/packages/gateway/tests/test_watchers.py
@@ -6,10 +6,11 @@
 import pytest
 
 from oriolegauge.gateway.fleetlayout import (
+    MAX_LEADERS,
     heartbeat_period_s,
     watch_sign_age_s,
 )
-from oriolegauge.gateway.fleetlinks import LINK_OPENING_S, MAX_WATCHERS
+from oriolegauge.gateway.peerstates import LINK_OPENING_S
 from oriolegauge.gateway.watchsigns import WatchSigns
 from oriolegauge.mesh import ReceivedHeartbeat
 from oriolegauge.wire import Sender
@@ -89,7 +90,7 @@
         await fleet.run(LINK_OPENING_S + STEP_S)
         assert fleet.watchers
         await fleet.run(2 * noticed_s(fleet))
-        assert MAX_WATCHERS <= len(fleet.watchers) <= 2 * MAX_WATCHERS
+        assert MAX_LEADERS <= len(fleet.watchers) <= 2 * MAX_LEADERS
 
     async def test_few_daemons_of_a_large_fleet_watch(self):
         """Guards against store calls that grow with the number of daemons."""
@@ -97,7 +98,7 @@
         await fleet.run(noticed_s(fleet))
         for _ in range(20):
             await fleet.run(0.5)
-            assert len(fleet.watchers) == MAX_WATCHERS
+            assert len(fleet.watchers) == MAX_LEADERS
 
     @pytest.mark.parametrize('seed', range(4))
     @pytest.mark.parametrize('size', [8, 64])
